--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target sets up what it needs in .venv from pinned packages.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := core daemon cli standin bench model
+PACKAGE_FLAGS := $(foreach p,$(PACKAGES),-e packages/$(p))
+SEED ?= 1
+STEPS ?= 20000
+
+.PHONY: test lint format demo model soak bench slopes docs
+
+$(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGE_FLAGS)
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/black --check -q packages
+	$(BIN)/ruff check -q packages
+
+format: $(STAMP)
+	$(BIN)/black -q packages
+	$(BIN)/ruff check -q --fix packages
+
+demo: $(STAMP)
+	$(BIN)/python -m fescuecrank_standin.demo
+
+model: $(STAMP)
+	$(BIN)/python -m fescuecrank_model
+
+soak: $(STAMP)
+	$(BIN)/python -m fescuecrank_bench.soak --seed $(SEED) --steps $(STEPS)
+
+bench: $(STAMP)
+	$(BIN)/python -m fescuecrank_bench
+
+slopes: $(STAMP)
+	$(BIN)/python -m fescuecrank_bench.slopes
--- /dev/null
+++ b/packages/bench/src/fescuecrank_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Policy benchmark, baselines, lower bounds and slopes, in virtual time."""
--- /dev/null
+++ b/packages/cli/src/fescuecrank_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of fescuecrank for operators and callers."""
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of fescuecrank: one reducer over all events, without any I/O."""
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/errors.py
@@ -0,0 +1,38 @@
+"""Typed failures, used as the `Err` side of `result.Result`."""
+
+import enum
+
+import attrs
+
+
+class FailureKind(enum.StrEnum):
+    """What a caller can conclude from a failure."""
+
+    INVALID = "invalid"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    TOO_LARGE = "too_large"
+    OVERLOADED = "overloaded"
+    UNAVAILABLE = "unavailable"
+    TIMEOUT = "timeout"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Failure:
+    """One failure with the step and the peer at which it arose.
+
+    `step` names the operation, such as `log.append`; `peer` is the address or name of the other
+    side, or the empty string for a local failure.
+    """
+
+    kind: FailureKind
+    step: str
+    peer: str
+    detail: str
+
+    def __str__(self) -> str:
+        at = f" at {self.peer}" if self.peer else ""
+        return f"{self.step}{at}: {self.kind.value}: {self.detail}"
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/requests.py
@@ -0,0 +1,96 @@
+"""Requests, tasks, answers and the records that keep a request from running twice."""
+
+import enum
+
+import attrs
+
+from fescuecrank_core.declarations import RequestClass, Resources
+
+
+@attrs.frozen
+class RequestKey:
+    """Identity of a request: the team that sent it and the id that the caller chose."""
+
+    team: str
+    request_id: str
+
+
+@attrs.frozen
+class Request:
+    """One request as admitted by an entry.
+
+    `fingerprint` is the hex SHA-256 of service, options and body. `need` and `expected_run_ms`
+    are as declared by the caller. `traceparent` follows W3C Trace Context.
+    """
+
+    key: RequestKey
+    service: str
+    request_class: RequestClass
+    idempotent: bool
+    need: Resources
+    expected_run_ms: int
+    body: bytes
+    fingerprint: str
+    traceparent: str = ""
+
+
+class Outcome(enum.StrEnum):
+    """What became of a request, as told to its caller.
+
+    `NOT_RUN` and `CANCELLED` promise that no endpoint has executed or will execute the request.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Answer:
+    """Final answer to one request; `digest` is the hex SHA-256 of `body`."""
+
+    key: RequestKey
+    outcome: Outcome
+    reason: str = ""
+    status: int = 0
+    body: bytes = b""
+    digest: str = ""
+    runs: int = 0
+
+
+class RequestState(enum.StrEnum):
+    """Progress of a request at the holder of its cell."""
+
+    QUEUED = "queued"
+    REPLICATING = "replicating"
+    DISPATCHED = "dispatched"
+    ENDED = "ended"
+
+
+@attrs.frozen
+class Task:
+    """One attempt to run a request on a worker; `fence` is the epoch it was started under."""
+
+    task_id: str
+    key: RequestKey
+    worker: str
+    fence: int
+
+
+@attrs.frozen
+class RequestRecord:
+    """What the holder of a cell and its backups keep about one request.
+
+    `attempts` counts dispatches. `seq` grows with each change within one epoch, so that a backup
+    can ignore a change that arrives after a later one.
+    """
+
+    request: Request
+    state: RequestState
+    seq: int
+    attempts: int = 0
+    task: Task | None = None
+    answer: Answer | None = None
+    updated_wall_ms: int = 0
--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: an I/O shell around the reducer."""
--- /dev/null
+++ b/packages/model/src/fescuecrank_model/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol, checked exhaustively."""
--- /dev/null
+++ b/packages/standin/src/fescuecrank_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, and the embedded demo."""
