Add the agreement, request and escrow parts of the reducer (not wired yet)

The currency rule now starts each proof from a stamp of the entry's own clock that a peer sent back: a heartbeat that was under way for long would otherwise prove something that is no longer true. Escrow messages carry totals that only grow, so that loss and repetition are harmless.

--- /dev/null
+++ b/packages/core/src/fescuecrank_core/backups.py
@@ -0,0 +1,137 @@
+"""Request records that this entry keeps for cells that other entries hold."""
+
+import attrs
+
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import Effect, SendPeer
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.messages import (
+    Replicate,
+    ReplicateAck,
+    TableCopy,
+    TableOffer,
+    TableRequest,
+    TableStored,
+)
+from fescuecrank_core.record_table import RecordTable
+from fescuecrank_core.requests import RequestRecord
+
+COPY_BATCH = 200
+EXPIRE_INTERVAL_MS = 5_000
+
+
+@attrs.define
+class PartsReceived:
+    """Parts of one copy that have arrived; parts of another copy start anew."""
+
+    copy_id: int = -1
+    parts: set[int] = attrs.field(factory=set)
+
+    def add(self, copy_id: int, part: int, parts: int) -> bool:
+        """Note one part and return whether the copy is whole."""
+        if copy_id != self.copy_id:
+            self.copy_id = copy_id
+            self.parts = set()
+        self.parts.add(part)
+        return len(self.parts) == parts
+
+
+@attrs.define
+class Backup:
+    """Copy of one cell's records under one epoch; `complete` once a full copy has arrived."""
+
+    epoch: int
+    table: RecordTable = attrs.field(factory=RecordTable)
+    complete: bool = False
+    received: PartsReceived = attrs.field(factory=PartsReceived)
+
+
+def split_records(records: list[RequestRecord]) -> list[list[RequestRecord]]:
+    """Split records into batches of bounded size; there is always at least one."""
+    return [records[i : i + COPY_BATCH] for i in range(0, len(records), COPY_BATCH)] or [[]]
+
+
+class BackupKeeper:
+    """Stores records for other holders and gives them to the next one."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self._ledger = ledger
+        self._backups: dict[str, Backup] = {}
+        self._next_expire_ms = 0
+
+    def __len__(self) -> int:
+        return sum(len(backup.table) for backup in self._backups.values())
+
+    def _backup(self, scope: str, epoch: int) -> Backup | None:
+        backup = self._backups.get(scope)
+        if backup is not None and backup.epoch > epoch:
+            return None
+        if backup is None or backup.epoch < epoch:
+            # The copy of the epoch before stays as a base: nothing in it is wrong, and the new
+            # holder may die before its own copy is complete.
+            table = backup.table if backup else RecordTable()
+            backup = self._backups[scope] = Backup(epoch, table)
+        return backup
+
+    def on_table_offer(self, sender: str, message: TableOffer, now: Instant) -> list[Effect]:
+        """Store a part of a full copy."""
+        backup = self._backup(message.scope, message.epoch)
+        if backup is None:
+            return []
+        backup.table.merge(message.records)
+        if backup.received.add(message.copy_id, message.part, message.parts):
+            backup.complete = True
+        if not backup.complete:
+            return []
+        return [SendPeer(sender, TableStored(message.scope, message.epoch))]
+
+    def on_replicate(self, sender: str, message: Replicate, now: Instant) -> list[Effect]:
+        """Store one changed record, and acknowledge it once a full copy has arrived."""
+        backup = self._backup(message.scope, message.epoch)
+        if backup is None:
+            return []
+        backup.table.put(message.record)
+        if not backup.complete:
+            return []
+        record = message.record
+        ack = ReplicateAck(message.scope, message.epoch, record.request.key, record.seq)
+        return [SendPeer(sender, ack)]
+
+    def on_table_request(self, sender: str, message: TableRequest, now: Instant) -> list[Effect]:
+        """Give the new holder what is kept for its scope."""
+        backup = self._backups.get(message.scope)
+        if backup is None:
+            backup = Backup(-1)
+        source_epoch = backup.epoch if backup.complete else -1
+        batches = split_records(list(backup.table))
+        return [
+            SendPeer(
+                sender,
+                TableCopy(
+                    message.scope,
+                    message.epoch,
+                    source_epoch,
+                    now.mono_ms,
+                    index,
+                    len(batches),
+                    tuple(batch),
+                ),
+            )
+            for index, batch in enumerate(batches)
+        ]
+
+    def adopt(self, scope: str, epoch: int, table: RecordTable) -> None:
+        """Keep the table of a cell that this entry held itself."""
+        self._backups[scope] = Backup(epoch, table, complete=True)
+
+    def get(self, scope: str) -> Backup | None:
+        """Return what is kept for a scope."""
+        return self._backups.get(scope)
+
+    def on_tick(self, now: Instant) -> list[Effect]:
+        """Forget expired records."""
+        if now.mono_ms >= self._next_expire_ms:
+            self._next_expire_ms = now.mono_ms + EXPIRE_INTERVAL_MS
+            for backup in self._backups.values():
+                backup.table.expire(now.wall_ms)
+        return []
--- a/packages/core/src/fescuecrank_core/codec.py
+++ b/packages/core/src/fescuecrank_core/codec.py
@@ -12,7 +12,7 @@
 from cattrs.preconf.cbor2 import make_converter
 from result import Err, Ok, Result
 
-from fescuecrank_core import declarations, messages, records, requests
+from fescuecrank_core import declarations, ledger_state, messages, records, requests
 from fescuecrank_core.errors import Failure, FailureKind
 
 _converter = make_converter()
@@ -26,7 +26,7 @@
 
 
 REGISTRY: dict[str, type] = {}
-for _module in (declarations, records, requests, messages):
+for _module in (declarations, records, requests, messages, ledger_state):
     REGISTRY.update(_classes(_module))
 
 
--- a/packages/core/src/fescuecrank_core/declarations.py
+++ b/packages/core/src/fescuecrank_core/declarations.py
@@ -299,17 +299,19 @@
         return f"{self.section}/{self.name}: {self.field}: {self.detail}"
 
 
-def check_fleet(fleet: Fleet) -> list[Problem]:
-    """Return what is wrong between declarations: dangling references and contradictions."""
+def check_fleet(fleet: Fleet, changed: set[str] | None = None) -> list[Problem]:
+    """Return what is wrong between declarations: dangling references and contradictions.
+
+    `changed` limits the checks to those that a change of these sections can break, so that a small
+    change to a large fleet stays cheap.
+    """
     problems = []
     for ref in REFERENCES:
-        problems.extend(_check_reference(fleet, ref))
-    problems.extend(_check_homes(fleet))
-    problems.extend(_check_profiles(fleet))
-    for service in fleet.services.values():
-        if service.open_to_all and not service.open_team:
-            detail = "a service that is open to all needs the team that its requests count for"
-            problems.append(Problem("services", service.name, "open_team", detail))
+        if changed is None or changed & {ref.section, ref.target}:
+            problems.extend(_check_reference(fleet, ref))
+    for section, check in _SECTION_CHECKS.items():
+        if changed is None or section in changed:
+            problems.extend(check(fleet))
     return problems
 
 
@@ -347,3 +349,19 @@
             detail = "the reserve is larger than max_out"
             problems.append(Problem("profiles", profile.name, "failure_reserve", detail))
     return problems
+
+
+def _check_services(fleet: Fleet) -> list[Problem]:
+    problems = []
+    for service in fleet.services.values():
+        if service.open_to_all and not service.open_team:
+            detail = "a service that is open to all needs the team that its requests count for"
+            problems.append(Problem("services", service.name, "open_team", detail))
+    return problems
+
+
+_SECTION_CHECKS = {
+    "pools": _check_homes,
+    "profiles": _check_profiles,
+    "services": _check_services,
+}
--- a/packages/core/src/fescuecrank_core/effects.py
+++ b/packages/core/src/fescuecrank_core/effects.py
@@ -117,13 +117,16 @@
 class StartTask(Effect):
     """Send a request to an endpoint; the answer is `TaskReported`.
 
-    `lease_ms` is how long the worker may run the task without a renewal.
+    `lease_ms` is how long the worker may run the task without a renewal. A command that was not
+    sent by the monotonic time `send_before_ms` must not be sent any more and is `NOT_SENT`: the
+    process was paused, and the claim may have passed to another entry.
     """
 
     task: Task
     address: str
     request: Request
     lease_ms: int
+    send_before_ms: int
 
 
 @attrs.frozen
@@ -148,11 +151,15 @@
 
 @attrs.frozen
 class ControlTask(Effect):
-    """Throttle, checkpoint or stop a task; its end is reported as `TaskReported`."""
+    """Throttle, checkpoint or stop a task; its end is reported as `TaskReported`.
+
+    `send_before_ms` as in `StartTask`.
+    """
 
     task: Task
     address: str
     action: TaskAction
+    send_before_ms: int
 
 
 @attrs.frozen
@@ -168,12 +175,16 @@
 
 @attrs.frozen
 class ControlWorker(Effect):
-    """Drain, undrain or reboot a worker; the answer is `WorkerControlled`."""
+    """Drain, undrain or reboot a worker; the answer is `WorkerControlled`.
+
+    `send_before_ms` as in `StartTask`.
+    """
 
     worker: str
     address: str
     fence: int
     action: ControlAction
+    send_before_ms: int
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/escrow.py
@@ -0,0 +1,299 @@
+"""Upper limits of teams across the fleet, held in parts by the cells.
+
+The holder of the `limits` claim grants units of each team's limit to cells. Both sides only ever
+count up: the minter what it has granted, the cell what it has returned. A lost, repeated or late
+message therefore never makes units out of nothing: what a cell has is at most what the minter has
+on its books for it.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import Effect, SendPeer
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.messages import EscrowDemand, EscrowGrant, EscrowReport
+from fescuecrank_core.records import LIMITS_SCOPE
+
+SEND_INTERVAL_MS = 200
+# A cell keeps idle units this long, so that a short gap between tasks costs no round trip.
+IDLE_KEEP_MS = 1_000
+
+
+@attrs.define
+class TeamAccount:
+    """Units of one team in one cell.
+
+    `opened` is what the cell had when the accounts were opened with the present minter. `recall`
+    is what the minter wants back; these units are not used again once they are free.
+    """
+
+    opened: int = 0
+    granted: int = 0
+    returned: int = 0
+    in_use: int = 0
+    want: int = 0
+    recall: int = 0
+    idle_since_ms: int = 0
+
+    @property
+    def units(self) -> int:
+        """Units that the cell has, in use or free."""
+        return self.opened + self.granted - self.returned
+
+    @property
+    def free(self) -> int:
+        """Units that the cell may start tasks with."""
+        return self.units - self.in_use - self.recall
+
+    def return_units(self, units: int) -> None:
+        """Give units back that are not in use."""
+        count = max(0, min(units, self.units - self.in_use))
+        self.returned += count
+        self.recall = max(0, self.recall - count)
+
+
+class CellAccounts:
+    """The parts of all teams' limits that one cell has."""
+
+    def __init__(self, scope: str, epoch: int, ledger: Ledger) -> None:
+        self._scope = scope
+        self._epoch = epoch
+        self._ledger = ledger
+        self._teams: dict[str, TeamAccount] = {}
+        self._minter_epoch = -1
+        self._is_open = False
+        self._next_send_ms = 0
+        self._report: dict[str, int] = {}
+        self.may_report = True
+
+    def team(self, name: str) -> TeamAccount:
+        """Return the account of a team."""
+        return self._teams.setdefault(name, TeamAccount())
+
+    def teams(self) -> dict[str, TeamAccount]:
+        """Return all accounts."""
+        return self._teams
+
+    def adopt_running(self, team: str, units: int) -> None:
+        """Count a task that an earlier holder of the cell may have started."""
+        account = self.team(team)
+        account.opened += units
+        account.in_use += units
+
+    def take(self, team: str, units: int) -> bool:
+        """Use units for a task; return False, and ask for more, if too few are free."""
+        account = self.team(team)
+        if account.free < units:
+            account.want = max(account.want, units - account.free)
+            return False
+        account.in_use += units
+        return True
+
+    def give_back(self, team: str, units: int, now: Instant) -> None:
+        """Free the units of a task that ended."""
+        account = self.team(team)
+        account.in_use -= units
+        account.idle_since_ms = now.mono_ms
+        account.return_units(account.recall)
+
+    def set_want(self, team: str, units: int) -> None:
+        """State how many units beyond the free ones the queue could use now."""
+        account = self.team(team)
+        account.want = max(0, units - account.free)
+
+    def on_grant(self, message: EscrowGrant, now: Instant) -> None:
+        """Take in what the minter has granted so far, and return what it recalls."""
+        is_mine = message.epoch == self._epoch and message.minter_epoch == self._minter_epoch
+        if not is_mine:
+            return
+        self._is_open = True
+        for team, granted in message.granted.items():
+            account = self.team(team)
+            account.granted = max(account.granted, granted)
+        for name, account in self._teams.items():
+            # The minter computed the recall from `returned` as it knew it.
+            unseen = account.returned - message.returned.get(name, 0)
+            account.recall = max(0, message.recall.get(name, 0) - unseen)
+            account.return_units(account.recall)
+
+    def on_tick(self, now: Instant) -> list[Effect]:
+        """Open the accounts with a new minter, then send wants and returns."""
+        minter = self._ledger.holder(LIMITS_SCOPE)
+        if minter is None or not self.may_report or now.mono_ms < self._next_send_ms:
+            return []
+        self._next_send_ms = now.mono_ms + SEND_INTERVAL_MS
+        epoch = self._ledger.claim(LIMITS_SCOPE).epoch
+        if epoch != self._minter_epoch:
+            self._open(epoch)
+        if not self._is_open:
+            report = EscrowReport(self._scope, self._epoch, epoch, dict(self._report))
+            return [SendPeer(minter.name, report)]
+        self._return_idle(now)
+        want = {name: account.want for name, account in self._teams.items() if account.want}
+        returned = {n: account.returned for n, account in self._teams.items() if account.returned}
+        demand = EscrowDemand(self._scope, self._epoch, epoch, want, returned)
+        return [SendPeer(minter.name, demand)]
+
+    def _open(self, minter_epoch: int) -> None:
+        # The report is fixed here; what ends later counts as returned. Grants of the earlier
+        # minter are not counted from now on.
+        self._minter_epoch = minter_epoch
+        self._is_open = False
+        for account in self._teams.values():
+            account.opened = account.units
+            account.granted = account.returned = 0
+        self._report = {name: a.opened for name, a in self._teams.items() if a.opened}
+
+    def _return_idle(self, now: Instant) -> None:
+        for account in self._teams.values():
+            idle = now.mono_ms - account.idle_since_ms > IDLE_KEEP_MS
+            if account.want == 0 and account.free > 0 and idle:
+                account.return_units(account.free)
+
+
+@attrs.define
+class CellBook:
+    """What the minter has on its books for one cell under one claim of that cell."""
+
+    epoch: int
+    holder: str
+    opened: dict[str, int] = attrs.field(factory=dict)
+    granted: dict[str, int] = attrs.field(factory=dict)
+    returned: dict[str, int] = attrs.field(factory=dict)
+    want: dict[str, int] = attrs.field(factory=dict)
+    recall: dict[str, int] = attrs.field(factory=dict)
+
+    def units(self, team: str) -> int:
+        """Units of a team that the cell may have."""
+        opened = self.opened.get(team, 0)
+        return opened + self.granted.get(team, 0) - self.returned.get(team, 0)
+
+
+class Minter:
+    """Grants units of each team's limit, at the holder of the `limits` claim."""
+
+    def __init__(
+        self, ledger: Ledger, may_act: Callable[[str, Instant], bool], cells: Callable[[], list]
+    ) -> None:
+        self._ledger = ledger
+        self._may_act = may_act
+        self._cells = cells
+        self._epoch = -1
+        self._books: dict[str, CellBook] = {}
+        self._next_tick_ms = 0
+
+    def outstanding(self, team: str) -> int:
+        """Units of a team that are on the books of all cells."""
+        return sum(book.units(team) for book in self._books.values())
+
+    def _begin(self) -> bool:
+        claim = self._ledger.claim(LIMITS_SCOPE)
+        if claim is None:
+            return False
+        if claim.epoch != self._epoch:
+            self._epoch = claim.epoch
+            self._books = {}
+        return True
+
+    def on_report(self, sender: str, message: EscrowReport, now: Instant) -> list[Effect]:
+        """Open the accounts of a cell, once for each claim of that cell."""
+        if not self._begin() or message.minter_epoch != self._epoch:
+            return []
+        if not self._is_from_holder(sender, message.cell, message.epoch):
+            return []
+        book = self._books.get(message.cell)
+        if book is None or book.epoch < message.epoch:
+            book = CellBook(message.epoch, sender, dict(message.units))
+            self._books[message.cell] = book
+        return [self._grant_message(message.cell, book)]
+
+    def on_demand(self, sender: str, message: EscrowDemand, now: Instant) -> list[Effect]:
+        """Note what a cell wants and has returned."""
+        book = self._books.get(message.cell)
+        is_known = book is not None and book.epoch == message.epoch
+        if not is_known or message.minter_epoch != self._epoch:
+            return []
+        book.want = dict(message.want)
+        for team, units in message.returned.items():
+            book.returned[team] = max(book.returned.get(team, 0), units)
+        return []
+
+    def _is_from_holder(self, sender: str, cell: str, epoch: int) -> bool:
+        claim = self._ledger.claim(cell)
+        return claim is not None and claim.epoch == epoch and claim.holder == sender
+
+    def on_tick(self, now: Instant) -> list[Effect]:
+        """Grant what is wanted and left, and recall what is above a limit or needed elsewhere."""
+        if now.mono_ms < self._next_tick_ms or not self._may_act(LIMITS_SCOPE, now):
+            return []
+        self._next_tick_ms = now.mono_ms + SEND_INTERVAL_MS // 2
+        if not self._begin() or not self._all_reported():
+            return []
+        for team in self._ledger.fleet.teams.values():
+            self._grant_team(team.name, team.limit)
+        self._recall_removed_teams()
+        return [self._grant_message(cell, book) for cell, book in self._books.items()]
+
+    def _all_reported(self) -> bool:
+        """Return whether the books hold every cell that may have units.
+
+        A cell that was never claimed has none. One whose new holder has not reported yet keeps
+        what is on the books for the holder before, if this minter has seen that one.
+        """
+        claimed = (cell for cell in self._cells() if self._ledger.claim(cell) is not None)
+        return all(cell in self._books for cell in claimed)
+
+    def _grant_team(self, team: str, limit: int) -> None:
+        left = limit - self.outstanding(team)
+        wants = [book for book in self._books.values() if book.want.get(team, 0) > 0]
+        for book in self._books.values():
+            book.recall.pop(team, None)
+        while left > 0 and wants:
+            share = max(1, left // len(wants))
+            for book in list(wants):
+                units = min(share, book.want[team], left)
+                book.granted[team] = book.granted.get(team, 0) + units
+                book.want[team] -= units
+                left -= units
+                if book.want[team] <= 0:
+                    wants.remove(book)
+        if left < 0:
+            self._recall_in_proportion(team, -left)
+        elif wants:
+            self._recall_above_fair_part(team, limit, sum(book.want[team] for book in wants))
+
+    def _recall_in_proportion(self, team: str, excess: int) -> None:
+        total = self.outstanding(team)
+        for book in self._books.values():
+            units = book.units(team)
+            if units > 0:
+                book.recall[team] = min(units, -(-excess * units // total))
+
+    def _recall_above_fair_part(self, team: str, limit: int, short: int) -> None:
+        active = [b for b in self._books.values() if b.units(team) > 0 or b.want.get(team, 0) > 0]
+        fair = max(1, limit // len(active))
+        for book in active:
+            spare = book.units(team) - (fair if book.want.get(team, 0) > 0 else 0)
+            if spare > 0 and short > 0:
+                book.recall[team] = min(spare, short)
+                short -= book.recall[team]
+
+    def _recall_removed_teams(self) -> None:
+        teams = self._ledger.fleet.teams
+        for book in self._books.values():
+            for team in {*book.opened, *book.granted}:
+                if team not in teams and book.units(team) > 0:
+                    book.recall[team] = book.units(team)
+
+    def _grant_message(self, cell: str, book: CellBook) -> SendPeer:
+        grant = EscrowGrant(
+            cell,
+            book.epoch,
+            self._epoch,
+            dict(book.granted),
+            dict(book.returned),
+            dict(book.recall),
+        )
+        return SendPeer(book.holder, grant)
--- a/packages/core/src/fescuecrank_core/messages.py
+++ b/packages/core/src/fescuecrank_core/messages.py
@@ -16,8 +16,10 @@
     """Sent to every peer of the region at a fixed interval.
 
     `applied` is the offset that the sender reads next. `read_age_ms` is the time since its last
-    successful read of the log was sent, or -1 if there was none. `peer_address` lets a peer that
-    does not know the sender yet connect back.
+    successful read of the log was sent, or -1 if there was none. `stamp_ms` is the sender's
+    monotonic clock, and `echo_ms` the newest stamp that it received from the addressee: it tells
+    the addressee how old the message can be at most, however long it was under way.
+    `echo_incarnation` names the incarnation of the addressee that the stamp came from.
     """
 
     name: str
@@ -29,6 +31,9 @@
     read_age_ms: int
     ready: bool
     draining: bool
+    stamp_ms: int
+    echo_ms: int
+    echo_incarnation: int
 
 
 @attrs.frozen
@@ -135,89 +140,88 @@
 
 
 @attrs.frozen
-class TableCopy(Message):
-    """Records that the sender keeps for a scope.
+class TableOffer(Message):
+    """One part of the full copy that the holder of a scope sends to a peer that is to be a backup.
 
-    `source_epoch` is the epoch under which the sender received them, or -1 if it has none.
-    With `last` false more parts follow.
+    `copy_id` tells the parts of one copy from those of another; the copy has `parts` parts.
     """
 
     scope: str
     epoch: int
-    source_epoch: int
+    copy_id: int
+    part: int
+    parts: int
     records: tuple[RequestRecord, ...]
-    last: bool
 
 
 @attrs.frozen
-class EscrowRequest(Message):
-    """A cell asks the minter for units of a team's limit."""
+class TableStored(Message):
+    """A backup has stored the full copy of a scope."""
 
-    cell: str
+    scope: str
     epoch: int
-    team: str
-    want: int
 
 
 @attrs.frozen
-class EscrowGrant(Message):
-    """Units that the minter has already subtracted from what is left of the limit."""
+class TableCopy(Message):
+    """One part of the records that the sender keeps for a scope.
 
-    transfer_id: str
-    minter_epoch: int
-    cell: str
+    `source_epoch` is the epoch under which the sender holds a full copy, or -1 if it has none.
+    `copy_id` tells the parts of one copy from those of another; the copy has `parts` parts.
+    """
+
+    scope: str
     epoch: int
-    team: str
-    units: int
+    source_epoch: int
+    copy_id: int
+    part: int
+    parts: int
+    records: tuple[RequestRecord, ...]
 
 
 @attrs.frozen
-class EscrowReturn(Message):
-    """Units that the cell has already subtracted from its account."""
+class EscrowReport(Message):
+    """Opens the accounts of a cell with a minter.
+
+    `units` holds, for each team, the units that the cell has at that moment; it stays the same when
+    the report is repeated.
+    """
 
-    transfer_id: str
     cell: str
     epoch: int
-    team: str
-    units: int
+    minter_epoch: int
+    units: dict[str, int]
 
 
 @attrs.frozen
-class EscrowReturned(Message):
-    """The minter has added the units of this transfer."""
-
-    transfer_id: str
-
+class EscrowDemand(Message):
+    """What a cell wants and has given back since its accounts were opened.
 
-@attrs.frozen
-class EscrowReportRequest(Message):
-    """A minter asks for a cell's accounts; the cell ignores grants of older epochs after it."""
+    `want` is the number of units that it lacks now; `returned` only ever grows, so that a lost or
+    repeated message does no harm.
+    """
 
-    minter_epoch: int
     cell: str
+    epoch: int
+    minter_epoch: int
+    want: dict[str, int]
+    returned: dict[str, int]
 
 
 @attrs.frozen
-class EscrowReport(Message):
-    """Accounts of one cell: units for each team, in use or free.
+class EscrowGrant(Message):
+    """What the minter has granted to a cell since the accounts were opened.
 
-    `minter_epoch` and `epoch` name the minter asked and the claim that the cell is held under.
+    `granted` only ever grows. `returned` is what the minter knows to be returned, and `recall` asks
+    for that many units more once they are free.
     """
 
-    minter_epoch: int
     cell: str
     epoch: int
-    units: dict[str, int]
-
-
-@attrs.frozen
-class EscrowRecall(Message):
-    """The minter asks a cell to return free units of a team whose limit was lowered."""
-
     minter_epoch: int
-    cell: str
-    team: str
-    units: int
+    granted: dict[str, int]
+    returned: dict[str, int]
+    recall: dict[str, int]
 
 
 @attrs.frozen
--- a/packages/core/src/fescuecrank_core/records.py
+++ b/packages/core/src/fescuecrank_core/records.py
@@ -65,26 +65,29 @@
 
 @attrs.frozen
 class MemberLeft(Record):
-    """The end of one incarnation of an entry, planned or detected by a peer."""
+    """The end of one incarnation of an entry, planned or detected by a peer.
+
+    `forced` is an operator's word that the process is gone for good: it no longer counts in any
+    majority, including those of earlier member lists.
+    """
 
     name: str
     incarnation: int
+    forced: bool = False
 
 
 @attrs.frozen
 class ClaimTaken(Record):
-    """An attempt to become the holder of a scope; wins if `follows` is the epoch in force.
+    """An attempt to become the holder of a scope.
 
-    `records_since_ms` is the wall time from which the holder knows every request of the scope;
-    0 means all of them.
+    It wins if `follows` is the epoch in force (-1 for none) and the present holder is no longer a
+    member or has released the claim.
     """
 
     scope: str
     follows: int
     holder: str
     incarnation: int
-    backups: tuple[str, ...]
-    records_since_ms: int
 
 
 @attrs.frozen
@@ -98,21 +101,31 @@
 
 @attrs.frozen
 class BackupsChanged(Record):
-    """New backups of a claim that keeps its holder; each holds a full copy already."""
+    """Backups of a claim, each of which holds a full copy of the holder's request records.
+
+    `records_since_ms` is the wall time from which the holder knows every request of the scope;
+    0 means all of them.
+    """
 
     scope: str
     epoch: int
     backups: tuple[str, ...]
+    records_since_ms: int
 
 
 @attrs.frozen
 class InstanceMoved(Record):
-    """A worker that changes pool; wins if `follows` is the version of its present assignment."""
+    """A worker that changes pool.
+
+    It wins if `follows` is the version of the worker's present assignment and `epoch` is the claim
+    in force for the donor's cell `scope`.
+    """
 
     worker: str
-    from_pool: str
     to_pool: str
     follows: int
+    scope: str
+    epoch: int
 
 
 @attrs.frozen
