--- /dev/null
+++ b/packages/bench/src/fescuecrank_bench/registry.py
@@ -0,0 +1,17 @@
+"""Table of all measures, in the order in which they run."""
+
+from importlib import import_module
+
+from fescuecrank_bench.measures import Measure
+
+# Modules with a `MEASURES` tuple of `Measure` subclasses.
+MODULES = ("sharing_bench",)
+
+
+def load_measures() -> list[Measure]:
+    """Return one instance of every measure of the listed modules."""
+    found = []
+    for name in MODULES:
+        module = import_module(f"fescuecrank_bench.{name}")
+        found.extend(cls() for cls in module.MEASURES)
+    return found
