--- /dev/null
+++ b/packages/core/src/fescuecrank_core/waves.py
@@ -0,0 +1,315 @@
+"""Order, size and progress of a maintenance wave over the instances of one pool."""
+
+import math
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Sequence
+
+import attrs
+
+from fescuecrank_core.budgets import Budget, Domain, OutCounts, OutReason
+from fescuecrank_core.calendars import DAY_MS
+from fescuecrank_core.declarations import Weights
+
+MAINTENANCE_DAYS = 42
+MAINTENANCE_PERIOD_MS = MAINTENANCE_DAYS * DAY_MS
+
+# Demand comes in bursts of seconds while an instance is out for minutes, so the load that counts
+# is the mean over about the time that one instance is out.
+LOAD_WINDOW_MS = 120_000
+# Capacity kept free on top of the load, for a profile that weighs only share closeness.
+LOAD_MARGIN = 0.2
+# Longest time that load alone holds a wave up, for a profile with equal weights.
+STALL_MS = 600_000
+# Longest wait for a worker to become idle, for a profile that weighs only buffer cost.
+IDLE_WAIT_MS = 30_000
+# A drain is abandoned after this multiple of the expected time, but not before the minimum.
+DRAIN_PATIENCE = 3
+MIN_DRAIN_PATIENCE_MS = 120_000
+# Time that an instance is out before the first one of the wave has come back.
+DEFAULT_OUT_MS = 300_000
+
+
+@attrs.frozen
+class WaveMember:
+    """One instance of the pool as the wave sees it.
+
+    `done` tells that this wave has maintained it. `running` is its number of tasks and `drain_ms`
+    the learned time until the last of them ends. `maintained_wall_ms` is its last maintenance.
+    """
+
+    name: str
+    domain: Domain
+    done: bool = False
+    running: int = 0
+    drain_ms: int = 0
+    maintained_wall_ms: int = 0
+
+
+@attrs.frozen
+class _Trip:
+    """A worker that the planner took out."""
+
+    since_ms: int
+    expected_drain_ms: int
+
+
+def daily_pace(count: int, closed_days: int = 0) -> int:
+    """Return how many of `count` instances a day get each one maintained once in 6 weeks.
+
+    `closed_days` is the number of days in the 6 weeks on which the calendar forbids maintenance.
+    """
+    return math.ceil(count / max(1, MAINTENANCE_DAYS - closed_days))
+
+
+def due(members: Iterable[WaveMember], wall_ms: int, closed_days: int = 0) -> list[str]:
+    """Return the instances to maintain in the next 24 hours, the longest unmaintained first.
+
+    These are all that would pass 6 weeks, filled up to the daily pace so that instances that were
+    maintained together do not all become due on one day.
+    """
+    oldest = sorted(members, key=lambda member: (member.maintained_wall_ms, member.name))
+    limit_ms = wall_ms + DAY_MS - MAINTENANCE_PERIOD_MS
+    late = sum(member.maintained_wall_ms <= limit_ms for member in oldest)
+    return [member.name for member in oldest[: max(late, daily_pace(len(oldest), closed_days))]]
+
+
+class WavePlanner:
+    """Decides which instances a wave takes out next; one planner for each cell.
+
+    The profile's weights decide how long load may hold the wave up, how early workers with long
+    tasks are started, and whether to wait for an idle worker.
+    """
+
+    def __init__(self) -> None:
+        self._paused = False
+        self._load: float | None = None
+        self._load_ms = 0
+        self._out_ms = float(DEFAULT_OUT_MS)
+        self._trips: dict[str, _Trip] = {}
+        self._given_back: set[str] = set()
+        self._load_blocked_ms: int | None = None
+        self._idle_wait_ms: int | None = None
+
+    def pause(self) -> None:
+        """Take no further instance out; those that are out finish their maintenance."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Continue a paused wave; waiting times start anew."""
+        self._paused = False
+        self._load_blocked_ms = None
+        self._idle_wait_ms = None
+
+    def next_out(
+        self,
+        now_ms: int,
+        members: Sequence[WaveMember],
+        out: Mapping[str, OutReason],
+        budget: Budget,
+        load: float,
+    ) -> list[str]:
+        """Return the instances to drain now, best first.
+
+        `load` is the number of slots that are used or waited for, divided by the slots of all
+        members, whether out or not. The caller must call at least every few seconds and must count
+        the returned instances as out from then on.
+        """
+        self._learn(now_ms, members, out, load)
+        waiting = [member for member in members if _can_start(member, out)]
+        if self._paused or not waiting:
+            return []
+        step = _Step(members, out, budget, waiting, self._given_back, self._out_ms)
+        limit = self._limit_by_load(now_ms, len(members), step.counts.total, budget.profile.weights)
+        chosen = []
+        while (member := step.pick()) is not None:
+            adds = member.name not in out
+            if adds and step.counts.total >= limit:
+                break
+            if self._waits_for_idle(now_ms, member, budget.profile.weights):
+                break
+            step.take(member)
+            self._trips[member.name] = _Trip(now_ms, member.drain_ms)
+            chosen.append(member.name)
+        if chosen:
+            self._load_blocked_ms = None
+            self._idle_wait_ms = None
+        return chosen
+
+    def give_back(
+        self, now_ms: int, members: Sequence[WaveMember], out: Mapping[str, OutReason]
+    ) -> list[str]:
+        """Return draining workers to put back into service because others could go before them.
+
+        A worker whose tasks outlast their expected time many times over would hold its part of the
+        budget idle. It is given back once and tried again after the others; the second drain lasts
+        as long as its tasks do.
+        """
+        others = any(_can_start(member, out) and member.running == 0 for member in members)
+        if not others:
+            return []
+        late = []
+        for member in members:
+            trip = self._trips.get(member.name)
+            if trip is None or member.running == 0 or member.name in self._given_back:
+                continue
+            patience_ms = max(MIN_DRAIN_PATIENCE_MS, DRAIN_PATIENCE * trip.expected_drain_ms)
+            if now_ms - trip.since_ms > patience_ms:
+                late.append(member.name)
+        for name in late:
+            self._given_back.add(name)
+            del self._trips[name]
+        return late
+
+    def _learn(
+        self,
+        now_ms: int,
+        members: Sequence[WaveMember],
+        out: Mapping[str, OutReason],
+        load: float,
+    ) -> None:
+        if self._load is None:
+            self._load = load
+        part = 1 - math.exp(-(now_ms - self._load_ms) / LOAD_WINDOW_MS)
+        self._load += (load - self._load) * part
+        self._load_ms = now_ms
+        for member in members:
+            if member.done and member.name in self._trips and member.name not in out:
+                trip = self._trips.pop(member.name)
+                self._out_ms += (now_ms - trip.since_ms - self._out_ms) / 4
+        if all(member.done for member in members):
+            self._given_back.clear()
+
+    def _limit_by_load(self, now_ms: int, count: int, total_out: int, weights: Weights) -> int:
+        margin = LOAD_MARGIN * _ratio(weights.share_closeness, weights.roll_out_time)
+        limit = math.floor(count * (1 - self._load * (1 + margin)) + 1e-9)
+        if total_out < limit:
+            self._load_blocked_ms = None
+            return limit
+        if self._load_blocked_ms is None:
+            self._load_blocked_ms = now_ms
+        patience_ms = 2 * STALL_MS * _ratio(weights.share_closeness, weights.roll_out_time)
+        stalled = now_ms - self._load_blocked_ms >= patience_ms
+        return total_out + 1 if stalled and not self._trips else limit
+
+    def _waits_for_idle(self, now_ms: int, member: WaveMember, weights: Weights) -> bool:
+        if member.running == 0:
+            return False
+        preference = max(0.0, 2 * _ratio(weights.buffer_cost, weights.roll_out_time) - 1)
+        patience_ms = min(member.drain_ms, IDLE_WAIT_MS) * preference
+        if self._idle_wait_ms is None:
+            self._idle_wait_ms = now_ms
+        return now_ms - self._idle_wait_ms < patience_ms
+
+
+class _Step:
+    """Choice of instances in one call, with the budget's counts kept up to date.
+
+    Candidates are grouped by rack, so that the cost of one choice grows with the number of racks
+    rather than with that of instances.
+    """
+
+    def __init__(
+        self,
+        members: Sequence[WaveMember],
+        out: Mapping[str, OutReason],
+        budget: Budget,
+        waiting: Sequence[WaveMember],
+        given_back: Collection[str],
+        out_ms: float,
+    ) -> None:
+        self._out = out
+        self._given_back = given_back
+        self._budget = budget
+        self._out_ms = out_ms
+        self.counts = OutCounts({member.name: member.domain for member in members}, out)
+        self._queues: dict[tuple[str, str], list[WaveMember]] = {}
+        for member in sorted(waiting, key=self._drain_order, reverse=True):
+            self._queues.setdefault(member.domain.rack_id, []).append(member)
+        self._left = len(waiting)
+        self._left_in_rack = Counter(member.domain.rack_id for member in waiting)
+        self._left_in_data_centre = Counter(member.domain.data_centre for member in waiting)
+
+    def pick(self) -> WaveMember | None:
+        """Return the best instance that the budget lets go now."""
+        open_queues = [
+            queue for queue in self._queues.values() if queue and self._may_go(queue[-1])
+        ]
+        if not open_queues:
+            return None
+        laggard = self._laggard(open_queues)
+        if laggard is not None:
+            return laggard
+        return min(open_queues, key=self._rank)[-1]
+
+    def take(self, member: WaveMember) -> None:
+        """Count `member` as out."""
+        if member.name in self._out:
+            self.counts.add(member.domain, self._out[member.name], -1)
+        self.counts.add(member.domain, OutReason.PLANNED)
+        rack_id = member.domain.rack_id
+        self._queues[rack_id].remove(member)
+        self._left -= 1
+        self._left_in_rack[rack_id] -= 1
+        self._left_in_data_centre[member.domain.data_centre] -= 1
+
+    def _may_go(self, member: WaveMember) -> bool:
+        reason = self._out.get(member.name)
+        if reason is not None:
+            self.counts.add(member.domain, reason, -1)
+        refusal = self._budget.refusal_by_counts(member.domain, self.counts, planned=True)
+        if reason is not None:
+            self.counts.add(member.domain, reason)
+        return refusal is None
+
+    def _drain_order(self, member: WaveMember) -> tuple:
+        return (
+            member.name in self._given_back,
+            member.name not in self._out,
+            member.drain_ms,
+            member.running,
+            member.name,
+        )
+
+    def _rank(self, queue: list[WaveMember]) -> tuple:
+        """Order of racks: bottlenecks, then idle workers, then the domains with the fewest out."""
+        member = queue[-1]
+        pressure = self._pressure(member.domain)
+        total = self._left / max(1, self._budget.planned_limit)
+        return (
+            -pressure if pressure >= total else 0.0,
+            *self._drain_order(member)[:3],
+            self.counts.data_centres[member.domain.data_centre],
+            self.counts.racks[member.domain.rack_id],
+            -pressure,
+            member.name,
+        )
+
+    def _pressure(self, domain: Domain) -> float:
+        """Return the least number of rounds that the domain still needs."""
+        profile = self._budget.profile
+        in_rack = self._left_in_rack[domain.rack_id] / max(1, profile.max_out_per_rack)
+        in_data_centre = self._left_in_data_centre[domain.data_centre]
+        return max(in_rack, in_data_centre / max(1, profile.max_out_per_data_centre))
+
+    def _laggard(self, queues: list[list[WaveMember]]) -> WaveMember | None:
+        """Return the slowest instance if its drain alone lasts as long as the rest of the wave."""
+        slowest = max((queue[0] for queue in queues), key=lambda member: member.drain_ms)
+        weights = self._budget.profile.weights
+        early = 2 * _ratio(weights.roll_out_time, weights.buffer_cost)
+        rounds = (self._left - 1) / max(1, self._budget.planned_limit)
+        if slowest.name in self._given_back or slowest.name in self._out:
+            return None
+        if slowest.drain_ms * early <= rounds * self._out_ms:
+            return None
+        return slowest
+
+
+def _can_start(member: WaveMember, out: Mapping[str, OutReason]) -> bool:
+    """Return whether maintenance can begin; a quarantined worker is reachable and out anyway."""
+    return not member.done and out.get(member.name) in (None, OutReason.QUARANTINED)
+
+
+def _ratio(weight: float, other: float) -> float:
+    """Return the part of `weight` in both, or a half if both are 0."""
+    total = weight + other
+    return weight / total if total > 0 else 0.5
