--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -1,12 +1,13 @@
 """Scheduling of one cell at its holder: the life of each request from queue to answer."""
 
 import hashlib
+from collections import Counter
 
 import attrs
 
 from fescuecrank_core.claims import ClaimKeeper
 from fescuecrank_core.clock import Instant
-from fescuecrank_core.declarations import RequestClass
+from fescuecrank_core.declarations import Resources
 from fescuecrank_core.effects import (
     ControlTask,
     Effect,
@@ -22,7 +23,13 @@
 from fescuecrank_core.ledger import Ledger
 from fescuecrank_core.ledger_state import Claim
 from fescuecrank_core.membership import Membership
-from fescuecrank_core.messages import CellLoad, ForwardAnswer, ReplicateAck, ResultReply
+from fescuecrank_core.messages import (
+    CellLoad,
+    EscrowGrant,
+    ForwardAnswer,
+    ReplicateAck,
+    ResultReply,
+)
 from fescuecrank_core.placement import WorkerIndex
 from fescuecrank_core.publishing import Publisher
 from fescuecrank_core.quarantine import FailureTracker
@@ -49,9 +56,11 @@
 LOAD_INTERVAL_MS = 1_000
 CONFIGURE_INTERVAL_MS = 500
 EXPIRE_INTERVAL_MS = 1_000
+# A request that so many workers in a row have refused to start is refused to the caller.
 MAX_REFUSALS = 20
-# A request that failed without being started is tried again after this.
+# Changes of a later epoch supersede those of an earlier one, so the epoch forms the high bits.
 SEQ_BITS = 32
+LOG_SILENCE_MS = 2_000
 
 
 @attrs.define
@@ -66,7 +75,10 @@
     lost_since_ms: int | None = None
     next_query_ms: int = 0
     started: bool = False
+    started_ms: int = 0
+    used: Resources | None = None
     stop_asked: bool = False
+    reclaimed: bool = False
 
 
 class Cell:
@@ -103,6 +115,8 @@
         self._refusals: dict[RequestKey, int] = {}
         self._avoid: dict[RequestKey, set[str]] = {}
         self._cancels: dict[RequestKey, None] = {}
+        self._queued: dict[RequestKey, Waiting] = {}
+        self._wanted: Counter[str] = Counter()
         self._due = {"load": 0, "configure": 0, "expire": 0}
         self.queue = DominantShareQueue()
         self.index = WorkerIndex()
@@ -136,6 +150,12 @@
             if record.task is None:
                 self._enqueue(record.request, now)
                 continue
+            if record.state is RequestState.REPLICATING:
+                # The dispatch itself is not replicated, so it may have happened.
+                record = attrs.evolve(
+                    record, state=RequestState.DISPATCHED, attempts=record.attempts + 1
+                )
+                record = self._store(record, now)
             slots = record.request.need.slots
             running = Running(record.task, slots, lost_since_ms=now.mono_ms, started=True)
             self._remember(running)
@@ -167,7 +187,9 @@
             return self._answer_only(sender, Answer(key, Outcome.UNKNOWN, reason))
         reason = self._refusal(request)
         if reason:
-            return self._answer_only(sender, Answer(key, Outcome.NOT_RUN, reason))
+            before = may_have_run_before(key.request_id, self.records_since_ms, now.wall_ms)
+            outcome = Outcome.UNKNOWN if before else Outcome.NOT_RUN
+            return self._answer_only(sender, Answer(key, outcome, reason))
         self._waiters.setdefault(key, set()).add(sender)
         self._store(RequestRecord(request, RequestState.QUEUED, 0), now)
         self._enqueue(request, now)
@@ -206,20 +228,28 @@
     def _answer_only(self, sender: str, answer: Answer) -> list[Effect]:
         return [SendPeer(sender, ForwardAnswer(answer))]
 
-    def _enqueue(self, request: Request, now: Instant) -> None:
-        estimate = self.estimator.expect(
-            request.service, request.key.team, request.need, request.expected_run_ms
-        )
-        self.queue.push(
-            Waiting(
-                request.key,
-                request.key.team,
-                request.request_class,
-                estimate.need,
-                estimate.run_ms,
-                now.mono_ms,
-            )
+    def _enqueue(self, request: Request, now: Instant, queued_ms: int | None = None) -> None:
+        service, team = request.service, request.key.team
+        estimate = self.estimator.expect(service, team, request.need, request.expected_run_ms)
+        # Reports may be wrong: a learned size that fits no worker would keep the request for ever.
+        need = request.need if self.index.never_fits(estimate.need) else estimate.need
+        waiting = Waiting(
+            request.key,
+            team,
+            request.request_class,
+            need,
+            estimate.run_ms,
+            now.mono_ms if queued_ms is None else queued_ms,
+            reclaimable=request.idempotent,
         )
+        self._queued[request.key] = waiting
+        self._wanted[team] += need.slots
+        self.queue.push(waiting)
+
+    def _unqueue(self, key: RequestKey) -> None:
+        waiting = self._queued.pop(key, None)
+        if waiting is not None:
+            self._wanted[waiting.team] -= waiting.need.slots
 
     def _store(self, record: RequestRecord, now: Instant) -> RequestRecord:
         self._seq += 1
@@ -248,10 +278,11 @@
         running = self._running.get(key)
         if running is None:
             self.queue.discard(key)
-            return self._end(record, Answer(key, Outcome.CANCELLED, "cancelled while waiting"), now)
+            self._unqueue(key)
+            return self._end_unstarted(record, Outcome.CANCELLED, "cancelled while waiting", now)
         if not running.started:
             self._release(running, now)
-            return self._end(record, Answer(key, Outcome.CANCELLED, "cancelled before start"), now)
+            return self._end_unstarted(record, Outcome.CANCELLED, "cancelled before start", now)
         return self._control(running, TaskAction.STOP, now)
 
     def _control(self, running: Running, action: TaskAction, now: Instant) -> list[Effect]:
@@ -295,32 +326,44 @@
 
     # Dispatch
 
+    def may_dispatch(self, now: Instant) -> bool:
+        """Return whether requests may be taken in and started.
+
+        Without backups of its own epoch, a later holder could not find what was started here.
+        """
+        return self._claims.may_act(self.scope, now) and self._ledger.claim(self.scope).prepared
+
     def _dispatch(self, now: Instant) -> list[Effect]:
         """Place what may start now; nothing is sent before its record is on a backup."""
-        if self.is_stopping or not self._claims.may_act(self.scope, now):
+        if self.is_stopping or not self.may_dispatch(now):
             return []
         effects: list[Effect] = []
-        blocked: set[str] = set()
+        at_limit: set[str] = set()
+        unfit: set[str] = set()
         for _ in range(STARTS_PER_STEP):
-            waiting = self.queue.next(now.mono_ms, blocked)
+            waiting = self.queue.next(now.mono_ms, at_limit, unfit)
             if waiting is None:
                 break
-            placed = self._place(waiting, now)
-            if placed is None:
-                blocked.add(waiting.team)
+            worker = self._choose_worker(waiting)
+            if worker is None:
+                unfit.add(waiting.team)
+            elif not self.accounts.take(waiting.team, waiting.need.slots):
+                at_limit.add(waiting.team)
             else:
-                effects.extend(placed)
+                effects.extend(self._place(waiting, worker, now))
         return effects
 
-    def _place(self, waiting: Waiting, now: Instant) -> list[Effect] | None:
+    def _choose_worker(self, waiting: Waiting) -> str | None:
+        avoid = self._avoid.get(waiting.key)
+        if not avoid:
+            return self.index.choose(waiting.need)
+        return self.index.choose(waiting.need, frozenset(avoid)) or self.index.choose(waiting.need)
+
+    def _place(self, waiting: Waiting, worker: str, now: Instant) -> list[Effect]:
         key = waiting.key
         record = self.table.get(key)
-        worker = self.index.choose(waiting.need, frozenset(self._avoid.get(key, ())))
-        if worker is None and key in self._avoid:
-            worker = self.index.choose(waiting.need)
-        if worker is None or not self.accounts.take(key.team, waiting.need.slots):
-            return None
         self.queue.start(key, now.mono_ms)
+        self._unqueue(key)
         task = Task(self._ids.next("task"), key, worker, self.workers.fence(worker))
         self._remember(Running(task, waiting.need.slots))
         self.workers.add_task(worker, task.task_id, waiting.need, now)
@@ -334,15 +377,14 @@
         running = self._running.get(key)
         if running is None or running.started or not self.replicator.is_safe(key, now):
             return []
-        if not self._claims.may_act(self.scope, now):
+        if not self.may_dispatch(now):
             return []
         self.replicator.settled(key)
         record = self.table.get(key)
-        record = attrs.evolve(
-            record, state=RequestState.DISPATCHED, attempts=record.attempts + 1
-        )
+        record = attrs.evolve(record, state=RequestState.DISPATCHED, attempts=record.attempts + 1)
         self._store(record, now)
         running.started = True
+        running.started_ms = now.mono_ms
         address = self.workers.address(running.task.worker)
         until_ms = self._membership.current_until_ms(now)
         return [StartTask(running.task, address, record.request, LEASE_MS, until_ms)]
@@ -358,14 +400,28 @@
             return []
         return self._start_if_safe(message.key, now)
 
+    def on_grant(self, message: EscrowGrant, now: Instant) -> list[Effect]:
+        """Take in units of teams' limits, and start what waited for them."""
+        self.accounts.on_grant(message, now)
+        return self._dispatch(now)
+
     def _release(self, running: Running, now: Instant) -> None:
         key = running.task.key
+        self._learn_end(running, now)
         del self._running[key]
         self._by_task.pop(running.task.task_id, None)
         self.workers.remove_task(running.task.worker, running.task.task_id)
         self.accounts.give_back(key.team, running.slots, now)
         self.queue.finish(key, now.mono_ms)
 
+    def _learn_end(self, running: Running, now: Instant) -> None:
+        record = self.table.get(running.task.key)
+        if running.used is None or not running.started_ms or record is None:
+            return
+        run_ms = now.mono_ms - running.started_ms
+        team = running.task.key.team
+        self.estimator.observe(record.request.service, team, running.used, run_ms, finished=True)
+
     # Ends of tasks
 
     def owns_task(self, task_id: str) -> bool:
@@ -387,7 +443,9 @@
     ) -> list[Effect]:
         if hashlib.sha256(event.body).hexdigest() != event.digest:
             return self._on_lost(running, record, event, now)
-        self.tracker.report(event.worker, record.request.key, not event.endpoint_failed, now.mono_ms)
+        self.tracker.report(
+            event.worker, record.request.key, not event.endpoint_failed, now.mono_ms
+        )
         if event.endpoint_failed and self._may_try_again(record):
             return self._try_again(running, record, now)
         self._release(running, now)
@@ -408,13 +466,20 @@
             return False
         return self.retries.take()
 
-    def _try_again(self, running: Running, record: RequestRecord, now: Instant) -> list[Effect]:
+    def _try_again(
+        self,
+        running: Running,
+        record: RequestRecord,
+        now: Instant,
+        queued_ms: int | None = None,
+    ) -> list[Effect]:
         """Put a request back into the queue; its last attempt can have no further effect."""
         key = record.request.key
-        self._avoid.setdefault(key, set()).add(running.task.worker)
+        if queued_ms is None:
+            self._avoid.setdefault(key, set()).add(running.task.worker)
         self._release(running, now)
         effects = self._change(attrs.evolve(record, state=RequestState.QUEUED, task=None), now)
-        self._enqueue(record.request, now)
+        self._enqueue(record.request, now, queued_ms)
         return effects
 
     def _on_not_started(
@@ -425,12 +490,13 @@
             self.workers.mark_draining(event.worker)
         if event.end is TaskEnd.NOT_SENT:
             self.workers.mark_unreachable(event.worker, now)
+        # The worker promised never to start this task, so the attempt does not count.
+        record = attrs.evolve(record, attempts=max(0, record.attempts - 1))
         self._refusals[key] = self._refusals.get(key, 0) + 1
         if self._refusals[key] > MAX_REFUSALS:
             self._release(running, now)
-            answer = Answer(key, Outcome.NOT_RUN, f"refused by workers: {event.detail}")
-            return self._end(record, answer, now)
-        record = attrs.evolve(record, attempts=max(0, record.attempts - 1))
+            reason = f"refused by workers: {event.detail}"
+            return self._end_unstarted(record, Outcome.NOT_RUN, reason, now)
         return self._try_again(running, record, now)
 
     def _on_lost(
@@ -461,6 +527,8 @@
     def _on_stopped(
         self, running: Running, record: RequestRecord, event: TaskReported, now: Instant
     ) -> list[Effect]:
+        if running.reclaimed and not running.stop_asked:
+            return self._try_again(running, record, now, queued_ms=running.started_ms)
         if running.stop_asked:
             self._release(running, now)
             key = record.request.key
@@ -477,6 +545,16 @@
         reason = f"worker {running.task.worker} gave no answer; the request may have run"
         return self._end(record, Answer(key, Outcome.UNKNOWN, reason, runs=record.attempts), now)
 
+    def _end_unstarted(
+        self, record: RequestRecord, outcome: Outcome, reason: str, now: Instant
+    ) -> list[Effect]:
+        """End a request that is not running now; earlier attempts may have had effects."""
+        if record.attempts > 0:
+            outcome = Outcome.FAILED
+            reason = f"{reason}, after {record.attempts} attempts"
+        answer = Answer(record.request.key, outcome, reason, runs=record.attempts)
+        return self._end(record, answer, now)
+
     def _end(self, record: RequestRecord, answer: Answer, now: Instant) -> list[Effect]:
         key = answer.key
         effects = self._change(
@@ -507,6 +585,7 @@
         key = self._by_task.get(task_id)
         record = self.table.get(key) if key else None
         if record is not None:
+            self._running[key].used = used
             self.estimator.observe(record.request.service, key.team, used, run_ms, finished=False)
 
     def on_tick(self, now: Instant) -> list[Effect]:
@@ -537,7 +616,10 @@
 
         Without the log their end could not be recorded, and a new holder would repeat them.
         """
-        return self._membership.hears_majority(now) and self._membership.log_read_age_ms(now) < 2000
+        return self._membership.hears_majority(now) and self._log_is_readable(now)
+
+    def _log_is_readable(self, now: Instant) -> bool:
+        return self._membership.log_read_age_ms(now) < LOG_SILENCE_MS
 
     def _is_due(self, name: str, interval_ms: int, now: Instant) -> bool:
         if now.mono_ms < self._due[name]:
@@ -577,18 +659,19 @@
             running = self._running.get(key)
             if record is None or running is None or not running.started:
                 continue
-            if record.request.idempotent:
+            if record.request.idempotent and not running.reclaimed:
+                running.reclaimed = True
                 effects.extend(self._control(running, TaskAction.CHECKPOINT, now))
         return effects
 
     def _state_wants(self) -> None:
-        for team, units in self.queue.waiting_slots().items():
+        for team, units in self._wanted.items():
             self.accounts.set_want(team, units)
 
     def _load(self) -> float:
         slots = sum(v.instance.capacity.slots for v in self.workers.views().values() if v.instance)
         busy = sum(running.slots for running in self._running.values())
-        waiting = sum(self.queue.waiting_slots().values())
+        waiting = self._wanted.total()
         return (busy + waiting) / slots if slots else 1.0
 
     def _report_load(self) -> list[Effect]:
@@ -596,7 +679,7 @@
         if holder is None:
             return []
         busy = sum(running.slots for running in self._running.values())
-        waiting = sum(self.queue.waiting_slots().values())
+        waiting = self._wanted.total()
         load = CellLoad(
             self.scope,
             self.epoch,
@@ -610,14 +693,6 @@
         )
         return [SendPeer(holder.name, load)]
 
-    def has_urgent_waiting(self) -> bool:
-        """Return whether urgent requests wait in the queue."""
-        return any(
-            record.request.request_class is RequestClass.URGENT
-            for record in self.table
-            if record.state is RequestState.QUEUED
-        )
-
 
 _TASK_ENDS = {
     TaskEnd.ANSWERED: Cell._on_answered,
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/cells.py
@@ -0,0 +1,314 @@
+"""Cells that this entry holds: taking over their records, backups, and handing them over."""
+
+import attrs
+
+from fescuecrank_core.backups import BackupKeeper, PartsReceived
+from fescuecrank_core.cell import Cell
+from fescuecrank_core.claims import ClaimKeeper, pool_of_scope
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import Effect, Notice, SendPeer
+from fescuecrank_core.entry_config import EntryConfig
+from fescuecrank_core.events import (
+    Instance,
+    InstancesListed,
+    TaskReported,
+    WorkerControlled,
+    WorkerPolled,
+)
+from fescuecrank_core.ids import IdSource
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.ledger_state import Claim
+from fescuecrank_core.membership import Membership
+from fescuecrank_core.messages import (
+    CancelRequest,
+    EscrowGrant,
+    Forward,
+    MoveAdvice,
+    ReplicateAck,
+    ResultRequest,
+    TableCopy,
+    TableRequest,
+    TableStored,
+)
+from fescuecrank_core.publishing import Publisher
+from fescuecrank_core.record_table import RecordTable
+from fescuecrank_core.records import LIMITS_SCOPE, BackupsChanged
+from fescuecrank_core.workers import LEASE_MS, POLL_TIMEOUT_MS
+
+REQUEST_INTERVAL_MS = 300
+# Sources that are alive answer within milliseconds; one that does not is taken to be lost.
+COLLECT_TIMEOUT_MS = 2_000
+
+
+@attrs.define
+class Takeover:
+    """Records being collected for a claim before its cell may start.
+
+    `missing` holds the sources that have not answered, `whole` those that had a full copy.
+    """
+
+    claim: Claim
+    started_ms: int
+    table: RecordTable = attrs.field(factory=RecordTable)
+    parts: dict[str, PartsReceived] = attrs.field(factory=dict)
+    missing: set[str] = attrs.field(factory=set)
+    whole: set[str] = attrs.field(factory=set)
+    next_request_ms: int = 0
+
+    def is_complete(self) -> bool:
+        """Return whether no record of the previous epoch can be missing.
+
+        Dispatch needed only one acknowledgement, so either the previous holder's own table is
+        needed or those of all its backups.
+        """
+        if self.claim.source_epoch < 0 or self.claim.source_holder in self.whole:
+            return True
+        backups = set(self.claim.source_backups)
+        return bool(backups) and backups <= self.whole
+
+
+class CellHost:
+    """Runs the cells of the claims that this entry holds."""
+
+    def __init__(
+        self,
+        cfg: EntryConfig,
+        ledger: Ledger,
+        membership: Membership,
+        claims: ClaimKeeper,
+        publisher: Publisher,
+        backups: BackupKeeper,
+        ids: IdSource,
+    ) -> None:
+        self._cfg = cfg
+        self._ledger = ledger
+        self._membership = membership
+        self._claims = claims
+        self._publisher = publisher
+        self._backups = backups
+        self._ids = ids
+        self._takeovers: dict[str, Takeover] = {}
+        self._backup_records: dict[str, str] = {}
+        self._listed: dict[str, Instance] = {}
+        self.cells: dict[str, Cell] = {}
+
+    def cell(self, scope: str) -> Cell | None:
+        """Return a cell that this entry runs."""
+        return self.cells.get(scope)
+
+    def on_tick(self, now: Instant) -> list[Effect]:
+        """Start cells of new claims, drop those of lost ones, and run the others."""
+        effects: list[Effect] = []
+        for scope in self._claims.scopes():
+            if scope != LIMITS_SCOPE:
+                effects.extend(self._follow_claim(scope, now))
+        for scope in [scope for scope in self.cells if not self._still_holds(scope)]:
+            effects.extend(self._drop(scope))
+        for cell in self.cells.values():
+            effects.extend(self._keep_backups(cell, now))
+            effects.extend(cell.on_tick(now))
+        return effects
+
+    def _still_holds(self, scope: str) -> bool:
+        claim = self._claims.held_claim(scope)
+        return claim is not None and claim.epoch == self.cells[scope].epoch
+
+    def _drop(self, scope: str) -> list[Effect]:
+        cell = self.cells.pop(scope)
+        self._backups.adopt(scope, cell.epoch, cell.table)
+        return [Notice("cell_lost", {"scope": scope, "epoch": cell.epoch})]
+
+    def _follow_claim(self, scope: str, now: Instant) -> list[Effect]:
+        claim = self._claims.held_claim(scope)
+        if claim is None:
+            self._takeovers.pop(scope, None)
+            return []
+        if scope in self.cells and self.cells[scope].epoch == claim.epoch:
+            return []
+        takeover = self._takeovers.get(scope)
+        if takeover is None or takeover.claim.epoch != claim.epoch:
+            takeover = self._takeovers[scope] = self._begin_takeover(claim, now)
+        return self._advance_takeover(takeover, now)
+
+    def _begin_takeover(self, claim: Claim, now: Instant) -> Takeover:
+        takeover = Takeover(claim, now.mono_ms)
+        if claim.source_epoch >= 0:
+            takeover.missing = {claim.source_holder, *claim.source_backups}
+        own = self._backups.get(claim.scope)
+        if own is not None:
+            takeover.table.merge(own.table)
+            if own.complete and own.epoch == claim.source_epoch:
+                takeover.whole.add(self._cfg.name)
+        takeover.missing.discard(self._cfg.name)
+        return takeover
+
+    def _advance_takeover(self, takeover: Takeover, now: Instant) -> list[Effect]:
+        waited = now.mono_ms - takeover.started_ms > COLLECT_TIMEOUT_MS
+        collected = takeover.is_complete() or not takeover.missing or waited
+        if collected and self._claims.is_usable(takeover.claim.scope, now):
+            return self._start_cell(takeover, now)
+        if now.mono_ms < takeover.next_request_ms:
+            return []
+        takeover.next_request_ms = now.mono_ms + REQUEST_INTERVAL_MS
+        request = TableRequest(takeover.claim.scope, takeover.claim.epoch)
+        return [SendPeer(name, request) for name in sorted(takeover.missing)]
+
+    def _start_cell(self, takeover: Takeover, now: Instant) -> list[Effect]:
+        claim = takeover.claim
+        complete = takeover.is_complete()
+        if not complete:
+            # Requests until now may have run without leaving a record that can still be found.
+            claim = attrs.evolve(claim, records_since_ms=now.wall_ms)
+        cell = Cell(
+            claim,
+            pool_of_scope(claim.scope),
+            self._cfg.region,
+            self._cfg.name,
+            self._ledger,
+            self._membership,
+            self._claims,
+            self._publisher,
+            self._ids,
+            takeover.table,
+            now,
+        )
+        if not complete:
+            # Tasks without a record end with their leases; until then their team's units are
+            # unknown here, and the books of the minter stand.
+            cell.accounts.report_after_ms = now.mono_ms + LEASE_MS + POLL_TIMEOUT_MS
+        cell.workers.on_instances(self._listed, now)
+        self.cells[claim.scope] = cell
+        del self._takeovers[claim.scope]
+        fields = {"scope": claim.scope, "epoch": claim.epoch, "complete": complete}
+        return [Notice("cell_started", fields)]
+
+    def _keep_backups(self, cell: Cell, now: Instant) -> list[Effect]:
+        if not self._membership.is_current(now):
+            return []
+        effects = cell.replicator.offer_copies(now)
+        in_flight = self._backup_records.get(cell.scope)
+        if in_flight is not None and self._publisher.is_pending(in_flight):
+            return effects
+        backups = cell.replicator.new_backups(now)
+        if backups is None or not self._membership.hears_majority(now):
+            return effects
+        record = BackupsChanged(
+            self._ids.next("backups"), cell.scope, cell.epoch, backups, cell.records_since_ms
+        )
+        self._backup_records[cell.scope] = record.record_id
+        return effects + self._publisher.publish(record, now)
+
+    # Messages
+
+    def on_table_request(self, sender: str, message: TableRequest, now: Instant) -> list[Effect]:
+        """Give the next holder the records of a cell that this entry still runs."""
+        cell = self.cells.get(message.scope)
+        if cell is None:
+            return self._backups.on_table_request(sender, message, now)
+        # The ledger shows the sender as the holder before this entry has noticed.
+        if cell.epoch >= message.epoch:
+            return []
+        return [
+            *self._drop(message.scope),
+            *self._backups.on_table_request(sender, message, now),
+        ]
+
+    def on_table_copy(self, sender: str, message: TableCopy, now: Instant) -> list[Effect]:
+        """Collect records of the previous epoch."""
+        takeover = self._takeovers.get(message.scope)
+        if takeover is None or takeover.claim.epoch != message.epoch:
+            return []
+        takeover.table.merge(message.records)
+        received = takeover.parts.setdefault(sender, PartsReceived())
+        if received.add(message.copy_id, message.part, message.parts):
+            takeover.missing.discard(sender)
+            if message.source_epoch == takeover.claim.source_epoch:
+                takeover.whole.add(sender)
+        return []
+
+    def on_table_stored(self, sender: str, message: TableStored, now: Instant) -> list[Effect]:
+        """Note a backup that holds a full copy."""
+        cell = self.cells.get(message.scope)
+        if cell is not None:
+            cell.replicator.on_stored(sender, message)
+        return []
+
+    def on_replicate_ack(self, sender: str, message: ReplicateAck, now: Instant) -> list[Effect]:
+        """Pass an acknowledgement to its cell."""
+        cell = self.cells.get(message.scope)
+        return cell.on_replicate_ack(sender, message, now) if cell else []
+
+    def _cell_of_service(self, service: str) -> Cell | None:
+        declared = self._ledger.fleet.services.get(service)
+        if declared is None:
+            return None
+        cells = (cell for cell in self.cells.values() if cell.pool == declared.pool)
+        return next(cells, None)
+
+    def _active_cell(self, service: str, now: Instant) -> Cell | None:
+        cell = self._cell_of_service(service)
+        return cell if cell is not None and cell.may_dispatch(now) else None
+
+    def on_forward(self, sender: str, message: Forward, now: Instant) -> list[Effect]:
+        """Take in a request; the gateway repeats it until some holder answers."""
+        cell = self._active_cell(message.request.service, now)
+        return cell.submit(sender, message.request, now) if cell else []
+
+    def on_cancel(self, sender: str, message: CancelRequest, now: Instant) -> list[Effect]:
+        """Note a cancellation."""
+        cell = self._active_cell(message.service, now)
+        if cell is not None:
+            cell.cancel(message.key)
+        return []
+
+    def on_result_request(self, sender: str, message: ResultRequest, now: Instant) -> list[Effect]:
+        """Tell what is known of a request."""
+        cell = self._active_cell(message.service, now)
+        return cell.query(sender, message.query_id, message.key) if cell else []
+
+    def on_grant(self, sender: str, message: EscrowGrant, now: Instant) -> list[Effect]:
+        """Pass a grant to its cell."""
+        cell = self.cells.get(message.cell)
+        return cell.on_grant(message, now) if cell else []
+
+    def on_move_advice(self, sender: str, message: MoveAdvice, now: Instant) -> list[Effect]:
+        """Note instances that are to move to another pool."""
+        cell = self.cells.get(message.cell)
+        if cell is not None and cell.epoch == message.epoch:
+            cell.workers.ask_to_move(message.to_pool, message.count)
+        return []
+
+    # Events
+
+    def on_instances(self, event: InstancesListed, now: Instant) -> list[Effect]:
+        """Pass the instance list to all cells."""
+        self._listed = {item.name: item for item in event.instances}
+        for cell in self.cells.values():
+            cell.workers.on_instances(self._listed, now)
+        return []
+
+    def on_task(self, event: TaskReported, now: Instant) -> list[Effect]:
+        """Pass the end of a task to its cell."""
+        for cell in self.cells.values():
+            if cell.owns_task(event.task_id):
+                return cell.on_task(event, now)
+        return []
+
+    def on_polled(self, event: WorkerPolled, now: Instant) -> list[Effect]:
+        """Pass a poll's answer to the cells that know the worker."""
+        effects: list[Effect] = []
+        for cell in self.cells.values():
+            effects.extend(cell.on_polled(event, now))
+        return effects
+
+    def on_controlled(self, event: WorkerControlled, now: Instant) -> list[Effect]:
+        """Pass the end of a control command to the cells that know the worker."""
+        effects: list[Effect] = []
+        for cell in self.cells.values():
+            effects.extend(cell.workers.on_controlled(event, now))
+        return effects
+
+    def why(self, worker: str) -> str | None:
+        """Explain the state of a worker of one of the cells."""
+        answers = (cell.workers.why(worker) for cell in self.cells.values())
+        return next((answer for answer in answers if answer is not None), None)
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/entry.py
@@ -0,0 +1,228 @@
+"""Composition root of the core: wires the components of one entry into a reducer."""
+
+from collections.abc import Callable
+
+import attrs
+
+from fescuecrank_core import events, messages
+from fescuecrank_core.backups import BackupKeeper
+from fescuecrank_core.cells import CellHost
+from fescuecrank_core.claims import ClaimKeeper
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import Effect, ListInstances
+from fescuecrank_core.entry_config import LIST_INTERVAL_MS, EntryConfig
+from fescuecrank_core.escrow import Minter
+from fescuecrank_core.gateway import Gateway
+from fescuecrank_core.ids import IdSource
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.log_reader import LogReader
+from fescuecrank_core.membership import Membership
+from fescuecrank_core.mover import Mover
+from fescuecrank_core.operators import Operators
+from fescuecrank_core.publishing import Publisher
+from fescuecrank_core.reducer import Reducer
+from fescuecrank_core.shutdown import Shutdown
+from fescuecrank_core.snapshots import SnapshotWriter
+
+__all__ = ["Entry", "EntryConfig", "build_entry"]
+
+
+@attrs.frozen
+class Entry:
+    """All components of one entry, for tests and views; the daemon uses only the reducer."""
+
+    cfg: EntryConfig
+    ledger: Ledger
+    membership: Membership
+    reader: LogReader
+    publisher: Publisher
+    claims: ClaimKeeper
+    backups: BackupKeeper
+    cells: CellHost
+    gateway: Gateway
+    operators: Operators
+    minter: Minter
+    mover: Mover
+    snapshots: SnapshotWriter
+    shutdown: Shutdown
+    reducer: Reducer
+
+
+class InstancePoller:
+    """Asks for the instance list at a fixed interval."""
+
+    def __init__(self) -> None:
+        self._next_ms = 0
+
+    def on_tick(self, now: Instant) -> list[Effect]:
+        """Ask when it is due."""
+        if now.mono_ms < self._next_ms:
+            return []
+        self._next_ms = now.mono_ms + LIST_INTERVAL_MS
+        return [ListInstances()]
+
+
+def build_entry(cfg: EntryConfig, now: Instant) -> Reducer:
+    """Return the reducer of one entry."""
+    return compose(cfg, now).reducer
+
+
+def compose(cfg: EntryConfig, now: Instant) -> Entry:
+    """Wire the components of one entry."""
+    ids = IdSource(cfg.name, cfg.incarnation)
+    ledger = Ledger()
+    membership = Membership(cfg, ledger, now)
+    reader = LogReader(cfg, ledger, membership, now)
+    publisher = Publisher(ledger, membership)
+    claims = ClaimKeeper(cfg, ledger, membership, publisher, ids)
+    backups = BackupKeeper(ledger)
+    cells = CellHost(cfg, ledger, membership, claims, publisher, backups, ids)
+    gateway = Gateway(cfg, ledger, membership, ids)
+    operators = Operators(cfg, ledger, membership, publisher, cells, ids)
+    minter = Minter(ledger, claims.may_act)
+    mover = Mover(ledger, membership, claims)
+    snapshots = SnapshotWriter(cfg, ledger, membership, claims, publisher, ids)
+    shutdown = Shutdown(membership, claims, cells, gateway)
+    parts = {
+        "cfg": cfg,
+        "ledger": ledger,
+        "membership": membership,
+        "reader": reader,
+        "publisher": publisher,
+        "claims": claims,
+        "backups": backups,
+        "cells": cells,
+        "gateway": gateway,
+        "operators": operators,
+        "minter": minter,
+        "mover": mover,
+        "snapshots": snapshots,
+        "shutdown": shutdown,
+    }
+    reducer = _reducer(**parts)
+    return Entry(**parts, reducer=reducer)
+
+
+def _reducer(
+    cfg: EntryConfig,
+    ledger: Ledger,
+    membership: Membership,
+    reader: LogReader,
+    publisher: Publisher,
+    claims: ClaimKeeper,
+    backups: BackupKeeper,
+    cells: CellHost,
+    gateway: Gateway,
+    operators: Operators,
+    minter: Minter,
+    mover: Mover,
+    snapshots: SnapshotWriter,
+    shutdown: Shutdown,
+) -> Reducer:
+    tick_order = (
+        membership,
+        reader,
+        publisher,
+        claims,
+        backups,
+        cells,
+        minter,
+        mover,
+        snapshots,
+        gateway,
+        operators,
+        shutdown,
+        InstancePoller(),
+    )
+    event_handlers = {
+        events.Tick: tuple(_ignore_event(part.on_tick) for part in tick_order),
+        events.LogRead: (reader.on_log_read, publisher.on_log_read),
+        events.LogExpired: (reader.on_log_expired,),
+        events.LogUnreadable: (reader.on_log_unreadable,),
+        events.AppendDone: (publisher.on_append_done,),
+        events.AppendFailed: (publisher.on_append_failed,),
+        events.InstancesListed: (cells.on_instances,),
+        events.RequestReceived: (gateway.on_request,),
+        events.CancelReceived: (gateway.on_cancel,),
+        events.ResultAsked: (gateway.on_result_asked,),
+        events.CallerGone: (gateway.on_caller_gone,),
+        events.PublishAsked: (operators.on_publish,),
+        events.PublicationAsked: (operators.on_publication_asked,),
+        events.StatusAsked: (operators.on_status,),
+        events.TaskReported: (cells.on_task,),
+        events.WorkerPolled: (cells.on_polled,),
+        events.WorkerControlled: (cells.on_controlled,),
+        events.ShutdownAsked: (shutdown.on_shutdown,),
+    }
+    message_handlers = {
+        messages.Heartbeat: membership.on_heartbeat,
+        messages.RecordsRequest: reader.on_records_request,
+        messages.RecordsRelay: reader.on_records_relay,
+        messages.LedgerRequest: reader.on_ledger_request,
+        messages.LedgerCopy: reader.on_ledger_copy,
+        messages.Forward: cells.on_forward,
+        messages.ForwardAnswer: gateway.on_answer,
+        messages.CancelRequest: cells.on_cancel,
+        messages.ResultRequest: cells.on_result_request,
+        messages.ResultReply: gateway.on_result_reply,
+        messages.Replicate: backups.on_replicate,
+        messages.ReplicateAck: cells.on_replicate_ack,
+        messages.TableOffer: backups.on_table_offer,
+        messages.TableStored: cells.on_table_stored,
+        messages.TableRequest: cells.on_table_request,
+        messages.TableCopy: cells.on_table_copy,
+        messages.EscrowReport: minter.on_report,
+        messages.EscrowDemand: minter.on_demand,
+        messages.EscrowGrant: cells.on_grant,
+        messages.CellLoad: mover.on_load,
+        messages.MoveAdvice: cells.on_move_advice,
+        messages.ViewRequest: operators.on_view_request,
+        messages.ViewReply: operators.on_view_reply,
+    }
+
+    def metrics() -> dict[str, float]:
+        return collect_metrics(ledger, publisher, backups, cells, gateway, minter, mover)
+
+    def is_ready(now: Instant) -> bool:
+        has_config = bool(ledger.fleet.services) or bool(ledger.state.members)
+        return has_config and membership.is_current(now) and not membership.draining
+
+    return Reducer(cfg.name, event_handlers, message_handlers, metrics, is_ready)
+
+
+def _ignore_event(on_tick: Callable[[Instant], list[Effect]]) -> Callable:
+    def handle(event: events.Event, now: Instant) -> list[Effect]:
+        return on_tick(now)
+
+    return handle
+
+
+def collect_metrics(
+    ledger: Ledger,
+    publisher: Publisher,
+    backups: BackupKeeper,
+    cells: CellHost,
+    gateway: Gateway,
+    minter: Minter,
+    mover: Mover,
+) -> dict[str, float]:
+    """Return gauges and counters of one entry; labels are part of the name after a colon."""
+    values: dict[str, float] = {
+        "log_applied_offset": ledger.applied,
+        "members": len(ledger.state.members),
+        "publications_pending": publisher.pending_count(),
+        "backup_records": len(backups),
+        "requests_waiting_at_gateway": gateway.pending_count(),
+        "moves_advised": mover.moves_advised,
+    }
+    for outcome, count in gateway.counts.items():
+        values[f"requests_{outcome}"] = count
+    for scope, cell in cells.cells.items():
+        values[f"cell_queue:{scope}"] = len(cell.queue)
+        values[f"cell_running:{scope}"] = cell.unfinished()
+        values[f"cell_in_service:{scope}"] = len(cell.workers.usable())
+        values[f"cell_out:{scope}"] = len(cell.workers.out())
+        values[f"cell_retry_tokens:{scope}"] = cell.retries.tokens
+    for team in ledger.fleet.teams:
+        values[f"escrow_outstanding:{team}"] = minter.outstanding(team)
+    return values
--- a/packages/core/src/fescuecrank_core/entry_config.py
+++ b/packages/core/src/fescuecrank_core/entry_config.py
@@ -15,6 +15,7 @@
 LOG_READ_INTERVAL_MS = 150
 LOG_READ_TIMEOUT_MS = 1_500
 LIST_INTERVAL_MS = 1_000
+DEFAULT_LOG_RETENTION_MS = 86_400_000
 
 
 @attrs.define
@@ -23,7 +24,8 @@
 
     `incarnation` grows with each start of the same name. `seeds` maps names of peers to their
     `ip:port`; later peers are learned from the log. `operator_keys` are in force without the log,
-    so that the first declarations can be published.
+    so that the first declarations can be published. `log_retention_ms` is how long the log keeps
+    records at least.
     """
 
     name: str
@@ -33,3 +35,4 @@
     incarnation: int
     seeds: dict[str, str] = attrs.field(factory=dict)
     operator_keys: tuple[KeyGranted, ...] = ()
+    log_retention_ms: int = DEFAULT_LOG_RETENTION_MS
--- a/packages/core/src/fescuecrank_core/escrow.py
+++ b/packages/core/src/fescuecrank_core/escrow.py
@@ -17,6 +17,7 @@
 from fescuecrank_core.records import LIMITS_SCOPE
 
 SEND_INTERVAL_MS = 200
+URGENT_SEND_INTERVAL_MS = 25
 # A cell keeps idle units this long, so that a short gap between tasks costs no round trip.
 IDLE_KEEP_MS = 1_000
 
@@ -65,8 +66,9 @@
         self._minter_epoch = -1
         self._is_open = False
         self._next_send_ms = 0
+        self._sent_ms = 0
         self._report: dict[str, int] = {}
-        self.may_report = True
+        self.report_after_ms = 0
 
     def team(self, name: str) -> TeamAccount:
         """Return the account of a team."""
@@ -86,6 +88,10 @@
         """Use units for a task; return False, and ask for more, if too few are free."""
         account = self.team(team)
         if account.free < units:
+            if account.want == 0:
+                self._next_send_ms = min(
+                    self._next_send_ms, self._sent_ms + URGENT_SEND_INTERVAL_MS
+                )
             account.want = max(account.want, units - account.free)
             return False
         account.in_use += units
@@ -121,9 +127,10 @@
     def on_tick(self, now: Instant) -> list[Effect]:
         """Open the accounts with a new minter, then send wants and returns."""
         minter = self._ledger.holder(LIMITS_SCOPE)
-        if minter is None or not self.may_report or now.mono_ms < self._next_send_ms:
+        if minter is None or now.mono_ms < max(self._next_send_ms, self.report_after_ms):
             return []
         self._next_send_ms = now.mono_ms + SEND_INTERVAL_MS
+        self._sent_ms = now.mono_ms
         epoch = self._ledger.claim(LIMITS_SCOPE).epoch
         if epoch != self._minter_epoch:
             self._open(epoch)
@@ -174,12 +181,9 @@
 class Minter:
     """Grants units of each team's limit, at the holder of the `limits` claim."""
 
-    def __init__(
-        self, ledger: Ledger, may_act: Callable[[str, Instant], bool], cells: Callable[[], list]
-    ) -> None:
+    def __init__(self, ledger: Ledger, may_act: Callable[[str, Instant], bool]) -> None:
         self._ledger = ledger
         self._may_act = may_act
-        self._cells = cells
         self._epoch = -1
         self._books: dict[str, CellBook] = {}
         self._next_tick_ms = 0
@@ -218,7 +222,12 @@
         book.want = dict(message.want)
         for team, units in message.returned.items():
             book.returned[team] = max(book.returned.get(team, 0), units)
-        return []
+        if not book.want or not self._may_act(LIMITS_SCOPE, now) or not self._all_reported():
+            return []
+        # A cell that lacks units has requests waiting; it is not made to wait for the next tick.
+        for name in book.want.keys() & self._ledger.fleet.teams.keys():
+            self._grant_team(name, self._ledger.fleet.teams[name].limit)
+        return [self._grant_message(message.cell, book)]
 
     def _is_from_holder(self, sender: str, cell: str, epoch: int) -> bool:
         claim = self._ledger.claim(cell)
@@ -242,8 +251,8 @@
         A cell that was never claimed has none. One whose new holder has not reported yet keeps
         what is on the books for the holder before, if this minter has seen that one.
         """
-        claimed = (cell for cell in self._cells() if self._ledger.claim(cell) is not None)
-        return all(cell in self._books for cell in claimed)
+        cells = self._ledger.state.claims.keys() - {LIMITS_SCOPE}
+        return cells <= self._books.keys()
 
     def _grant_team(self, team: str, limit: int) -> None:
         left = limit - self.outstanding(team)
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/gateway.py
@@ -0,0 +1,296 @@
+"""Admission at the entry that a caller reached, forwarding to the holder, and the answer."""
+
+import attrs
+
+from fescuecrank_core.claims import cell_scope
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.declarations import Service
+from fescuecrank_core.effects import Effect, Reply, ReplyAccepted, ReplyFailure, SendPeer
+from fescuecrank_core.entry_config import EntryConfig
+from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_core.events import (
+    CallerGone,
+    CancelReceived,
+    RequestReceived,
+    ResultAsked,
+)
+from fescuecrank_core.ids import IdSource
+from fescuecrank_core.keys import key_id_of, matches
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.membership import Membership
+from fescuecrank_core.messages import (
+    CancelRequest,
+    Forward,
+    ForwardAnswer,
+    ResultReply,
+    ResultRequest,
+)
+from fescuecrank_core.requests import Answer, Outcome, Request, RequestKey
+
+# A forward that got no answer is sent again; the holder knows the request by its key.
+FORWARD_REPEAT_MS = 400
+# A takeover takes about 6 s; a request that waits for it is worth keeping for longer than that.
+ANSWER_TIMEOUT_MS = 60_000
+NO_HOLDER_TIMEOUT_MS = 10_000
+QUERY_TIMEOUT_MS = 5_000
+MAX_WAITING = 20_000
+CANCELS_PER_STEP = 64
+
+
+@attrs.define
+class PendingRequest:
+    """A request whose caller waits at this entry.
+
+    `sent` is true once a forward may have left this process; from then on only the holder can say
+    that the request was not run.
+    """
+
+    request: Request
+    since_ms: int
+    waiting: list[str] = attrs.field(factory=list)
+    sent: bool = False
+    next_send_ms: int = 0
+
+
+@attrs.define
+class PendingQuery:
+    """A caller's question about a request."""
+
+    reply_to: str
+    key: RequestKey
+    service: str
+    explain: bool
+    since_ms: int
+    next_send_ms: int = 0
+
+
+class Gateway:
+    """Callers' side of the entry."""
+
+    def __init__(
+        self, cfg: EntryConfig, ledger: Ledger, membership: Membership, ids: IdSource
+    ) -> None:
+        self._cfg = cfg
+        self._ledger = ledger
+        self._membership = membership
+        self._ids = ids
+        self._pending: dict[RequestKey, PendingRequest] = {}
+        self._queries: dict[str, PendingQuery] = {}
+        self._cancels: dict[RequestKey, str] = {}
+        self.closed = False
+        self.counts: dict[str, int] = {}
+
+    def pending_count(self) -> int:
+        """Return the number of requests whose callers wait here."""
+        return len(self._pending)
+
+    # Admission
+
+    def on_request(self, event: RequestReceived, now: Instant) -> list[Effect]:
+        """Admit a request, or refuse it with a reason; a refusal here means not run."""
+        request = event.request
+        failure = self._admission_failure(now) or self._service_failure(request.service)
+        if failure is None:
+            team = self._team_of(event.secret, self._ledger.fleet.services[request.service], now)
+            if isinstance(team, Failure):
+                failure = team
+        if failure is not None:
+            self._count("refused")
+            return [ReplyFailure(event.reply_to, failure)]
+        key = RequestKey(team, request.key.request_id)
+        return self._admit(attrs.evolve(request, key=key), event.reply_to, now)
+
+    def _admission_failure(self, now: Instant) -> Failure | None:
+        if self.closed:
+            return self._unavailable("this entry is stopping")
+        if not self._membership.is_current(now):
+            return self._unavailable("this entry cannot tell whether its configuration is current")
+        if len(self._pending) >= MAX_WAITING:
+            detail = f"{MAX_WAITING} requests wait at this entry"
+            return Failure(FailureKind.OVERLOADED, "gateway.admit", self._cfg.name, detail)
+        return None
+
+    def _unavailable(self, detail: str) -> Failure:
+        return Failure(FailureKind.UNAVAILABLE, "gateway.admit", self._cfg.name, detail)
+
+    def _service_failure(self, name: str) -> Failure | None:
+        if name in self._ledger.fleet.services:
+            return None
+        detail = f"no service named {name!r}"
+        return Failure(FailureKind.NOT_FOUND, "gateway.admit", self._cfg.name, detail)
+
+    def _team_of(self, secret: str, service: Service, now: Instant) -> str | Failure:
+        if not secret and service.open_to_all:
+            return service.open_team
+        key = self._ledger.state.keys.get(key_id_of(secret))
+        if not matches(secret, key) or key.kind != "team":
+            detail = "the key is unknown, withdrawn, or not a team's key"
+            return Failure(FailureKind.UNAUTHORIZED, "gateway.admit", self._cfg.name, detail)
+        if key.team not in self._ledger.fleet.teams:
+            detail = f"team {key.team!r} of this key is no longer declared"
+            return Failure(FailureKind.FORBIDDEN, "gateway.admit", self._cfg.name, detail)
+        return key.team
+
+    def _admit(self, request: Request, reply_to: str, now: Instant) -> list[Effect]:
+        pending = self._pending.get(request.key)
+        if pending is not None and pending.request.fingerprint != request.fingerprint:
+            detail = "the id was used before for a different request"
+            failure = Failure(FailureKind.CONFLICT, "gateway.admit", self._cfg.name, detail)
+            return [ReplyFailure(reply_to, failure)]
+        if pending is None:
+            self._count("admitted")
+            pending = self._pending[request.key] = PendingRequest(request, now.mono_ms)
+        pending.waiting.append(reply_to)
+        return self._forward(pending, now)
+
+    def _holder_of(self, service: str) -> str | None:
+        declared = self._ledger.fleet.services.get(service)
+        if declared is None:
+            return None
+        # The cell of the own region comes first; a pool without workers there is served elsewhere.
+        scope = cell_scope(self._cfg.region, declared.pool)
+        holder = self._ledger.holder(scope)
+        return holder.name if holder else None
+
+    def _forward(self, pending: PendingRequest, now: Instant) -> list[Effect]:
+        pending.next_send_ms = now.mono_ms + FORWARD_REPEAT_MS
+        holder = self._holder_of(pending.request.service)
+        if holder is None:
+            return []
+        pending.sent = True
+        return [SendPeer(holder, Forward(pending.request))]
+
+    # Answers
+
+    def on_answer(self, sender: str, message: ForwardAnswer, now: Instant) -> list[Effect]:
+        """Pass a final answer to all callers that wait for exactly this request."""
+        answer = message.answer
+        self._cancels.pop(answer.key, None)
+        pending = self._pending.pop(answer.key, None)
+        if pending is None:
+            return []
+        self._count(answer.outcome)
+        return [Reply(reply_to, answer) for reply_to in pending.waiting]
+
+    def on_tick(self, now: Instant) -> list[Effect]:
+        """Repeat forwards, and answer what has waited for too long."""
+        effects: list[Effect] = []
+        for pending in list(self._pending.values()):
+            effects.extend(self._follow(pending, now))
+        effects.extend(self._send_cancels())
+        for query_id in list(self._queries):
+            effects.extend(self._follow_query(query_id, now))
+        return effects
+
+    def _follow(self, pending: PendingRequest, now: Instant) -> list[Effect]:
+        age = now.mono_ms - pending.since_ms
+        if not pending.sent and age > NO_HOLDER_TIMEOUT_MS:
+            return self._finish(pending, Outcome.NOT_RUN, "no entry schedules this service now")
+        if age > ANSWER_TIMEOUT_MS:
+            return self._time_out(pending)
+        if now.mono_ms >= pending.next_send_ms:
+            return self._forward(pending, now)
+        return []
+
+    def _time_out(self, pending: PendingRequest) -> list[Effect]:
+        """Tell callers that wait for too long that the request goes on without them."""
+        return self._finish(pending, Outcome.UNKNOWN, "no answer in time; ask again with this id")
+
+    def _finish(self, pending: PendingRequest, outcome: Outcome, reason: str) -> list[Effect]:
+        del self._pending[pending.request.key]
+        self._count(outcome)
+        answer = Answer(pending.request.key, outcome, reason)
+        return [Reply(reply_to, answer) for reply_to in pending.waiting]
+
+    def end_all(self) -> list[Effect]:
+        """Answer every waiting caller truthfully; the entry is about to stop."""
+        effects: list[Effect] = []
+        for pending in list(self._pending.values()):
+            outcome = Outcome.UNKNOWN if pending.sent else Outcome.NOT_RUN
+            effects.extend(self._finish(pending, outcome, "the entry is stopping"))
+        return effects
+
+    def on_caller_gone(self, event: CallerGone, now: Instant) -> list[Effect]:
+        """Stop waiting on behalf of a caller; its request goes on and can be asked for."""
+        for key, pending in list(self._pending.items()):
+            if event.reply_to in pending.waiting:
+                pending.waiting.remove(event.reply_to)
+                if not pending.waiting and pending.sent:
+                    del self._pending[key]
+        for query_id, query in list(self._queries.items()):
+            if query.reply_to == event.reply_to:
+                del self._queries[query_id]
+        return []
+
+    # Cancellations and questions
+
+    def _authorized_key(
+        self, secret: str, service: str, request_id: str, now: Instant
+    ) -> RequestKey | Failure:
+        if not self._membership.is_current(now):
+            return self._unavailable("this entry cannot tell whether its configuration is current")
+        failure = self._service_failure(service)
+        if failure is not None:
+            return failure
+        team = self._team_of(secret, self._ledger.fleet.services[service], now)
+        return team if isinstance(team, Failure) else RequestKey(team, request_id)
+
+    def on_cancel(self, event: CancelReceived, now: Instant) -> list[Effect]:
+        """Cancel a request; its waiting callers get the outcome."""
+        key = self._authorized_key(event.secret, event.service, event.request_id, now)
+        if isinstance(key, Failure):
+            return [ReplyFailure(event.reply_to, key)]
+        self._cancels[key] = event.service
+        return [
+            ReplyAccepted(event.reply_to, "cancelling", "ask for the result to see the outcome")
+        ]
+
+    def _send_cancels(self) -> list[Effect]:
+        effects: list[Effect] = []
+        for key, service in list(self._cancels.items())[:CANCELS_PER_STEP]:
+            holder = self._holder_of(service)
+            if holder is None:
+                continue
+            del self._cancels[key]
+            effects.append(SendPeer(holder, CancelRequest(key, service)))
+        return effects
+
+    def on_result_asked(self, event: ResultAsked, now: Instant) -> list[Effect]:
+        """Ask the holder what became of a request."""
+        key = self._authorized_key(event.secret, event.service, event.request_id, now)
+        if isinstance(key, Failure):
+            return [ReplyFailure(event.reply_to, key)]
+        query_id = self._ids.next("query")
+        self._queries[query_id] = PendingQuery(
+            event.reply_to, key, event.service, event.explain, now.mono_ms
+        )
+        return self._follow_query(query_id, now)
+
+    def _follow_query(self, query_id: str, now: Instant) -> list[Effect]:
+        query = self._queries[query_id]
+        if now.mono_ms - query.since_ms > QUERY_TIMEOUT_MS:
+            del self._queries[query_id]
+            detail = "the holder of the cell gave no answer in time"
+            failure = Failure(FailureKind.TIMEOUT, "gateway.query", self._cfg.name, detail)
+            return [ReplyFailure(query.reply_to, failure)]
+        holder = self._holder_of(query.service)
+        if holder is None or now.mono_ms < query.next_send_ms:
+            return []
+        query.next_send_ms = now.mono_ms + FORWARD_REPEAT_MS
+        return [SendPeer(holder, ResultRequest(query.key, query.service, query_id))]
+
+    def on_result_reply(self, sender: str, message: ResultReply, now: Instant) -> list[Effect]:
+        """Pass on what the holder knows."""
+        query = self._queries.pop(message.query_id, None)
+        if query is None:
+            return []
+        if not message.known:
+            detail = "no request with this id is known; it may have been forgotten"
+            failure = Failure(FailureKind.NOT_FOUND, "gateway.query", sender, detail)
+            return [ReplyFailure(query.reply_to, failure)]
+        if message.answer is None or query.explain:
+            return [ReplyAccepted(query.reply_to, message.state, message.explanation)]
+        return [Reply(query.reply_to, message.answer)]
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
--- a/packages/core/src/fescuecrank_core/messages.py
+++ b/packages/core/src/fescuecrank_core/messages.py
@@ -251,3 +251,20 @@
     epoch: int
     to_pool: str
     count: int
+
+
+@attrs.frozen
+class ViewRequest(Message):
+    """Asks the holder of a cell for an operator's view of one subject."""
+
+    query_id: str
+    view: str
+    subject: str
+
+
+@attrs.frozen
+class ViewReply(Message):
+    """Answer to `ViewRequest`; empty if there is nothing to show."""
+
+    query_id: str
+    answer: str
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/mover.py
@@ -0,0 +1,67 @@
+"""Capacity across pools: the holder of the `limits` claim advises donors to move instances."""
+
+from fescuecrank_core.capacity import CapacityPlanner, PoolLoad
+from fescuecrank_core.claims import ClaimKeeper
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import Effect, Notice, SendPeer
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.membership import Membership
+from fescuecrank_core.messages import CellLoad, MoveAdvice
+from fescuecrank_core.records import LIMITS_SCOPE
+
+PLAN_INTERVAL_MS = 1_000
+
+
+class Mover:
+    """Collects loads of cells and turns planned moves into advice to the donors."""
+
+    def __init__(self, ledger: Ledger, membership: Membership, claims: ClaimKeeper) -> None:
+        self._ledger = ledger
+        self._membership = membership
+        self._claims = claims
+        self._planner = CapacityPlanner()
+        self._cells: dict[str, CellLoad] = {}
+        self._next_plan_ms = 0
+        self.moves_advised = 0
+
+    def on_load(self, sender: str, message: CellLoad, now: Instant) -> list[Effect]:
+        """Take in the load of one cell."""
+        if not self._claims.may_act(LIMITS_SCOPE, now):
+            return []
+        self._cells[message.pool] = message
+        load = PoolLoad(
+            message.pool,
+            message.usable,
+            message.out,
+            message.slots,
+            message.busy,
+            message.waiting,
+            message.offered,
+        )
+        self._planner.observe(load, now.mono_ms)
+        return []
+
+    def on_tick(self, now: Instant) -> list[Effect]:
+        """Plan moves; none is started that could not be recorded."""
+        if now.mono_ms < self._next_plan_ms:
+            return []
+        self._next_plan_ms = now.mono_ms + PLAN_INTERVAL_MS
+        if not self._claims.may_act(LIMITS_SCOPE, now):
+            # A later term of this entry must not plan on loads of this one.
+            self._planner = CapacityPlanner()
+            self._cells = {}
+            return []
+        if not self._membership.hears_majority(now):
+            return []
+        effects: list[Effect] = []
+        for move in self._planner.plan(self._ledger.fleet, now.mono_ms, now.wall_ms):
+            cell = self._cells.get(move.from_pool)
+            holder = self._ledger.holder(cell.cell) if cell else None
+            if holder is None:
+                continue
+            self.moves_advised += move.count
+            advice = MoveAdvice(cell.cell, cell.epoch, move.to_pool, move.count)
+            fields = {"from": move.from_pool, "to": move.to_pool, "reason": move.reason}
+            effects.append(Notice("move_advised", fields))
+            effects.append(SendPeer(holder.name, advice))
+        return effects
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/reducer.py
@@ -0,0 +1,64 @@
+"""The one reducer over all events; effects are data that the daemon carries out."""
+
+from collections import deque
+from collections.abc import Callable
+
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import Effect, SendPeer
+from fescuecrank_core.events import Event, PeerMessage
+from fescuecrank_core.messages import Message
+
+EventHandler = Callable[[Event, Instant], list[Effect]]
+MessageHandler = Callable[[str, Message, Instant], list[Effect]]
+
+
+class Reducer:
+    """Passes each event to its handlers, in the order of the registry."""
+
+    def __init__(
+        self,
+        name: str,
+        event_handlers: dict[type[Event], tuple[EventHandler, ...]],
+        message_handlers: dict[type[Message], MessageHandler],
+        metrics: Callable[[], dict[str, float]],
+        is_ready: Callable[[Instant], bool],
+    ) -> None:
+        self._name = name
+        self._event_handlers = event_handlers
+        self._message_handlers = message_handlers
+        self._metrics = metrics
+        self._is_ready = is_ready
+
+    def step(self, event: Event, now: Instant) -> list[Effect]:
+        """Apply one event and return the effects to carry out, in order."""
+        effects = self._handle(event, now)
+        return self._deliver_to_self(effects, now)
+
+    def _handle(self, event: Event, now: Instant) -> list[Effect]:
+        if isinstance(event, PeerMessage):
+            handler = self._message_handlers[type(event.message)]
+            return handler(event.sender, event.message, now)
+        effects: list[Effect] = []
+        for handle in self._event_handlers[type(event)]:
+            effects.extend(handle(event, now))
+        return effects
+
+    def _deliver_to_self(self, effects: list[Effect], now: Instant) -> list[Effect]:
+        """Apply messages to this entry at once instead of sending them."""
+        outward: list[Effect] = []
+        queue = deque(effects)
+        while queue:
+            effect = queue.popleft()
+            if isinstance(effect, SendPeer) and effect.peer == self._name:
+                queue.extend(self._handle(PeerMessage(self._name, effect.message), now))
+            else:
+                outward.append(effect)
+        return outward
+
+    def metrics(self) -> dict[str, float]:
+        """Return gauges and counters of the state, by name."""
+        return self._metrics()
+
+    def is_ready(self, now: Instant) -> bool:
+        """Return whether the load balancer should send callers here."""
+        return self._is_ready(now)
--- a/packages/core/src/fescuecrank_core/rendezvous.py
+++ b/packages/core/src/fescuecrank_core/rendezvous.py
@@ -9,7 +9,7 @@
 
 def rank(scope: str, names: Iterable[str]) -> list[str]:
     """Return the names in the order of preference for a scope."""
-    return sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{scope}\0{name}"))
+    return sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{scope}\0{name}".encode()))
 
 
 def choose_backups(
--- a/packages/core/src/fescuecrank_core/replication.py
+++ b/packages/core/src/fescuecrank_core/replication.py
@@ -9,8 +9,8 @@
 from fescuecrank_core.membership import Membership
 from fescuecrank_core.messages import Replicate, ReplicateAck, TableOffer, TableStored
 from fescuecrank_core.record_table import RecordTable
-from fescuecrank_core.requests import RequestKey, RequestRecord
 from fescuecrank_core.rendezvous import choose_backups
+from fescuecrank_core.requests import RequestKey, RequestRecord
 
 BACKUP_COUNT = 2
 RESEND_MS = 300
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/snapshots.py
@@ -0,0 +1,68 @@
+"""Snapshots of the ledger on the log, written before the records they cover expire."""
+
+from fescuecrank_core.claims import ClaimKeeper
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import Effect
+from fescuecrank_core.entry_config import EntryConfig
+from fescuecrank_core.ids import IdSource
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.membership import Membership
+from fescuecrank_core.publishing import Publisher
+from fescuecrank_core.records import LIMITS_SCOPE, Snapshot
+
+RECORDS_PER_SNAPSHOT = 5_000
+CHECK_INTERVAL_MS = 1_000
+
+
+class SnapshotWriter:
+    """Appends snapshots while this entry holds the `limits` claim."""
+
+    def __init__(
+        self,
+        cfg: EntryConfig,
+        ledger: Ledger,
+        membership: Membership,
+        claims: ClaimKeeper,
+        publisher: Publisher,
+        ids: IdSource,
+    ) -> None:
+        self._cfg = cfg
+        self._ledger = ledger
+        self._membership = membership
+        self._claims = claims
+        self._publisher = publisher
+        self._ids = ids
+        self._in_flight = ""
+        self._next_check_ms = 0
+        self._seen_through = -1
+        self._seen_ms: int | None = None
+
+    def on_tick(self, now: Instant) -> list[Effect]:
+        """Append a snapshot when one is due."""
+        if now.mono_ms < self._next_check_ms:
+            return []
+        self._next_check_ms = now.mono_ms + CHECK_INTERVAL_MS
+        if not self._claims.may_act(LIMITS_SCOPE, now) or self._publisher.is_pending(
+            self._in_flight
+        ):
+            return []
+        through = self._ledger.applied - 1
+        if not self._is_due(now) or not self._membership.is_accepted(through):
+            return []
+        self._in_flight = self._ids.next("snapshot")
+        record = Snapshot(self._in_flight, through, self._ledger.encode())
+        return self._publisher.publish(record, now)
+
+    def _is_due(self, now: Instant) -> bool:
+        newest = self._ledger.state.snapshot_through
+        if newest != self._seen_through or self._seen_ms is None:
+            self._seen_through = newest
+            # A new holder does not know how old the newest snapshot is, and writes one at once if
+            # anything came after it.
+            is_first = self._seen_ms is None
+            self._seen_ms = now.mono_ms
+            if is_first:
+                return self._ledger.applied - 1 > newest + 1
+        behind = self._ledger.applied - 1 - newest
+        age_ms = now.mono_ms - self._seen_ms
+        return behind >= RECORDS_PER_SNAPSHOT or age_ms >= self._cfg.log_retention_ms // 2
