--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -642,10 +642,13 @@
     def _ask_lost(self, now: Instant) -> list[Effect]:
         effects: list[Effect] = []
         for key, running in list(self._running.items()):
-            if running.lost_since_ms is None or now.mono_ms < running.next_query_ms:
-                continue
             task = running.task
-            if self.workers.lease_has_ended(task.worker, task.task_id, now):
+            if not running.started or now.mono_ms < running.next_query_ms:
+                continue
+            lease_ended = self.workers.lease_has_ended(task.worker, task.task_id, now)
+            if running.lost_since_ms is None and not lease_ended:
+                continue
+            if lease_ended:
                 effects.extend(self._give_up(running, self.table.get(key), now))
             else:
                 effects.extend(self._ask(running, now))
--- a/packages/core/src/fescuecrank_core/operators.py
+++ b/packages/core/src/fescuecrank_core/operators.py
@@ -27,6 +27,7 @@
 from fescuecrank_core.membership import Membership
 from fescuecrank_core.messages import ViewReply, ViewRequest
 from fescuecrank_core.publishing import Publisher
+from fescuecrank_core.records import MemberLeft, Record
 
 VIEW_TIMEOUT_MS = 3_000
 
@@ -80,7 +81,8 @@
 
     def on_publish(self, event: PublishAsked, now: Instant) -> list[Effect]:
         """Publish a record, after the checks that can be made before it is sent."""
-        failure = self._refusal(event.secret, now, "publish") or self._cannot_publish(now)
+        failure = self._refusal(event.secret, now, "publish")
+        failure = failure or self._cannot_publish(event.record, now)
         if failure is not None:
             return [ReplyFailure(event.reply_to, failure)]
         record_id = event.record.record_id
@@ -91,10 +93,12 @@
             return [ReplyVerdict(event.reply_to, record_id, Verdict.REFUSED, -1, detail)]
         return self._publisher.publish(event.record, now, event.reply_to)
 
-    def _cannot_publish(self, now: Instant) -> Failure | None:
+    def _cannot_publish(self, record: Record, now: Instant) -> Failure | None:
+        # Striking lost members is what gives a deployment its majority back.
+        is_strike = isinstance(record, MemberLeft) and record.forced
         if not self._membership.is_current(now):
             detail = "this entry cannot tell whether its configuration is current"
-        elif not self._membership.hears_majority(now):
+        elif not is_strike and not self._membership.hears_majority(now):
             detail = "this entry hears less than a majority of the entries"
         else:
             return None
--- a/packages/core/src/fescuecrank_core/workers.py
+++ b/packages/core/src/fescuecrank_core/workers.py
@@ -345,7 +345,7 @@
         if not event.reachable:
             self._count_failed_poll(view)
             self._schedule_poll(view, now, FAST_POLL_MS)
-            return []
+            return [] if view.reachable else list(view.tasks)
         view.poll_sent_ms = None
         view.failed_polls = 0
         view.reachable = True
--- a/packages/core/tests/network.py
+++ b/packages/core/tests/network.py
@@ -114,9 +114,8 @@
         self.max_delay_ms = PEER_DELAY_MS
         self.replies: dict[str, list[effects.Effect]] = {}
         self.runs: Counter = Counter()
-        self.run_log: list[tuple[int, str, object]] = []
         self.exited: list[str] = []
-        self.on_send = lambda sender, effect: None
+        self.observers: list = []
         self._queue: list[tuple[int, int, object]] = []
         self._order = itertools.count()
         for name in names:
@@ -185,6 +184,8 @@
                 action()
             self.now_ms = next_tick_ms
             self._run_workers()
+            for observer in self.observers:
+                observer.stepped()
             for name, node in list(self.nodes.items()):
                 if not node.stopped and not node.paused:
                     self.give(name, events.Tick())
@@ -215,7 +216,6 @@
             handler(name, generation, effect)
 
     def _do_SendPeer(self, name, generation, effect) -> None:  # noqa: N802
-        self.on_send(name, effect)
         target = self.nodes.get(effect.peer)
         if target is None or frozenset((name, effect.peer)) in self.cut:
             return
@@ -265,6 +265,8 @@
 
     def _do_Reply(self, name, generation, effect) -> None:  # noqa: N802
         self.replies.setdefault(effect.reply_to, []).append(effect)
+        for observer in self.observers:
+            observer.replied(name, effect)
 
     _do_ReplyFailure = _do_Reply  # noqa: N815
     _do_ReplyAccepted = _do_Reply  # noqa: N815
@@ -282,7 +284,9 @@
             for task_id, task in worker.tasks.items():
                 if task.state != "running":
                     continue
-                if self.now_ms >= task.ends_ms:
+                if worker.dead:
+                    task.state = "stopped"
+                elif self.now_ms >= task.ends_ms:
                     task.state = "done"
                     self._report_end(worker, task_id)
                 elif self.now_ms >= task.lease_ms:
@@ -323,7 +327,8 @@
             return
         worker.fence = max(worker.fence, effect.task.fence)
         self.runs[effect.task.key] += 1
-        self.run_log.append((self.now_ms, name, effect.task.key))
+        for observer in self.observers:
+            observer.task_started(worker, effect)
         worker.tasks[task_id] = FakeTask(
             effect.task.key,
             self.now_ms + worker.run_ms,
@@ -384,6 +389,8 @@
         if worker.is_up(self.now_ms) and not stale:
             worker.fence = max(worker.fence, effect.fence)
             if effect.action is events.ControlAction.REBOOT:
+                for observer in self.observers:
+                    observer.worker_rebooted(worker)
                 worker.boots += 1
                 worker.up_again_ms = self.now_ms + 2_000
                 worker.draining = False
--- /dev/null
+++ b/packages/core/tests/test_faults.py
@@ -0,0 +1,478 @@
+"""What must hold under each kind of failure, one focused test each, in virtual time."""
+
+import attrs
+import pytest
+from builders import (
+    OPERATOR_SECRET,
+    config_record,
+    fleet,
+    key_record,
+    request,
+    secret_of,
+    uuid7,
+)
+from fescuecrank_core import codec
+from fescuecrank_core.declarations import Team
+from fescuecrank_core.effects import ReplyFailure, Verdict
+from fescuecrank_core.events import InstanceState, PublicationAsked, ShutdownAsked
+from fescuecrank_core.records import (
+    Change,
+    ConfigPublished,
+    DrainRequested,
+    KeyWithdrawn,
+    MemberLeft,
+    WaveStarted,
+)
+from fescuecrank_core.requests import Outcome
+from network import Network
+from properties import IN_FORCE_MS, PropertyChecker
+
+NAMES = ("e1", "e2", "e3", "e4", "e5")
+
+
+class Deployment:
+    """A network in service with its property checker."""
+
+    def __init__(self, seed: int = 1, **options) -> None:
+        self.declared = fleet(**options)
+        self.net = Network(self.declared, NAMES, seed)
+        self.checker = PropertyChecker(self.net)
+        self.count = 0
+        self.net.run(3_000)
+        self.checker.publish("e1", config_record("config", self.declared))
+        self.net.run_until(lambda: "config" in self.net.replies)
+        for team in self.declared.teams:
+            record = key_record(f"key-{team}", secret_of(team), "team", team)
+            self.checker.publish("e2", record)
+        self.net.run_until(self.is_prepared)
+        self.net.run(1_500)
+
+    def is_prepared(self) -> bool:
+        ledger = max((entry.ledger for entry in self.net.live()), key=lambda item: item.applied)
+        scopes = [f"r1/{pool}" for pool in self.declared.pools]
+        return all(not ledger.is_vacant(scope) and ledger.claim(scope).prepared for scope in scopes)
+
+    def holder(self, scope: str = "r1/hoist") -> str:
+        ledger = max((entry.ledger for entry in self.net.live()), key=lambda item: item.applied)
+        return ledger.claim(scope).holder
+
+    def other_than(self, *names: str) -> str:
+        return next(name for name in NAMES if name not in names)
+
+    def send(self, entry: str, team: str = "north", request_id: str = "", **options) -> str:
+        self.count += 1
+        token = f"caller{self.count}"
+        request_id = request_id or uuid7(self.net.now().wall_ms, self.count)
+        body = options.pop("body", request_id.encode())
+        req = request(request_id=request_id, body=body, **options)
+        self.checker.submit(entry, token, team, secret_of(team), req)
+        return token
+
+    def reply(self, token: str):
+        return self.net.replies[token][-1]
+
+    def outcome(self, token: str) -> Outcome:
+        return self.reply(token).answer.outcome
+
+    def verdict(self, entry: str, record) -> Verdict:
+        self.checker.publish(entry, record)
+        self.net.run_until(lambda: record.record_id in self.net.replies)
+        return self.reply(record.record_id).verdict
+
+    def team_change(self, record_id: str, team: Team) -> ConfigPublished:
+        ledger = max((entry.ledger for entry in self.net.live()), key=lambda item: item.applied)
+        follows = ledger.state.versions[f"teams/{team.name}"]
+        change = Change("teams", team.name, follows, codec.encode(team))
+        return ConfigPublished(record_id, (change,), "test")
+
+    def set_run_ms(self, run_ms: int) -> None:
+        for worker in self.net.workers.values():
+            worker.run_ms = run_ms
+
+    def finish(self) -> None:
+        self.net.run(15_000)
+        self.checker.check_all_answered()
+
+
+def test_holder_dies_after_dispatch():
+    """Guards against a second run, or a lost result, when the holder dies with a task running."""
+    dep = Deployment()
+    dep.set_run_ms(3_000)
+    holder = dep.holder()
+    gateway = dep.other_than(holder)
+    token = dep.send(gateway)
+    dep.net.run(400)
+    assert sum(dep.net.runs.values()) == 1
+    dep.net.kill(holder)
+    dep.finish()
+    assert dep.outcome(token) is Outcome.DONE
+    assert dep.holder() != holder
+
+
+def test_gateway_dies_and_the_caller_asks_again_elsewhere():
+    """Guards against a second run when a retry reaches another entry."""
+    dep = Deployment()
+    dep.set_run_ms(2_000)
+    holder = dep.holder()
+    first, second = [name for name in NAMES if name != holder][:2]
+    token = dep.send(first)
+    dep.net.run(300)
+    dep.net.kill(first)
+    request_id = dep.checker.asked.pop(token).request_id
+    retry = dep.send(second, request_id=request_id)
+    dep.finish()
+    assert dep.outcome(retry) is Outcome.DONE
+    assert set(dep.net.runs.values()) == {1}
+
+
+def test_paused_holder_does_nothing_after_it_resumes():
+    """Guards against a holder that acts on a claim which passed on while it was paused."""
+    dep = Deployment()
+    holder = dep.holder()
+    gateway = dep.other_than(holder)
+    dep.net.pause(holder)
+    tokens = [dep.send(gateway) for _ in range(5)]
+    dep.net.run_until(lambda: dep.is_prepared() and dep.holder() != holder)
+    dep.net.run(2_000)
+    dep.net.resume(holder)
+    dep.finish()
+    assert {dep.outcome(token) for token in tokens} == {Outcome.DONE}
+
+
+def test_holder_and_backups_die_together():
+    """Guards against a second run when every record of a request is lost."""
+    dep = Deployment()
+    dep.set_run_ms(60_000)
+    holder = dep.holder()
+    backups = dep.net.live()[0].ledger.claim("r1/hoist").backups
+    rest = [name for name in NAMES if name not in (holder, *backups)]
+    token = dep.send(rest[0])
+    dep.net.run(500)
+    for name in (holder, *backups):
+        dep.net.kill(name)
+        dep.net.start(name)
+    dep.net.run_until(lambda: token in dep.net.replies, 60_000)
+    assert dep.outcome(token) is Outcome.UNKNOWN
+    later = dep.send(rest[0])
+    dep.net.run(8_000)
+    fresh = dep.send(rest[1] if len(rest) > 1 else rest[0])
+    dep.set_run_ms(100)
+    dep.finish()
+    assert dep.outcome(fresh) is Outcome.DONE
+    assert dep.outcome(later) in (Outcome.DONE, Outcome.UNKNOWN)
+
+
+def test_log_outage_does_not_stop_work():
+    """Guards against callers being refused because the platform's log is down."""
+    dep = Deployment()
+    dep.net.log.down_for.add("*")
+    dep.net.run(20_000)
+    tokens = [dep.send(name) for name in NAMES]
+    dep.net.run(3_000)
+    assert {dep.outcome(token) for token in tokens} == {Outcome.DONE}
+    dep.checker.publish("e1", KeyWithdrawn("w1", "north-key"))
+    dep.net.run(20_000)
+    assert dep.reply("w1").verdict is Verdict.REFUSED
+    dep.net.log.down_for.clear()
+    dep.net.run(1_000)
+    assert dep.verdict("e2", KeyWithdrawn("w2", "north-key")) is Verdict.ACCEPTED
+    dep.finish()
+
+
+def test_key_withdrawal_reaches_an_isolated_entry():
+    """Guards against an entry without log and peers that goes on with a withdrawn key."""
+    dep = Deployment()
+    alone = dep.other_than(dep.holder())
+    dep.net.log.down_for.add(alone)
+    dep.net.cut = {frozenset((alone, other)) for other in NAMES if other != alone}
+    other = dep.other_than(alone)
+    assert dep.verdict(other, KeyWithdrawn("w1", "north-key")) is Verdict.ACCEPTED
+    dep.net.run(IN_FORCE_MS + 50)
+    token = dep.send(alone)
+    assert isinstance(dep.reply(token), ReplyFailure)
+
+
+def test_minority_without_log_stops_and_majority_goes_on():
+    """Guards against two sides of a partition that both schedule one cell."""
+    dep = Deployment()
+    holder = dep.holder()
+    partner = dep.other_than(holder)
+    minority = {holder, partner}
+    dep.net.log.down_for |= minority
+    dep.net.cut = {frozenset((a, b)) for a in minority for b in NAMES if b not in minority}
+    dep.net.run(12_000)
+    majority = [name for name in NAMES if name not in minority]
+    assert dep.holder() in majority
+    # A takeover without the old holder and one of its backups waits for the leases of tasks that
+    # it cannot know of before it starts any.
+    dep.net.run(12_000)
+    token = dep.send(majority[0])
+    dep.net.run(3_000)
+    assert dep.outcome(token) is Outcome.DONE
+    dep.net.log.down_for.clear()
+    dep.net.cut.clear()
+    dep.finish()
+
+
+def test_majority_without_log_keeps_its_claims():
+    """Guards against a minority that reaches the log and takes claims from a live majority."""
+    dep = Deployment()
+    holder = dep.holder()
+    others = [name for name in NAMES if name != holder]
+    minority = set(others[:2])
+    majority = {holder, *others[2:]}
+    dep.net.log.down_for |= majority
+    dep.net.cut = {frozenset((a, b)) for a in minority for b in majority}
+    dep.set_run_ms(300)
+    for _ in range(20):
+        dep.send(holder)
+        dep.send(next(iter(minority)))
+        dep.net.run(500)
+    dep.net.log.down_for.clear()
+    dep.net.cut.clear()
+    dep.net.run(60_000)
+    dep.checker.check_all_answered()
+
+
+def test_lost_append_answers_still_lead_to_a_true_verdict():
+    """Guards against a publication that is refused, or applied twice, after a lost answer."""
+    dep = Deployment()
+    dep.net.log.lose_answers = True
+    record = dep.team_change("limit", Team("north", 1.0, 3))
+    assert dep.verdict("e3", record) is Verdict.ACCEPTED
+    ids = [item.record.record_id for item in dep.net.log.entries]
+    assert ids.count("limit") == 1
+
+
+def test_racing_operators_get_one_winner():
+    """Guards against two operators who both believe that their change is in force."""
+    dep = Deployment()
+    one = dep.team_change("one", Team("north", 2.0, 6))
+    two = dep.team_change("two", Team("north", 3.0, 6))
+    dep.checker.publish("e1", one)
+    dep.checker.publish("e4", two)
+    dep.net.run(3_000)
+    verdicts = [dep.reply("one").verdict, dep.reply("two").verdict]
+    assert sorted(verdicts) == [Verdict.ACCEPTED, Verdict.REFUSED]
+    loser = dep.reply("one" if verdicts[0] is Verdict.REFUSED else "two")
+    assert "teams/north was changed at offset" in loser.detail
+
+
+def test_start_from_snapshot_after_retention():
+    """Guards against an entry that starts with old or no state once records have expired."""
+    dep = Deployment()
+    dep.net.run(2_000)
+    for entry in dep.net.live():
+        entry.cfg.log_retention_ms = 4_000
+    dep.net.run(8_000)
+    dep.net.log.expire(keep=2)
+    for name in NAMES:
+        dep.net.kill(name)
+        dep.net.start(name)
+        dep.net.run(6_000)
+    versions = {entry.ledger.state.versions["teams/north"] for entry in dep.net.live()}
+    assert len(versions) == 1
+    token = dep.send("e1")
+    dep.finish()
+    assert dep.outcome(token) is Outcome.DONE
+
+
+def test_start_from_peers_while_the_log_is_down():
+    """Guards against a new entry that waits for the log although its peers hold the state."""
+    dep = Deployment()
+    dep.net.log.down_for.add("*")
+    name = dep.other_than(dep.holder())
+    dep.net.kill(name)
+    dep.net.start(name)
+    dep.net.run(4_000)
+    token = dep.send(name)
+    dep.net.run(3_000)
+    assert dep.outcome(token) is Outcome.DONE
+
+
+def test_all_entries_replaced_while_the_log_is_down_refuse():
+    """Guards against entries that act without any configuration."""
+    dep = Deployment()
+    dep.net.log.down_for.add("*")
+    for name in NAMES:
+        dep.net.kill(name)
+    for name in NAMES:
+        dep.net.start(name)
+    dep.net.run(5_000)
+    token = dep.send("e1")
+    assert isinstance(dep.reply(token), ReplyFailure)
+    dep.net.log.down_for.clear()
+    dep.net.run(25_000)
+    token = dep.send("e1")
+    dep.finish()
+    assert dep.outcome(token) is Outcome.DONE
+
+
+@pytest.mark.parametrize("victim", ["minter", "holder"])
+def test_limit_holds_when_minter_or_holder_dies(victim):
+    """Guards against units of a limit that are counted twice after a takeover."""
+    dep = Deployment(pools=("hoist", "truss"), teams=(("north", 1.0, 4), ("south", 1.0, 4)))
+    dep.set_run_ms(700)
+    gateway = dep.other_than(dep.holder(), dep.holder("limits"), dep.holder("r1/truss"))
+    for index in range(40):
+        dep.send(gateway, service="hoist" if index % 2 else "truss")
+    dep.net.run(1_000)
+    dep.net.kill(dep.holder("limits") if victim == "minter" else dep.holder())
+    dep.net.run(30_000)
+    dep.checker.check_all_answered()
+
+
+def test_lowered_limit_drains_to_the_new_value():
+    """Guards against running work that never comes down to a lowered limit."""
+    dep = Deployment(teams=(("north", 1.0, 10),))
+    dep.set_run_ms(1_000)
+    for _ in range(60):
+        dep.send("e1")
+    dep.net.run(2_000)
+    assert dep.verdict("e1", dep.team_change("lower", Team("north", 1.0, 3))) is Verdict.ACCEPTED
+    dep.net.run(3_000)
+    running = sum(len(worker.running()) for worker in dep.net.workers.values())
+    assert running <= 3
+    dep.net.run(30_000)
+    dep.checker.check_all_answered()
+
+
+def test_silent_connection_still_yields_the_answer():
+    """Guards against a task whose answer is lost with its connection."""
+    dep = Deployment()
+    for worker in dep.net.workers.values():
+        worker.silent = True
+    token = dep.send("e1")
+    dep.net.run(8_000)
+    assert dep.outcome(token) is Outcome.DONE
+    assert set(dep.net.runs.values()) == {1}
+
+
+def test_dead_worker_retries_only_what_is_idempotent():
+    """Guards against a second run of a non-idempotent request whose worker died."""
+    dep = Deployment()
+    dep.set_run_ms(5_000)
+    once = [dep.send("e1") for _ in range(3)]
+    again = [dep.send("e2", idempotent=True) for _ in range(3)]
+    dep.net.run(500)
+    once_keys = {dep.checker.asked[token] for token in once}
+    for worker in dep.net.workers.values():
+        if any(worker.tasks[task_id].key in once_keys for task_id in worker.running()):
+            worker.dead = True
+            break
+    dep.net.run(40_000)
+    assert {dep.outcome(token) for token in again} == {Outcome.DONE}
+    assert Outcome.UNKNOWN in {dep.outcome(token) for token in once}
+
+
+def test_planned_stop_cuts_nothing_off():
+    """Guards against callers who lose their answer when an entry is replaced."""
+    dep = Deployment(pools=("hoist", "truss"))
+    dep.set_run_ms(1_500)
+    for name in NAMES:
+        tokens = [dep.send(name) for _ in range(3)]
+        dep.net.run(200)
+        dep.net.give(name, ShutdownAsked())
+        late = dep.send(name)
+        dep.net.run_until(lambda n=name: n in dep.net.exited, 40_000)
+        for token in (*tokens, late):
+            assert dep.outcome(token) is Outcome.DONE
+        dep.net.exited.clear()
+        dep.net.start(name)
+        dep.net.run(5_000)
+    dep.checker.check_all_answered()
+
+
+def test_wave_under_load_keeps_the_budget():
+    """Guards against a wave that breaks its budget or interrupts tasks."""
+    dep = Deployment(pools=("hoist", "truss"), workers_each=4, failure_reserve=0)
+    dep.set_run_ms(400)
+    assert dep.verdict("e1", WaveStarted("start", "wave1", ())) is Verdict.ACCEPTED
+    dep.net.workers["truss-2"].dead = True
+    for index in range(200):
+        dep.send(NAMES[index % 5], service=("hoist", "truss")[index % 2])
+        dep.net.run(250)
+    boots = {name: worker.boots for name, worker in dep.net.workers.items()}
+    assert all(boots[name] == 1 for name in boots if name.startswith("hoist")), boots
+    dep.net.workers["truss-2"].dead = False
+    dep.net.run(60_000)
+    wave = dep.net.live()[0].ledger.state.waves["wave1"]
+    assert len(wave.done) == 8
+    dep.checker.check_all_answered()
+
+
+def test_operator_drain_waits_for_the_budget():
+    """Guards against an operator's drain that takes the last unit of a budget twice."""
+    dep = Deployment(workers_each=4)
+    dep.verdict("e1", DrainRequested("d1", "hoist-1", "op"))
+    dep.verdict("e2", DrainRequested("d2", "hoist-2", "op"))
+    dep.net.run(5_000)
+    holder = dep.net.nodes[dep.holder()].entry
+    assert "out: planned" in holder.cells.why("hoist-1") or "drain" in holder.cells.why("hoist-1")
+    assert "max_out" in holder.cells.why("hoist-2")
+
+
+def test_leaving_worker_gets_no_new_work():
+    """Guards against work for an endpoint that the platform is about to take away."""
+    dep = Deployment()
+    dep.net.listed = tuple(
+        attrs.evolve(item, state=InstanceState.LEAVING) if item.name == "hoist-1" else item
+        for item in dep.net.listed
+    )
+    for _ in range(30):
+        dep.send("e1")
+        dep.net.run(200)
+    dep.finish()
+
+
+def test_wave_of_cancellations_does_not_delay_others():
+    """Guards against thousands of cancellations that hold up new requests."""
+    dep = Deployment(teams=(("north", 1.0, 4), ("south", 1.0, 4)))
+    dep.set_run_ms(300)
+    tokens = [dep.send("e1") for _ in range(1_000)]
+    dep.net.run(300)
+    for number, token in enumerate(tokens):
+        key = dep.checker.asked[token]
+        dep.checker.cancel("e1", f"cancel{number}", secret_of("north"), key)
+    token = dep.send("e2", team="south")
+    dep.net.run(1_000)
+    assert dep.outcome(token) is Outcome.DONE
+    dep.finish()
+
+
+def test_never_fitting_request_is_refused_at_once():
+    """Guards against a request that waits for ever for a worker that cannot exist."""
+    dep = Deployment()
+    token = dep.send("e1", slots=100)
+    dep.net.run(500)
+    assert dep.outcome(token) is Outcome.NOT_RUN
+    assert "slots" in dep.reply(token).answer.reason
+
+
+def test_operator_can_strike_members_that_are_gone_for_good():
+    """Guards against a deployment that stays stuck after most entries were lost for good."""
+    dep = Deployment()
+    gone = [name for name in NAMES if name != "e1"][:3]
+    for name in gone:
+        dep.net.kill(name)
+    dep.net.run(10_000)
+    for name in gone:
+        entry = dep.net.nodes["e1"].entry
+        member = entry.ledger.state.members.get(name)
+        if member is not None:
+            record = MemberLeft(f"strike-{name}", name, member.incarnation, forced=True)
+            dep.checker.publish("e1", record)
+            dep.net.run(2_000)
+    dep.net.run(15_000)
+    token = dep.send("e1")
+    dep.finish()
+    assert dep.outcome(token) is Outcome.DONE
+
+
+def test_unknown_publication_can_be_asked_for():
+    """Guards against an operator who cannot find out what became of a record id."""
+    dep = Deployment()
+    assert dep.verdict("e1", KeyWithdrawn("w1", "south-key")) is Verdict.ACCEPTED
+    dep.net.give("e3", PublicationAsked("ask", OPERATOR_SECRET, "w1"))
+    dep.net.run(500)
+    assert dep.reply("ask").verdict is Verdict.ACCEPTED
