--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(BIN)/python -m fescuecrank_model
 
 soak: $(STAMP)
-	$(BIN)/python -m fescuecrank_bench.soak --seed $(SEED) --steps $(STEPS)
+	PYTHONPATH=packages/core/src:packages/core/tests $(BIN)/python packages/core/tests/soak.py --seed $(SEED) --steps $(STEPS)
 
 bench: $(STAMP)
 	$(BIN)/python -m fescuecrank_bench
--- /dev/null
+++ b/packages/core/tests/soak.py
@@ -0,0 +1,303 @@
+"""Random faults against several reducers, with all properties checked after every step.
+
+`FaultDriver` is shared by the hypothesis state machine, which CI runs at fixed seeds, and by
+`make soak`, which explores further.
+"""
+
+import argparse
+import random
+
+import attrs
+from builders import config_record, fleet, key_record, request, secret_of, uuid7
+from fescuecrank_core import codec
+from fescuecrank_core.declarations import RequestClass, Team
+from fescuecrank_core.events import InstanceState, ShutdownAsked
+from fescuecrank_core.records import (
+    Change,
+    ConfigPublished,
+    DrainCancelled,
+    DrainRequested,
+    KeyWithdrawn,
+    WaveStarted,
+)
+from network import Network
+from properties import PropertyChecker
+
+NAMES = ("e1", "e2", "e3", "e4", "e5")
+POOLS = ("hoist", "truss")
+TEAMS = (("north", 1.0, 4), ("south", 3.0, 6), ("west", 1.0, 2))
+HEAL_MS = 100_000
+MAX_ENTRIES_DOWN = 2
+
+
+class FaultDriver:
+    """Actions on a deployment; indices select their subjects, so that examples shrink well."""
+
+    def __init__(self, seed: int) -> None:
+        self.declared = fleet(pools=POOLS, teams=TEAMS, workers_each=3)
+        self.net = Network(self.declared, NAMES, seed)
+        self.checker = PropertyChecker(self.net)
+        self.count = 0
+        self.tokens: dict[str, tuple[str, int]] = {}
+        self.net.run(3_000)
+        self.checker.publish("e1", config_record("config", self.declared))
+        self.net.run(1_500)
+        for team, _, _ in TEAMS:
+            self.checker.publish("e2", key_record(f"key-{team}", secret_of(team), "team", team))
+        self.net.run(3_000)
+
+    def _next(self) -> int:
+        self.count += 1
+        return self.count
+
+    def _entry(self, index: int) -> str:
+        return NAMES[index % len(NAMES)]
+
+    def _worker(self, index: int):
+        return list(self.net.workers.values())[index % len(self.net.workers)]
+
+    def _down(self) -> int:
+        return sum(node.stopped or node.paused for node in self.net.nodes.values())
+
+    # Actions
+
+    def submit(self, entry: int, team: int, idempotent: bool, request_class: int) -> None:
+        """Send a request with a new id."""
+        self._send(
+            entry, team, uuid7(self.net.now().wall_ms, self._next()), idempotent, request_class
+        )
+
+    def submit_again(self, entry: int, which: int) -> None:
+        """Send a request that was sent before, under its id, to any entry."""
+        known = list(self.checker.requests.items())
+        if not known:
+            return
+        key, sent = known[which % len(known)]
+        number = next(i for i, (name, _, _) in enumerate(TEAMS) if name == key.team)
+        request_class = list(RequestClass).index(sent.request_class)
+        self._send(entry, number, key.request_id, sent.idempotent, request_class)
+
+    def _send(
+        self, entry: int, team: int, request_id: str, idempotent: bool, request_class: int
+    ) -> None:
+        name = self._entry(entry)
+        node = self.net.nodes[name]
+        if node.stopped:
+            return
+        team_name = TEAMS[team % len(TEAMS)][0]
+        chosen = list(RequestClass)[request_class % len(RequestClass)]
+        req = request(
+            service=POOLS[int(request_id[-4:], 16) % len(POOLS)],
+            request_id=request_id,
+            idempotent=idempotent,
+            body=f"body of {team_name} {request_id}".encode(),
+            request_class=chosen,
+        )
+        token = f"caller{self._next()}"
+        self.tokens[token] = (name, node.generation)
+        self.checker.submit(name, token, team_name, secret_of(team_name), req)
+
+    def cancel(self, entry: int, which: int) -> None:
+        """Cancel a request."""
+        known = list(self.checker.requests)
+        name = self._entry(entry)
+        if known and not self.net.nodes[name].stopped:
+            key = known[which % len(known)]
+            self.checker.cancel(name, f"cancel{self._next()}", secret_of(key.team), key)
+
+    def kill(self, entry: int) -> None:
+        """End an entry at once."""
+        if self._down() < MAX_ENTRIES_DOWN:
+            self.net.kill(self._entry(entry))
+
+    def start(self, entry: int) -> None:
+        """Start an entry that has ended."""
+        if self.net.nodes[self._entry(entry)].stopped:
+            self.net.start(self._entry(entry))
+
+    def pause(self, entry: int) -> None:
+        """Freeze an entry."""
+        if self._down() < MAX_ENTRIES_DOWN and not self.net.nodes[self._entry(entry)].stopped:
+            self.net.pause(self._entry(entry))
+
+    def resume(self, entry: int) -> None:
+        """Let a frozen entry go on."""
+        node = self.net.nodes[self._entry(entry)]
+        if node.paused and not node.stopped:
+            self.net.resume(self._entry(entry))
+
+    def shut_down(self, entry: int) -> None:
+        """Ask an entry to stop."""
+        if self._down() < MAX_ENTRIES_DOWN:
+            self.net.give(self._entry(entry), ShutdownAsked())
+
+    def cut(self, one: int, other: int) -> None:
+        """Cut two entries off from each other."""
+        if one % len(NAMES) != other % len(NAMES):
+            self.net.cut.add(frozenset((self._entry(one), self._entry(other))))
+
+    def heal_cuts(self) -> None:
+        """Undo all cuts."""
+        self.net.cut.clear()
+
+    def log_down(self, entry: int) -> None:
+        """Take the log away from one entry, or from all."""
+        index = entry % (len(NAMES) + 1)
+        self.net.log.down_for.add("*" if index == len(NAMES) else NAMES[index])
+
+    def log_up(self) -> None:
+        """Give the log back to all."""
+        self.net.log.down_for.clear()
+
+    def lose_answers(self, lose: bool) -> None:
+        """Lose the answers of appends that take effect."""
+        self.net.log.lose_answers = lose
+
+    def disturb(self, drops: int, duplicates: int, delay: int) -> None:
+        """Drop, duplicate, delay and so reorder messages between entries."""
+        self.net.drop_rate = (drops % 4) * 0.1
+        self.net.duplicate_rate = (duplicates % 4) * 0.2
+        self.net.max_delay_ms = 2 + (delay % 4) * 150
+
+    def worker_fault(self, worker: int, fault: int) -> None:
+        """Break or mend a worker."""
+        found = self._worker(worker)
+        kind = fault % 5
+        found.dead = kind == 1
+        found.silent = kind == 2
+        found.fails = kind == 3
+        found.run_ms = 3_000 if kind == 4 else 200
+
+    def leave(self, worker: int, leaving: bool) -> None:
+        """Let the platform's list show a worker as leaving, or as live again."""
+        name = self._worker(worker).name
+        state = InstanceState.LEAVING if leaving else InstanceState.LIVE
+        self.net.listed = tuple(
+            attrs.evolve(item, state=state) if item.name == name else item
+            for item in self.net.listed
+        )
+        if not leaving:
+            self.checker.leaving_since_ms.pop(name, None)
+
+    def publish(self, entry: int, kind: int, subject: int) -> None:
+        """Publish one of several kinds of record."""
+        name = self._entry(entry)
+        if self.net.nodes[name].stopped:
+            return
+        number = self._next()
+        worker = self._worker(subject).name
+        record_id = f"record{number}"
+        records = (
+            lambda: self._limit_change(name, record_id, subject),
+            lambda: KeyWithdrawn(record_id, f"{TEAMS[2][0]}-key"),
+            lambda: WaveStarted(record_id, f"wave{number}", ()),
+            lambda: DrainRequested(record_id, worker, "op"),
+            lambda: DrainCancelled(record_id, worker),
+        )
+        record = records[kind % len(records)]()
+        if record is not None:
+            self.checker.publish(name, record)
+
+    def _limit_change(self, name: str, record_id: str, subject: int) -> ConfigPublished | None:
+        ledger = self.net.nodes[name].entry.ledger
+        team, share, limit = TEAMS[subject % 2]
+        follows = ledger.state.versions.get(f"teams/{team}")
+        if follows is None:
+            return None
+        value = codec.encode(Team(team, share, 1 + (limit + subject) % 6))
+        return ConfigPublished(record_id, (Change("teams", team, follows, value),), "op")
+
+    def wait(self, duration: int) -> None:
+        """Let time pass."""
+        self.net.run(100 + (duration % 40) * 100)
+
+    def heal_and_finish(self) -> None:
+        """Mend everything; then every caller whose entry lives must get its answer."""
+        self.net.cut.clear()
+        self.net.log.down_for.clear()
+        self.net.log.lose_answers = False
+        self.disturb(0, 0, 0)
+        for index in range(len(NAMES)):
+            self.resume(index)
+            self.start(index)
+        for index in range(len(self.net.workers)):
+            self.worker_fault(index, 0)
+            self.leave(index, False)
+        self.net.run(HEAL_MS)
+        for token, (name, generation) in self.tokens.items():
+            node = self.net.nodes[name]
+            if node.generation == generation and not node.stopped:
+                assert self.checker.answers[token] == 1, f"P5: no answer for {token}"
+        self._check_service()
+
+    def _check_service(self) -> None:
+        """A healed deployment serves new requests again."""
+        for index, name in enumerate(NAMES):
+            if self.net.nodes[name].stopped:
+                self.net.start(name)
+                self.net.run(10_000)
+            self.submit(index, 0, 1, 1)
+        self.net.run(8_000)
+        for token in list(self.tokens)[-len(NAMES) :]:
+            reply = self.net.replies[token][-1]
+            assert reply.answer.outcome == "done", f"not served after healing: {reply}"
+
+
+ACTIONS = (
+    (8, "submit", 4),
+    (3, "submit_again", 2),
+    (1, "cancel", 2),
+    (1, "kill", 1),
+    (2, "start", 1),
+    (1, "pause", 1),
+    (2, "resume", 1),
+    (1, "shut_down", 1),
+    (1, "cut", 2),
+    (1, "heal_cuts", 0),
+    (1, "log_down", 1),
+    (2, "log_up", 0),
+    (1, "lose_answers", 1),
+    (1, "disturb", 3),
+    (1, "worker_fault", 2),
+    (1, "leave", 2),
+    (2, "publish", 3),
+    (8, "wait", 1),
+)
+
+
+def run_random(seed: int, steps: int) -> FaultDriver:
+    """Run one random sequence of actions and heal at the end."""
+    rng = random.Random(seed)
+    driver = FaultDriver(seed)
+    weights = [weight for weight, _, _ in ACTIONS]
+    for _ in range(steps):
+        _, name, count = rng.choices(ACTIONS, weights)[0]
+        arguments = [rng.randrange(1_000) for _ in range(count)]
+        if name in ("leave", "lose_answers"):
+            arguments[-1] = bool(arguments[-1] % 3 == 0)
+        getattr(driver, name)(*arguments)
+    driver.heal_and_finish()
+    return driver
+
+
+def main() -> None:
+    """Explore sequences of random faults until the number of steps is used up."""
+    parser = argparse.ArgumentParser(description="random faults in virtual time")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--steps", type=int, default=2_000)
+    parser.add_argument("--length", type=int, default=60, help="actions in one sequence")
+    options = parser.parse_args()
+    worst_ms = 0
+    for number in range(max(1, options.steps // options.length)):
+        seed = options.seed * 100_000 + number
+        try:
+            driver = run_random(seed, options.length)
+        except AssertionError as exc:
+            print(f"seed {seed}: {exc}")
+            raise SystemExit(1) from exc
+        worst_ms = max(worst_ms, driver.checker.worst_in_force_ms)
+    print(f"{options.steps} steps passed; worst time to be in force: {worst_ms} ms")
+
+
+if __name__ == "__main__":
+    main()
