--- /dev/null
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -0,0 +1,600 @@
+"""Client of the HTTP interface of entries: publications, requests and queries.
+
+Every operation tries the entries in turn. A publication and a request keep their id over all
+attempts, so that an attempt whose answer was lost cannot take effect twice.
+"""
+
+import asyncio
+import base64
+import enum
+import json
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+from fescuecrank_core.declarations import Declaration, Fleet, RequestClass
+from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_core.plain import declaration_from_plain, declaration_to_plain
+from fescuecrank_core.records import Change
+from fescuecrank_core.requests import Outcome
+from result import Err, Ok, Result
+
+from fescuecrank_cli.ids import uuid7
+from fescuecrank_cli.key_material import NewKey
+from fescuecrank_cli.transport import (
+    JSON_TYPE,
+    REQUEST_TIMEOUT_MS,
+    Call,
+    Reply,
+    TlsOptions,
+    Transport,
+    sha256_of,
+)
+
+# How long to look for a publication whose answer was lost.
+ASK_AGAIN_MS = 10_000
+POLL_MS = 300
+# Passes over all entries under the same request id before the outcome is given as unknown.
+SUBMIT_PASSES = 3
+
+UNAVAILABLE_STATUS = 503
+ACCEPTED_STATUS = 202
+# Refusals of a look-up or cancellation by these statuses say nothing of the request itself.
+STATUS_KINDS = {
+    400: FailureKind.INVALID,
+    401: FailureKind.UNAUTHORIZED,
+    403: FailureKind.FORBIDDEN,
+    404: FailureKind.NOT_FOUND,
+    UNAVAILABLE_STATUS: FailureKind.UNAVAILABLE,
+}
+
+
+class Verdict(enum.StrEnum):
+    """What became of a publication."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Unreachable(Failure):
+    """No entry gave an answer, and nothing can have been changed."""
+
+
+@attrs.frozen
+class Publication:
+    """What an entry says of one record; `offset` is -1 if it is not on the log."""
+
+    record_id: str
+    verdict: Verdict
+    offset: int = -1
+    detail: str = ""
+
+
+@attrs.frozen
+class Submission:
+    """One request of a caller; amounts that are None are left to the profile of the service."""
+
+    service: str
+    request_id: str
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
+    request_class: RequestClass = RequestClass.QUICK
+    idempotent: bool = False
+    cpu_millis: int | None = None
+    memory_mb: int | None = None
+    accelerators: int | None = None
+    slots: int | None = None
+    expected_run_ms: int | None = None
+
+
+@attrs.frozen
+class RequestReport:
+    """What is known of a request; `outcome` is None while it waits or runs."""
+
+    service: str
+    request_id: str
+    outcome: Outcome | None
+    status: int
+    state: str = ""
+    detail: str = ""
+    body: bytes = b""
+    runs: int = 0
+    endpoint_status: int = 0
+
+
+@attrs.frozen
+class ConfigInForce:
+    """Versions and values in force by section and name, as of offset `applied`."""
+
+    applied: int
+    sections: dict[str, dict[str, tuple[int, Declaration]]]
+
+
+class EntryClient:
+    """Speaks to a fleet through any of its entries; use it within one running event loop."""
+
+    def __init__(self, entries: Sequence[str], key: str = "", tls: TlsOptions | None = None):
+        self.entries = tuple(entries)
+        self._transport = Transport(key, tls)
+
+    def close(self) -> None:
+        """Release the HTTP client."""
+        self._transport.close()
+
+    # Queries
+
+    async def config(self) -> Result[ConfigInForce, Failure]:
+        """Return the declarations in force."""
+        reply = await self.read("/v1/config", "config.read")
+        return reply.and_then(_config_in_force)
+
+    async def status(self) -> Result[dict[str, Any], Failure]:
+        """Return members, claims, pools, budgets and currency as one entry sees them."""
+        return await self.read("/v1/status", "status.read")
+
+    async def waves(self) -> Result[dict[str, Any], Failure]:
+        """Return the maintenance waves and their progress."""
+        return await self.read("/v1/waves", "waves.read")
+
+    async def why(self, worker: str) -> Result[dict[str, Any], Failure]:
+        """Return why a worker is out of service, or cannot go out now."""
+        return await self.read(f"/v1/workers/{_part(worker)}/why", "worker.why")
+
+    async def read(self, path: str, step: str) -> Result[dict[str, Any], Failure]:
+        """Return the JSON object at `path` from the first entry that gives one."""
+        failure: Failure | None = None
+        for entry in self.entries:
+            outcome = await self._transport.exchange(entry, Call(step, "GET", path))
+            if outcome.is_err():
+                failure = failure or _unreachable(outcome.err_value)
+            elif outcome.ok_value.status == 200 and outcome.ok_value.json():
+                return Ok(outcome.ok_value.json())
+            else:
+                failure = _refusal(outcome.ok_value, step)
+                if outcome.ok_value.status != UNAVAILABLE_STATUS:
+                    return Err(failure)
+        return Err(failure or _no_entries(step))
+
+    async def applied_offsets(self) -> dict[str, int | None]:
+        """Return the offset that each entry has applied, or None where it cannot be read."""
+        call = Call("config.read", "GET", "/v1/config")
+        outcomes = await asyncio.gather(
+            *(self._transport.exchange(entry, call) for entry in self.entries)
+        )
+        return dict(zip(self.entries, map(_applied, outcomes), strict=True))
+
+    async def wait_in_force(
+        self, offset: int, wait_ms: int, progress: Callable[[int], None]
+    ) -> list[str]:
+        """Wait until every entry has applied `offset`; return the entries that have not.
+
+        `progress` receives the number of entries that have applied it, after each look.
+        """
+        deadline = _now_ms() + wait_ms
+        while True:
+            offsets = await self.applied_offsets()
+            late = [entry for entry, at in offsets.items() if at is None or at < offset]
+            progress(len(offsets) - len(late))
+            if not late or _now_ms() >= deadline:
+                return late
+            await asyncio.sleep(POLL_MS / 1_000)
+
+    # Publications
+
+    async def publish_changes(
+        self, changes: Sequence[Change], wanted: Fleet, author: str, record_id: str
+    ) -> Result[Publication, Failure]:
+        """Publish changes to the declarations; `wanted` holds their values."""
+        body = {
+            "record_id": record_id,
+            "author": author,
+            "changes": [_plain_change(change, wanted) for change in changes],
+        }
+        return await self.publish("config.publish", "POST", "/v1/config", record_id, body)
+
+    async def grant_key(
+        self, key: NewKey, kind: str, team: str, record_id: str
+    ) -> Result[Publication, Failure]:
+        """Publish the salted hash of a key of kind `team` or `operator`."""
+        body = {
+            "record_id": record_id,
+            "key_id": key.key_id,
+            "kind": kind,
+            "team": team,
+            "salt": base64.b64encode(key.salt).decode(),
+            "digest": base64.b64encode(key.digest).decode(),
+        }
+        return await self.publish("key.grant", "POST", "/v1/keys", record_id, body)
+
+    async def withdraw_key(self, key_id: str, record_id: str) -> Result[Publication, Failure]:
+        """Withdraw a key for good."""
+        path = f"/v1/keys/{_part(key_id)}?record_id={_part(record_id)}"
+        return await self.publish("key.withdraw", "DELETE", path, record_id)
+
+    async def drain(self, worker: str, record_id: str) -> Result[Publication, Failure]:
+        """Take a worker out of service."""
+        path = f"/v1/workers/{_part(worker)}/drain"
+        body = {"record_id": record_id}
+        return await self.publish("worker.drain", "POST", path, record_id, body)
+
+    async def cancel_drain(self, worker: str, record_id: str) -> Result[Publication, Failure]:
+        """Return a worker to service."""
+        path = f"/v1/workers/{_part(worker)}/drain?record_id={_part(record_id)}"
+        return await self.publish("worker.cancel_drain", "DELETE", path, record_id)
+
+    async def start_wave(
+        self, wave_id: str, pools: Sequence[str], record_id: str
+    ) -> Result[Publication, Failure]:
+        """Start a maintenance wave over some pools, or over all of them if none is named."""
+        body = {"record_id": record_id, "wave_id": wave_id, "pools": list(pools)}
+        return await self.publish("wave.start", "POST", "/v1/waves", record_id, body)
+
+    async def steer_wave(
+        self, wave_id: str, action: str, record_id: str
+    ) -> Result[Publication, Failure]:
+        """Pause or resume a wave; `action` is `pause` or `resume`."""
+        path = f"/v1/waves/{_part(wave_id)}/{action}"
+        body = {"record_id": record_id}
+        return await self.publish(f"wave.{action}", "POST", path, record_id, body)
+
+    async def publish(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        record_id: str,
+        body: dict[str, Any] | None = None,
+    ) -> Result[Publication, Failure]:
+        """Publish one record and return its verdict.
+
+        When an answer is lost or `unknown`, the verdict is looked up by the record id on all
+        entries for `ASK_AGAIN_MS`. The error means that nothing was published.
+        """
+        call = _json_call(step, method, path, body)
+        refused: Publication | None = None
+        failure: Failure = _no_entries(step)
+        for entry in self.entries:
+            outcome = await self._transport.exchange(entry, call)
+            if outcome.is_err() and outcome.err_value.kind is FailureKind.UNAVAILABLE:
+                failure = _unreachable(outcome.err_value)
+                continue
+            if outcome.is_err():
+                return await self._look_up(record_id, str(outcome.err_value))
+            publication = _publication(outcome.ok_value, record_id)
+            if publication.verdict is Verdict.UNKNOWN:
+                return await self._look_up(record_id, publication.detail)
+            if outcome.ok_value.status != UNAVAILABLE_STATUS:
+                return Ok(publication)
+            refused = publication
+        return Ok(refused) if refused else Err(failure)
+
+    async def _look_up(self, record_id: str, detail: str) -> Result[Publication, Failure]:
+        found = await self.publication(record_id, ASK_AGAIN_MS)
+        if found.is_ok() and found.ok_value.verdict is not Verdict.UNKNOWN:
+            return found
+        return Ok(Publication(record_id, Verdict.UNKNOWN, detail=detail))
+
+    async def publication(self, record_id: str, wait_ms: int = 0) -> Result[Publication, Failure]:
+        """Ask all entries what became of a publication until one knows, for up to `wait_ms`.
+
+        An entry that has not read far enough does not know the record yet, and one that refuses
+        the key says nothing of the record, so neither ends the search.
+        """
+        call = Call("publication.read", "GET", f"/v1/publications/{_part(record_id)}")
+        deadline = _now_ms() + wait_ms
+        while True:
+            found = await self._ask_each(call, record_id)
+            settled = found.is_ok() and found.ok_value.verdict is not Verdict.UNKNOWN
+            if settled or _now_ms() >= deadline:
+                return found
+            await asyncio.sleep(POLL_MS / 1_000)
+
+    async def _ask_each(self, call: Call, record_id: str) -> Result[Publication, Failure]:
+        unknown: Publication | None = None
+        failure: Failure = _no_entries(call.step)
+        for entry in self.entries:
+            outcome = await self._transport.exchange(entry, call)
+            if outcome.is_err():
+                failure = _unreachable(outcome.err_value)
+                continue
+            found = _looked_up(outcome.ok_value, record_id)
+            if found.verdict is not Verdict.UNKNOWN:
+                return Ok(found)
+            unknown = unknown or found
+        return Ok(unknown) if unknown else Err(failure)
+
+    # Requests
+
+    async def submit(self, submission: Submission, wait_ms: int) -> Result[RequestReport, Failure]:
+        """Run a request and return what is known of it after at most about `wait_ms`.
+
+        Every attempt carries the same request id. The error means that the request was never
+        sent. `NOT_RUN` is reported only if no earlier attempt can have reached an entry, since a
+        refusal covers only the attempt that it answers.
+        """
+        call = _submit_call(submission, wait_ms)
+        deadline = _now_ms() + wait_ms
+        sent = await self._attempt(call, submission.service, submission.request_id)
+        if sent.is_ok() and sent.ok_value.outcome is None:
+            return Ok(await self._follow(sent.ok_value, deadline))
+        return sent
+
+    async def cancel(
+        self, service: str, request_id: str, wait_ms: int
+    ) -> Result[RequestReport, Failure]:
+        """Cancel a request and return its outcome, which may still be `DONE`."""
+        call = Call("request.cancel", "DELETE", _request_path(service, request_id))
+        deadline = _now_ms() + wait_ms
+        sent = (await self._attempt(call, service, request_id)).and_then(_told(call.step))
+        if sent.is_ok() and sent.ok_value.outcome is None:
+            return Ok(await self._follow(sent.ok_value, deadline))
+        return sent
+
+    async def result(
+        self, service: str, request_id: str, wait_ms: int = 0, explain: bool = False
+    ) -> Result[RequestReport, Failure]:
+        """Return what is known of a request, waiting up to `wait_ms` for its outcome."""
+        deadline = _now_ms() + wait_ms
+        asked = await self._ask_result(service, request_id, explain)
+        if asked.is_ok() and asked.ok_value.outcome is None:
+            return Ok(await self._follow(asked.ok_value, deadline))
+        return asked
+
+    async def _attempt(
+        self, call: Call, service: str, request_id: str
+    ) -> Result[RequestReport, Failure]:
+        """Send one call under the same id until an entry gives an outcome or a state."""
+        doubt: RequestReport | None = None
+        refused: RequestReport | None = None
+        failure: Failure = _no_entries(call.step)
+        for attempt in range(SUBMIT_PASSES * len(self.entries)):
+            if attempt and attempt % len(self.entries) == 0:
+                await asyncio.sleep(POLL_MS / 1_000)
+            entry = self.entries[attempt % len(self.entries)]
+            outcome = await self._transport.exchange(entry, call)
+            if outcome.is_err() and outcome.err_value.kind is FailureKind.UNAVAILABLE:
+                failure = _unreachable(outcome.err_value)
+                continue
+            report = _report_or_lost(outcome, service, request_id)
+            if report.outcome is Outcome.UNKNOWN:
+                doubt = report
+            elif report.outcome is not Outcome.NOT_RUN:
+                return Ok(report)
+            else:
+                refused = report
+                if report.status != UNAVAILABLE_STATUS:
+                    break
+        if doubt or refused:
+            return Ok(doubt or refused)
+        return Err(failure)
+
+    async def _ask_result(
+        self, service: str, request_id: str, explain: bool = False
+    ) -> Result[RequestReport, Failure]:
+        path = _request_path(service, request_id) + ("?explain=true" if explain else "")
+        call = Call("request.result", "GET", path)
+        best: RequestReport | None = None
+        failure: Failure = _no_entries(call.step)
+        for entry in self.entries:
+            outcome = await self._transport.exchange(entry, call)
+            if outcome.is_err():
+                failure = _unreachable(outcome.err_value)
+                continue
+            report = _report(outcome.ok_value, service, request_id)
+            if report.outcome is not Outcome.UNKNOWN and report.status != UNAVAILABLE_STATUS:
+                return _told(call.step)(report)
+            best = best or report
+        return _told(call.step)(best) if best else Err(failure)
+
+    async def _follow(self, report: RequestReport, deadline_ms: int) -> RequestReport:
+        """Ask for the result of a request that an entry has taken, until it has an outcome.
+
+        Answers that are lost or refused say nothing of a request that an entry took before.
+        """
+        while report.outcome is None and _now_ms() < deadline_ms:
+            await asyncio.sleep(POLL_MS / 1_000)
+            asked = await self._ask_result(report.service, report.request_id)
+            if asked.is_ok() and asked.ok_value.status:
+                report = asked.ok_value
+        return report
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+def _part(name: str) -> str:
+    return quote(name, safe="")
+
+
+def _request_path(service: str, request_id: str) -> str:
+    return f"/v1/services/{_part(service)}/requests/{_part(request_id)}"
+
+
+def _json_call(step: str, method: str, path: str, body: dict[str, Any] | None) -> Call:
+    if body is None:
+        return Call(step, method, path)
+    return Call(step, method, path, json.dumps(body).encode(), {"Content-Type": JSON_TYPE})
+
+
+def _submit_call(submission: Submission, wait_ms: int) -> Call:
+    optional = {
+        "Need-Cpu-Millis": submission.cpu_millis,
+        "Need-Memory-Mb": submission.memory_mb,
+        "Need-Accelerators": submission.accelerators,
+        "Need-Slots": submission.slots,
+        "Expected-Run-Ms": submission.expected_run_ms,
+    }
+    headers = {
+        "Content-Type": submission.content_type,
+        "Idempotency-Key": submission.request_id,
+        "Request-Class": submission.request_class.value,
+        "Request-Idempotent": str(submission.idempotent).lower(),
+        "Prefer": f"wait={wait_ms // 1_000}" if wait_ms >= 1_000 else "respond-async",
+    }
+    headers.update({name: str(value) for name, value in optional.items() if value is not None})
+    path = f"/v1/services/{_part(submission.service)}/requests"
+    timeout_ms = wait_ms + REQUEST_TIMEOUT_MS
+    return Call("request.submit", "POST", path, submission.body, headers, timeout_ms)
+
+
+def _plain_change(change: Change, wanted: Fleet) -> dict[str, Any]:
+    value = getattr(wanted, change.section).get(change.name)
+    return {
+        "section": change.section,
+        "name": change.name,
+        "follows": change.follows,
+        "value": None if change.value is None else declaration_to_plain(value),
+    }
+
+
+def _no_entries(step: str) -> Failure:
+    return Unreachable(FailureKind.UNAVAILABLE, step, "", "no entry address is given")
+
+
+def _unreachable(failure: Failure) -> Failure:
+    return Unreachable(failure.kind, failure.step, failure.peer, failure.detail)
+
+
+def _refusal(reply: Reply, step: str) -> Failure:
+    problem = reply.json()
+    try:
+        kind = FailureKind(problem.get("kind", ""))
+    except ValueError:
+        kind = FailureKind.INVALID
+    return Failure(kind, step, reply.entry, _detail(reply))
+
+
+def _detail(reply: Reply) -> str:
+    problem = reply.json()
+    detail = problem.get("detail") or problem.get("title") or problem.get("explanation")
+    return str(detail or f"HTTP status {reply.status}")
+
+
+def _applied(outcome: Result[Reply, Failure]) -> int | None:
+    if outcome.is_err():
+        return None
+    applied = outcome.ok_value.json().get("applied")
+    return applied if isinstance(applied, int) else None
+
+
+def _config_in_force(plain: dict[str, Any]) -> Result[ConfigInForce, Failure]:
+    sections: dict[str, dict[str, tuple[int, Declaration]]] = {}
+    try:
+        for section, items in plain["sections"].items():
+            sections[section] = {}
+            for name, item in items.items():
+                value = declaration_from_plain(section, name, item["value"])
+                if value.is_err():
+                    return Err(_malformed_config(str(value.err_value[0])))
+                sections[section][name] = (int(item["version"]), value.ok_value)
+        return Ok(ConfigInForce(int(plain["applied"]), sections))
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        return Err(_malformed_config(f"{exc.__class__.__name__}: {exc}"))
+
+
+def _malformed_config(detail: str) -> Failure:
+    return Failure(FailureKind.INVALID, "config.read", "", f"malformed answer: {detail}")
+
+
+def _publication(reply: Reply, record_id: str) -> Publication:
+    """Return the verdict of an entry; an answer that is not typed proves nothing."""
+    plain = reply.json()
+    detail = _detail(reply) if reply.status != 200 else str(plain.get("detail", ""))
+    verdict = plain.get("verdict")
+    if verdict is None and "kind" in plain and 400 <= reply.status <= UNAVAILABLE_STATUS:
+        unsure = plain["kind"] in (FailureKind.UNKNOWN.value, FailureKind.TIMEOUT.value)
+        verdict = Verdict.UNKNOWN if unsure else Verdict.REFUSED
+    elif plain.get("record_id") != record_id:
+        return Publication(record_id, Verdict.UNKNOWN, detail=f"answer without this id: {detail}")
+    offset = plain.get("offset")
+    known = verdict if verdict in set(Verdict) else Verdict.UNKNOWN
+    at = offset if isinstance(offset, int) else -1
+    return Publication(record_id, Verdict(known), at, detail)
+
+
+def _looked_up(reply: Reply, record_id: str) -> Publication:
+    """Return the verdict of a look-up; a refusal to look says nothing of the record."""
+    if "verdict" in reply.json():
+        return _publication(reply, record_id)
+    return Publication(record_id, Verdict.UNKNOWN, detail=_detail(reply))
+
+
+def _told(step: str) -> Callable[[RequestReport], Result[RequestReport, Failure]]:
+    """Return a filter that turns the refusal of a call into a failure.
+
+    Without it, a look-up refused as `not run` would be reported as a request that was not run.
+    """
+
+    def check(report: RequestReport) -> Result[RequestReport, Failure]:
+        if report.outcome is Outcome.NOT_RUN and report.status in STATUS_KINDS:
+            return Err(Failure(STATUS_KINDS[report.status], step, "", report.detail))
+        return Ok(report)
+
+    return check
+
+
+def _report_or_lost(
+    outcome: Result[Reply, Failure], service: str, request_id: str
+) -> RequestReport:
+    if outcome.is_err():
+        return _lost(service, request_id, str(outcome.err_value))
+    return _report(outcome.ok_value, service, request_id)
+
+
+def _lost(service: str, request_id: str, detail: str) -> RequestReport:
+    return RequestReport(service, request_id, Outcome.UNKNOWN, 0, detail=detail)
+
+
+def _report(reply: Reply, service: str, request_id: str) -> RequestReport:
+    """Return what an answer says of a request; an answer that proves nothing is `UNKNOWN`."""
+    named = reply.headers.get("Request-Id", request_id)
+    if named != request_id:
+        return _lost(service, request_id, f"{reply.entry} answered for another request, {named}")
+    plain = reply.json() if reply.status != 200 else {}
+    if reply.status == ACCEPTED_STATUS:
+        state, detail = str(plain.get("state", "")), str(plain.get("explanation", ""))
+        return RequestReport(service, request_id, None, reply.status, state, detail)
+    outcome = reply.headers.get("Request-Outcome") or plain.get("outcome")
+    if reply.status == 200 or outcome == Outcome.DONE:
+        return _done(reply, service, request_id, outcome)
+    if outcome not in set(Outcome):
+        return _lost(service, request_id, f"{reply.entry}: {_detail(reply)}")
+    runs = _count(reply, "Request-Runs")
+    return RequestReport(
+        service, request_id, Outcome(outcome), reply.status, detail=_detail(reply), runs=runs
+    )
+
+
+def _done(reply: Reply, service: str, request_id: str, outcome: str | None) -> RequestReport:
+    complete = (
+        reply.status == 200
+        and outcome == Outcome.DONE
+        and "Request-Id" in reply.headers
+        and sha256_of(reply.headers) is not None
+    )
+    if not complete:
+        return _lost(service, request_id, f"{reply.entry} answered without outcome, id or digest")
+    return RequestReport(
+        service,
+        request_id,
+        Outcome.DONE,
+        reply.status,
+        body=reply.body,
+        runs=_count(reply, "Request-Runs"),
+        endpoint_status=_count(reply, "Endpoint-Status"),
+    )
+
+
+def _count(reply: Reply, header: str) -> int:
+    text = reply.headers.get(header, "")
+    return int(text) if text.isdecimal() else 0
+
+
+def new_record_id() -> str:
+    """Return the id of a new publication."""
+    return uuid7()
--- /dev/null
+++ b/packages/cli/src/fescuecrank_cli/transport.py
@@ -0,0 +1,154 @@
+"""One HTTP exchange with one entry, with time-outs, TLS and checked answers."""
+
+import base64
+import binascii
+import hashlib
+import json
+import socket
+import ssl
+from typing import Any
+
+import attrs
+from fescuecrank_core.errors import Failure, FailureKind
+from result import Err, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
+
+CONNECT_TIMEOUT_MS = 2_000
+# Longer than the 10 s for which an entry looks for a lost append before it answers `unknown`.
+REQUEST_TIMEOUT_MS = 15_000
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+JSON_TYPE = "application/json"
+
+
+@attrs.frozen
+class TlsOptions:
+    """Paths of PEM files; an empty path leaves the default of the platform in place."""
+
+    ca_file: str = ""
+    client_cert: str = ""
+    client_key: str = ""
+
+
+@attrs.frozen
+class Call:
+    """One HTTP call that may be sent to any entry."""
+
+    step: str
+    method: str
+    path: str
+    body: bytes | None = None
+    headers: dict[str, str] = attrs.field(factory=dict)
+    timeout_ms: int = REQUEST_TIMEOUT_MS
+
+
+@attrs.frozen
+class Reply:
+    """A whole answer of one entry, with its length and digest already checked."""
+
+    entry: str
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+    def json(self) -> dict[str, Any]:
+        """Return the body as a JSON object, or an empty one if it is nothing of the kind."""
+        try:
+            value = json.loads(self.body)
+        except (ValueError, RecursionError):
+            return {}
+        return value if isinstance(value, dict) else {}
+
+
+class Transport:
+    """Sends calls to entries.
+
+    The kind of a failure tells what can be concluded: `UNAVAILABLE` promises that the call was
+    never sent; after `UNKNOWN` the entry may have acted on it.
+    """
+
+    def __init__(self, key: str = "", tls: TlsOptions | None = None) -> None:
+        self._key = key
+        self._tls = tls or TlsOptions()
+        self._http = AsyncHTTPClient(
+            force_instance=True,
+            defaults={"user_agent": "fescuecrank"},
+            max_body_size=MAX_BODY_BYTES,
+        )
+
+    async def exchange(self, entry: str, call: Call) -> Result[Reply, Failure]:
+        """Send a call to one entry and return its answer."""
+        try:
+            response = await self._http.fetch(self._request(entry, call), raise_error=False)
+        except Exception as exc:
+            return Err(Failure(_kind(exc), call.step, entry, _describe(exc)))
+        wrong = _damage(response)
+        if wrong:
+            return Err(Failure(FailureKind.UNKNOWN, call.step, entry, wrong))
+        return Ok(Reply(entry, response.code, response.headers, response.body))
+
+    def _request(self, entry: str, call: Call) -> HTTPRequest:
+        headers = dict(call.headers)
+        if self._key:
+            headers["Authorization"] = f"Bearer {self._key}"
+        return HTTPRequest(
+            entry + call.path,
+            method=call.method,
+            headers=headers,
+            body=call.body,
+            connect_timeout=CONNECT_TIMEOUT_MS / 1_000,
+            request_timeout=call.timeout_ms / 1_000,
+            follow_redirects=False,
+            decompress_response=False,
+            ca_certs=self._tls.ca_file or None,
+            client_cert=self._tls.client_cert or None,
+            client_key=self._tls.client_key or None,
+        )
+
+    def close(self) -> None:
+        """Release the HTTP client."""
+        self._http.close()
+
+
+def _kind(exc: Exception) -> FailureKind:
+    not_sent = (ConnectionRefusedError, socket.gaierror, ssl.SSLCertVerificationError)
+    if isinstance(exc, not_sent) or "while connecting" in str(exc):
+        return FailureKind.UNAVAILABLE
+    return FailureKind.UNKNOWN
+
+
+def _describe(exc: Exception) -> str:
+    return str(exc) or exc.__class__.__name__
+
+
+def _damage(response: HTTPResponse) -> str | None:
+    """Return what shows that an answer is truncated or altered, or None."""
+    length = response.headers.get("Content-Length")
+    if length is not None and length != str(len(response.body)):
+        return f"the answer has {len(response.body)} bytes instead of {length}"
+    digest = sha256_of(response.headers)
+    if digest is not None and digest != hashlib.sha256(response.body).digest():
+        return "the answer does not match its Repr-Digest"
+    return None
+
+
+def sha256_of(headers: HTTPHeaders) -> bytes | None:
+    """Return the SHA-256 in `Repr-Digest` (RFC 9530), or None if there is none.
+
+    A malformed value gives empty bytes, which equal no digest.
+    """
+    for member in headers.get("Repr-Digest", "").split(","):
+        algorithm, _, value = member.strip().partition("=")
+        if algorithm.lower() == "sha-256":
+            return _decoded(value)
+    return None
+
+
+def _decoded(value: str) -> bytes:
+    if len(value) < 2 or value[0] != ":" or value[-1] != ":":
+        return b""
+    try:
+        return base64.b64decode(value[1:-1], validate=True)
+    except binascii.Error:
+        return b""
--- /dev/null
+++ b/packages/cli/tests/entry_fake.py
@@ -0,0 +1,172 @@
+"""A scripted entry on loopback, and builders of its answers."""
+
+import asyncio
+import base64
+import hashlib
+import json
+import socket
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+LOOPBACK = "127.0.0.1"
+
+
+@attrs.frozen
+class Canned:
+    """One answer; `drop` closes the connection instead, after the call was received."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: dict[str, str] = attrs.field(factory=dict)
+    drop: bool = False
+
+
+Answer = Callable[[HTTPServerRequest], Canned]
+
+
+class FakeEntry:
+    """Serves scripted answers from a thread of its own and keeps the calls it received.
+
+    `script` maps `METHOD /path` prefixes to answers; the last answer of a list is repeated.
+    """
+
+    def __init__(self, script: dict[str, list[Answer]]) -> None:
+        self.script = {prefix: list(answers) for prefix, answers in script.items()}
+        self.calls: list[HTTPServerRequest] = []
+        self._loop = asyncio.new_event_loop()
+        self._sockets = bind_sockets(0, LOOPBACK)
+        self.address = f"{LOOPBACK}:{self._sockets[0].getsockname()[1]}"
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.call_soon(self._serve)
+        self._loop.run_forever()
+        self._loop.close()
+
+    def _serve(self) -> None:
+        self._server = HTTPServer(Application([(".*", _Handler, {"fake": self})]))
+        self._server.add_sockets(self._sockets)
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._loop.call_soon_threadsafe(self._server.stop)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def answer(self, request: HTTPServerRequest) -> Canned:
+        """Return the next scripted answer to a call."""
+        self.calls.append(request)
+        line = f"{request.method} {request.uri}"
+        prefix = max((p for p in self.script if line.startswith(p)), key=len)
+        answers = self.script[prefix]
+        return (answers.pop(0) if len(answers) > 1 else answers[0])(request)
+
+    def bodies(self) -> list[dict[str, Any]]:
+        """Return the JSON bodies of all calls that had one."""
+        return [json.loads(call.body) for call in self.calls if call.body]
+
+
+class _Handler(RequestHandler):
+    def initialize(self, fake: FakeEntry) -> None:
+        self._fake = fake
+
+    def _reply(self) -> None:
+        canned = self._fake.answer(self.request)
+        if canned.drop:
+            self.request.connection.stream.close()
+            return
+        headers = {"Content-Length": str(len(canned.body)), **canned.headers}
+        start = ResponseStartLine("HTTP/1.1", canned.status, "x")
+        self.request.connection.write_headers(start, HTTPHeaders(headers), canned.body)
+        self.request.connection.finish()
+        self._finished = True
+
+    get = post = delete = _reply
+
+
+def closed_address() -> str:
+    """Return an address on loopback that refuses connections."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+
+
+def request_id_of(request: HTTPServerRequest) -> str:
+    """Return the id of the request that a caller's call is about."""
+    return request.headers.get("Idempotency-Key") or request.path.rsplit("/", 1)[1]
+
+
+def record_id_of(request: HTTPServerRequest) -> str:
+    """Return the id of the record that an operator's call is about."""
+    if request.body:
+        return json.loads(request.body)["record_id"]
+    given = request.arguments.get("record_id")
+    return given[0].decode() if given else request.path.rsplit("/", 1)[1]
+
+
+def digest_of(body: bytes) -> str:
+    """Return a Repr-Digest value (RFC 9530)."""
+    return f"sha-256=:{base64.b64encode(hashlib.sha256(body).digest()).decode()}:"
+
+
+def done(body: bytes = b"certificate", **replaced: str) -> Answer:
+    """Return an answer `done`; keywords replace headers (`_` for `-`), or drop them if empty."""
+
+    def answer(request: HTTPServerRequest) -> Canned:
+        headers = {
+            "Request-Id": request_id_of(request),
+            "Request-Outcome": "done",
+            "Request-Runs": "1",
+            "Endpoint-Status": "200",
+            "Repr-Digest": digest_of(body),
+        }
+        headers.update({name.replace("_", "-"): value for name, value in replaced.items()})
+        return Canned(200, body, {name: value for name, value in headers.items() if value})
+
+    return answer
+
+
+def plain(value: dict[str, Any], status: int = 200) -> Answer:
+    """Return a JSON answer."""
+    return lambda _: Canned(status, json.dumps(value).encode())
+
+
+def refusal(status: int, kind: str, **more: str) -> Answer:
+    """Return a typed refusal."""
+    return plain({"status": status, "kind": kind, "detail": f"because {kind}", **more}, status)
+
+
+def waiting() -> Answer:
+    """Return the answer for a request that still waits."""
+    return plain({"state": "queued", "explanation": "behind 3 requests"}, 202)
+
+
+def verdict(status: int, name: str, offset: int = -1) -> Answer:
+    """Return the verdict of a publication."""
+
+    def answer(request: HTTPServerRequest) -> Canned:
+        value = {"record_id": record_id_of(request), "verdict": name, "offset": offset}
+        return Canned(status, json.dumps({**value, "detail": name}).encode())
+
+    return answer
+
+
+def _drop(_: HTTPServerRequest) -> Canned:
+    return Canned(drop=True)
+
+
+DROP = _drop
+ACCEPTED = verdict(200, "accepted", 12)
+REFUSED = verdict(409, "refused", 13)
+UNKNOWN = verdict(504, "unknown")
+NOT_KNOWN = refusal(404, "not_found")
+NOT_CURRENT = refusal(503, "unavailable", outcome="not_run")
