Add examples, reference pages and operator pages

Both deployments of the design get full declarations. Reference page and JSON Schema come from the attrs metadata, and tests check them, the examples and every documented command for drift. submit starts a trace, so that the page on traces has an id to look for.

--- a/packages/cli/src/fescuecrank_cli/client.py
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -76,7 +76,10 @@
 
 @attrs.frozen
 class Submission:
-    """One request of a caller; amounts that are None are left to the profile of the service."""
+    """One request of a caller; amounts that are None are left to the profile of the service.
+
+    `traceparent` follows W3C Trace Context.
+    """
 
     service: str
     request_id: str
@@ -89,6 +92,7 @@
     accelerators: int | None = None
     slots: int | None = None
     expected_run_ms: int | None = None
+    traceparent: str = ""
 
 
 @attrs.frozen
@@ -428,6 +432,7 @@
         "Need-Accelerators": submission.accelerators,
         "Need-Slots": submission.slots,
         "Expected-Run-Ms": submission.expected_run_ms,
+        "traceparent": submission.traceparent or None,
     }
     headers = {
         "Content-Type": submission.content_type,
--- a/packages/cli/src/fescuecrank_cli/ids.py
+++ b/packages/cli/src/fescuecrank_cli/ids.py
@@ -1,4 +1,4 @@
-"""Identifiers that carry their time of creation."""
+"""Identifiers of requests, records and traces."""
 
 import secrets
 import time
@@ -16,3 +16,13 @@
     high, low = random >> 62, random & ((1 << 62) - 1)
     value = (wall_ms & ((1 << 48) - 1)) << 80 | _VERSION << 76 | high << 64 | _VARIANT << 62 | low
     return str(uuid.UUID(int=value))
+
+
+def new_trace_id() -> str:
+    """Return a random trace id of W3C Trace Context, which is never all zeros."""
+    return f"{secrets.randbits(127) + 1:032x}"
+
+
+def traceparent(trace_id: str) -> str:
+    """Return the header for a sampled trace whose first span is the caller's."""
+    return f"00-{trace_id}-{secrets.randbits(63) + 1:016x}-01"
--- a/packages/cli/src/fescuecrank_cli/main.py
+++ b/packages/cli/src/fescuecrank_cli/main.py
@@ -26,7 +26,7 @@
     Verdict,
     new_record_id,
 )
-from fescuecrank_cli.ids import uuid7
+from fescuecrank_cli.ids import new_trace_id, traceparent, uuid7
 from fescuecrank_cli.key_material import NewKey, new_key
 from fescuecrank_cli.render import OutputFormat
 from fescuecrank_cli.session import (
@@ -399,9 +399,10 @@
 ) -> None:
     """Send a request and write its answer to standard output.
 
-    The request is printed first on standard error as SERVICE/ID. Every further attempt carries
-    the same id, so a request that is not idempotent runs at most once.
+    The request is printed first on standard error as SERVICE/ID, then the id of its trace. Every
+    further attempt carries the same id, so a request that is not idempotent runs at most once.
     """
+    trace_id = new_trace_id()
     submission = Submission(
         service,
         uuid7(),
@@ -414,8 +415,10 @@
         accelerators,
         slots,
         run_ms,
+        traceparent(trace_id),
     )
     note(f"request: {service}/{submission.request_id}")
+    note(f"trace: {trace_id}")
     _write_report(ctx.obj, ctx.obj.ask(lambda client: client.submit(submission, wait * 1_000)))
 
 
--- /dev/null
+++ b/packages/cli/tests/test_docs.py
@@ -0,0 +1,126 @@
+"""Documentation and examples against the command, the classes and the schema."""
+
+import datetime
+import itertools
+import json
+import re
+import shlex
+from pathlib import Path
+
+import jsonschema
+import pytest
+import typer
+import yaml
+from declaration_builders import FLEET
+from fescuecrank_cli import reference
+from fescuecrank_cli.main import app
+from fescuecrank_core.loader import load_fleet
+
+ROOT = Path(__file__).parents[3]
+PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+DEPLOYMENTS = sorted(folder.parent for folder in (ROOT / "examples").glob("*/fleet"))
+
+CONSOLE = re.compile(r"^ *```console\n(.*?)^ *```", re.MULTILINE | re.DOTALL)
+PROMPT = re.compile(r"^ *\$ (fescuecrank (?:.*\\\n)*.*)$", re.MULTILINE)
+INLINE = re.compile(r"`(fescuecrank [^`\n]+)`")
+
+
+def command_lines(text):
+    blocks = "\n".join(CONSOLE.findall(text))
+    prompts = [line.replace("\\\n", " ") for line in PROMPT.findall(blocks)]
+    return prompts + INLINE.findall(CONSOLE.sub("", text))
+
+
+COMMAND_LINES = sorted({line for page in PAGES for line in command_lines(page.read_text())})
+
+
+def parse(command, args, parent=None):
+    """Parse a command line to its end without running it."""
+    ctx = command.make_context(command.name or "fescuecrank", list(args), parent=parent)
+    rest = [*getattr(ctx, "_protected_args", []), *ctx.args]
+    if hasattr(command, "resolve_command"):
+        _, sub, rest = command.resolve_command(ctx, rest)
+        parse(sub, rest, ctx)
+
+
+@pytest.mark.parametrize("line", COMMAND_LINES)
+def test_documented_command_exists(line):
+    """Guards against pages that name commands or options which the binary does not have."""
+    parse(typer.main.get_command(app), shlex.split(line)[1:])
+
+
+def test_check_of_documented_commands_can_fail():
+    """Guards against a parser that accepts everything, and pages whose commands are not found."""
+    assert len(COMMAND_LINES) > 20
+    for line in ("no-such", "drain w --no-such", "key grant --tem x", "wave start w1"):
+        with pytest.raises(Exception, match=r"(?i)no such|unexpected|extra"):
+            parse(typer.main.get_command(app), line.split())
+
+
+def test_console_blocks_hold_only_prompts():
+    """Guards against commands without a prompt, which no test would run."""
+    for page in PAGES:
+        for block in CONSOLE.findall(page.read_text()):
+            assert all(line.strip().startswith("$ ") for line in block.splitlines()), page
+
+
+def test_reference_matches_the_classes():
+    """Guards against a field that changed without its reference page and schema."""
+    assert not reference.outdated(reference.DECLARATIONS, ROOT / reference.DEFAULT_FOLDER)
+
+
+def plain_yaml(text):
+    return json.loads(json.dumps(yaml.safe_load(text), default=str))
+
+
+def validator():
+    made = reference.schema(reference.DECLARATIONS)
+    jsonschema.Draft202012Validator.check_schema(made)
+    return jsonschema.Draft202012Validator(made)
+
+
+BROKEN = {
+    "unknown field": ("share: 3", "share: 3, extra: 1"),
+    "missing field": ("share: 3, ", ""),
+    "out of range": ("share: 3", "share: -3"),
+    "wrong type": ("limit: 40", "limit: many"),
+    "bad name": ("orchard:", "or/chard:"),
+    "bad date": ("first_day: 2026-08-17", "first_day: spring"),
+    "bad range": ("quoting-[1-3]", "quoting-[1-3"),
+    "unknown section": ("teams:", "groups:"),
+}
+
+
+@pytest.mark.parametrize("case", BROKEN)
+def test_schema_refuses_what_the_loader_refuses(case):
+    """Guards against an editor that shows no mistake where the loader finds one."""
+    assert validator().is_valid(plain_yaml(FLEET))
+    assert not validator().is_valid(plain_yaml(FLEET.replace(*BROKEN[case])))
+
+
+@pytest.mark.parametrize("folder", DEPLOYMENTS, ids=lambda folder: folder.name)
+def test_example_is_a_whole_deployment(folder):
+    """Guards against examples that do not load or lost a part of the sizes in the design."""
+    for file in (folder / "fleet").iterdir():
+        validator().validate(plain_yaml(file.read_text()))
+    fleet = load_fleet(folder / "fleet").unwrap()
+    assert (len(fleet.services), len(fleet.teams), len(fleet.calendars)) == (5, 6, 3)
+    assert [len(pool.workers) for pool in fleet.pools.values()] == [6] * 5
+    assert [pool.spare for pool in fleet.pools.values()] == [False] * 4 + [True]
+    assert {service.pool for service in fleet.services.values()} == set(fleet.pools)
+
+
+@pytest.mark.parametrize("folder", DEPLOYMENTS, ids=lambda folder: folder.name)
+def test_example_calendars_have_no_overlap(folder):
+    """Guards against a day with two demand factors, and a year that misses its exams."""
+    for calendar in load_fleet(folder / "fleet").unwrap().calendars.values():
+        for period, following in itertools.pairwise(calendar.periods):
+            assert period.last_day < following.first_day, following.name
+        last = datetime.date.fromisoformat(calendar.periods[-1].last_day)
+        assert last >= datetime.date(2027, 8, 1)
+        assert any("exam" in period.name for period in calendar.periods)
+
+
+def test_both_deployments_are_there():
+    """Guards against the checks of examples passing over a missing folder."""
+    assert [folder.name for folder in DEPLOYMENTS] == ["halvorsen", "hoang-long"]
