--- a/packages/core/src/fescuecrank_core/loader.py
+++ b/packages/core/src/fescuecrank_core/loader.py
@@ -123,8 +123,11 @@
             self._problems.append(root.err_value)
             return
         reader = _FileReader(file, self._problems)
-        for section, name, source, value in reader.declarations(root.ok_value):
-            self._add(section, name, source, value)
+        try:
+            for section, name, source, value in reader.declarations(root.ok_value):
+                self._add(section, name, source, value)
+        except RecursionError:
+            self._problems.append(_file_problem(file, "is nested too deeply"))
 
     def _add(self, section: str, name: str, source: _Source, value: Any) -> None:
         earlier = self._sources.get((section, name))
