Tell a refusal of a call from the outcome of its request

Entries name the outcome of a request in headers only when its record holds it; a look-up that is refused says nothing of the request. A submission whose fate is unknown is now settled by the record where one is found, busy entries are passed over, and waits are split into calls of 10 s so that a connection that went silent does not hold a caller for the whole wait.

--- a/packages/cli/src/fescuecrank_cli/client.py
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -25,7 +25,6 @@
 from fescuecrank_cli.key_material import NewKey
 from fescuecrank_cli.transport import (
     JSON_TYPE,
-    REQUEST_TIMEOUT_MS,
     Call,
     Reply,
     TlsOptions,
@@ -36,19 +35,23 @@
 # How long to look for a publication whose answer was lost.
 ASK_AGAIN_MS = 10_000
 POLL_MS = 300
+MAX_POLL_MS = 2_000
+# Longest wait for an answer within one call; a connection that went silent is noticed after it.
+SUBMIT_WAIT_MS = 10_000
 # Passes over all entries under the same request id before the outcome is given as unknown.
 SUBMIT_PASSES = 3
 
 UNAVAILABLE_STATUS = 503
 ACCEPTED_STATUS = 202
-# Refusals of a look-up or cancellation by these statuses say nothing of the request itself.
-STATUS_KINDS = {
-    400: FailureKind.INVALID,
-    401: FailureKind.UNAUTHORIZED,
-    403: FailureKind.FORBIDDEN,
-    404: FailureKind.NOT_FOUND,
-    UNAVAILABLE_STATUS: FailureKind.UNAVAILABLE,
-}
+# Refusals that hold for one entry and may not hold for the next.
+OTHER_ENTRY_KINDS = frozenset(
+    {
+        FailureKind.UNAVAILABLE,
+        FailureKind.OVERLOADED,
+        FailureKind.TIMEOUT,
+        FailureKind.UNKNOWN,
+    }
+)
 
 
 class Verdict(enum.StrEnum):
@@ -76,7 +79,7 @@
 
 @attrs.frozen
 class Submission:
-    """One request of a caller; amounts that are None are left to the profile of the service.
+    """One request of a caller; amounts that are None are not sent.
 
     `traceparent` follows W3C Trace Context.
     """
@@ -97,12 +100,17 @@
 
 @attrs.frozen
 class RequestReport:
-    """What is known of a request; `outcome` is None while it waits or runs."""
+    """What is known of a request; `outcome` is None while it waits or runs.
+
+    `is_final` tells an answer that names the request and its outcome in its headers, as entries
+    do for answers that the record of the request holds. `kind` is that of a typed refusal.
+    """
 
     service: str
     request_id: str
     outcome: Outcome | None
-    status: int
+    is_final: bool = False
+    kind: FailureKind | None = None
     state: str = ""
     detail: str = ""
     body: bytes = b""
@@ -159,7 +167,7 @@
                 return Ok(outcome.ok_value.json())
             else:
                 failure = _refusal(outcome.ok_value, step)
-                if outcome.ok_value.status != UNAVAILABLE_STATUS:
+                if failure.kind not in OTHER_ENTRY_KINDS:
                     return Err(failure)
         return Err(failure or _no_entries(step))
 
@@ -271,7 +279,7 @@
             publication = _publication(outcome.ok_value, record_id)
             if publication.verdict is Verdict.UNKNOWN:
                 return await self._look_up(record_id, publication.detail)
-            if outcome.ok_value.status != UNAVAILABLE_STATUS:
+            if _known_kind(outcome.ok_value) not in OTHER_ENTRY_KINDS:
                 return Ok(publication)
             refused = publication
         return Ok(refused) if refused else Err(failure)
@@ -317,46 +325,25 @@
         """Run a request and return what is known of it after at most about `wait_ms`.
 
         Every attempt carries the same request id. The error means that the request was never
-        sent. `NOT_RUN` is reported only if no earlier attempt can have reached an entry, since a
-        refusal covers only the attempt that it answers.
+        sent. `NOT_RUN` is reported only if no earlier attempt can have reached an entry, or if the
+        record of the request says so, since any other refusal covers only its own attempt.
         """
-        call = _submit_call(submission, wait_ms)
         deadline = _now_ms() + wait_ms
+        call = _submit_call(submission, min(wait_ms, SUBMIT_WAIT_MS))
         sent = await self._attempt(call, submission.service, submission.request_id)
-        if sent.is_ok() and sent.ok_value.outcome is None:
-            return Ok(await self._follow(sent.ok_value, deadline))
-        return sent
-
-    async def cancel(
-        self, service: str, request_id: str, wait_ms: int
-    ) -> Result[RequestReport, Failure]:
-        """Cancel a request and return its outcome, which may still be `DONE`."""
-        call = Call("request.cancel", "DELETE", _request_path(service, request_id))
-        deadline = _now_ms() + wait_ms
-        sent = (await self._attempt(call, service, request_id)).and_then(_told(call.step))
-        if sent.is_ok() and sent.ok_value.outcome is None:
-            return Ok(await self._follow(sent.ok_value, deadline))
-        return sent
-
-    async def result(
-        self, service: str, request_id: str, wait_ms: int = 0, explain: bool = False
-    ) -> Result[RequestReport, Failure]:
-        """Return what is known of a request, waiting up to `wait_ms` for its outcome."""
-        deadline = _now_ms() + wait_ms
-        asked = await self._ask_result(service, request_id, explain)
-        if asked.is_ok() and asked.ok_value.outcome is None:
-            return Ok(await self._follow(asked.ok_value, deadline))
-        return asked
+        return await self._followed(sent, deadline)
 
     async def _attempt(
         self, call: Call, service: str, request_id: str
     ) -> Result[RequestReport, Failure]:
-        """Send one call under the same id until an entry gives an outcome or a state."""
+        """Submit under one id until an entry gives an outcome or a state."""
         doubt: RequestReport | None = None
         refused: RequestReport | None = None
         failure: Failure = _no_entries(call.step)
         for attempt in range(SUBMIT_PASSES * len(self.entries)):
             if attempt and attempt % len(self.entries) == 0:
+                if refused and not doubt:
+                    break
                 await asyncio.sleep(POLL_MS / 1_000)
             entry = self.entries[attempt % len(self.entries)]
             outcome = await self._transport.exchange(entry, call)
@@ -370,41 +357,81 @@
                 return Ok(report)
             else:
                 refused = report
-                if report.status != UNAVAILABLE_STATUS:
+                if report.is_final or report.kind not in OTHER_ENTRY_KINDS:
                     break
-        if doubt or refused:
-            return Ok(doubt or refused)
-        return Err(failure)
+        if doubt:
+            return Ok(await self._resolve(doubt))
+        return Ok(refused) if refused else Err(failure)
+
+    async def _resolve(self, doubt: RequestReport) -> RequestReport:
+        """Return what the record of a request says after an attempt whose fate is unknown."""
+        asked = await self.result(doubt.service, doubt.request_id)
+        return asked.ok_value if asked.is_ok() else doubt
 
-    async def _ask_result(
-        self, service: str, request_id: str, explain: bool = False
+    async def cancel(
+        self, service: str, request_id: str, wait_ms: int
+    ) -> Result[RequestReport, Failure]:
+        """Cancel a request and return its outcome, which may still be `DONE`."""
+        deadline = _now_ms() + wait_ms
+        call = Call("request.cancel", "DELETE", _request_path(service, request_id))
+        sent = await self._ask(call, service, request_id)
+        if sent.is_ok() and sent.ok_value.outcome is Outcome.UNKNOWN:
+            sent = await self._ask(call, service, request_id)
+        return await self._followed(sent, deadline)
+
+    async def result(
+        self, service: str, request_id: str, wait_ms: int = 0, explain: bool = False
     ) -> Result[RequestReport, Failure]:
+        """Return what is known of a request, waiting up to `wait_ms` for its outcome."""
+        deadline = _now_ms() + wait_ms
         path = _request_path(service, request_id) + ("?explain=true" if explain else "")
-        call = Call("request.result", "GET", path)
-        best: RequestReport | None = None
+        asked = await self._ask(Call("request.result", "GET", path), service, request_id)
+        return await self._followed(asked, deadline)
+
+    async def _ask(
+        self, call: Call, service: str, request_id: str
+    ) -> Result[RequestReport, Failure]:
+        """Send a call about a request that was submitted before to each entry in turn.
+
+        A refusal of this call is a failure, since it says nothing of the request itself.
+        """
+        lost: RequestReport | None = None
         failure: Failure = _no_entries(call.step)
         for entry in self.entries:
             outcome = await self._transport.exchange(entry, call)
-            if outcome.is_err():
-                failure = _unreachable(outcome.err_value)
+            if outcome.is_err() and outcome.err_value.kind is FailureKind.UNAVAILABLE:
+                if isinstance(failure, Unreachable):
+                    failure = _unreachable(outcome.err_value)
                 continue
-            report = _report(outcome.ok_value, service, request_id)
-            if report.outcome is not Outcome.UNKNOWN and report.status != UNAVAILABLE_STATUS:
-                return _told(call.step)(report)
-            best = best or report
-        return _told(call.step)(best) if best else Err(failure)
+            report = _report_or_lost(outcome, service, request_id)
+            if report.outcome is None or report.is_final:
+                return Ok(report)
+            if report.kind is None:
+                lost = report
+                continue
+            failure = Failure(report.kind, call.step, entry, report.detail)
+            if report.kind not in OTHER_ENTRY_KINDS:
+                return Err(failure)
+        return Ok(lost) if lost else Err(failure)
 
-    async def _follow(self, report: RequestReport, deadline_ms: int) -> RequestReport:
+    async def _followed(
+        self, asked: Result[RequestReport, Failure], deadline_ms: int
+    ) -> Result[RequestReport, Failure]:
         """Ask for the result of a request that an entry has taken, until it has an outcome.
 
         Answers that are lost or refused say nothing of a request that an entry took before.
         """
-        while report.outcome is None and _now_ms() < deadline_ms:
-            await asyncio.sleep(POLL_MS / 1_000)
-            asked = await self._ask_result(report.service, report.request_id)
-            if asked.is_ok() and asked.ok_value.status:
-                report = asked.ok_value
-        return report
+        pause_ms = POLL_MS
+        while asked.is_ok() and asked.ok_value.outcome is None and _now_ms() < deadline_ms:
+            report = asked.ok_value
+            await asyncio.sleep(pause_ms / 1_000)
+            pause_ms = min(2 * pause_ms, MAX_POLL_MS)
+            path = _request_path(report.service, report.request_id)
+            call = Call("request.result", "GET", path)
+            told = await self._ask(call, report.service, report.request_id)
+            if told.is_ok() and (told.ok_value.outcome is None or told.ok_value.is_final):
+                asked = told
+        return asked
 
 
 def _now_ms() -> int:
@@ -443,8 +470,7 @@
     }
     headers.update({name: str(value) for name, value in optional.items() if value is not None})
     path = f"/v1/services/{_part(submission.service)}/requests"
-    timeout_ms = wait_ms + REQUEST_TIMEOUT_MS
-    return Call("request.submit", "POST", path, submission.body, headers, timeout_ms)
+    return Call("request.submit", "POST", path, submission.body, headers)
 
 
 def _plain_change(change: Change, wanted: Fleet) -> dict[str, Any]:
@@ -466,12 +492,12 @@
 
 
 def _refusal(reply: Reply, step: str) -> Failure:
-    problem = reply.json()
-    try:
-        kind = FailureKind(problem.get("kind", ""))
-    except ValueError:
-        kind = FailureKind.INVALID
-    return Failure(kind, step, reply.entry, _detail(reply))
+    return Failure(_known_kind(reply) or FailureKind.INVALID, step, reply.entry, _detail(reply))
+
+
+def _known_kind(reply: Reply) -> FailureKind | None:
+    kind = reply.json().get("kind")
+    return FailureKind(kind) if kind in set(FailureKind) else None
 
 
 def _detail(reply: Reply) -> str:
@@ -529,20 +555,6 @@
     return Publication(record_id, Verdict.UNKNOWN, detail=_detail(reply))
 
 
-def _told(step: str) -> Callable[[RequestReport], Result[RequestReport, Failure]]:
-    """Return a filter that turns the refusal of a call into a failure.
-
-    Without it, a look-up refused as `not run` would be reported as a request that was not run.
-    """
-
-    def check(report: RequestReport) -> Result[RequestReport, Failure]:
-        if report.outcome is Outcome.NOT_RUN and report.status in STATUS_KINDS:
-            return Err(Failure(STATUS_KINDS[report.status], step, "", report.detail))
-        return Ok(report)
-
-    return check
-
-
 def _report_or_lost(
     outcome: Result[Reply, Failure], service: str, request_id: str
 ) -> RequestReport:
@@ -552,33 +564,37 @@
 
 
 def _lost(service: str, request_id: str, detail: str) -> RequestReport:
-    return RequestReport(service, request_id, Outcome.UNKNOWN, 0, detail=detail)
+    return RequestReport(service, request_id, Outcome.UNKNOWN, detail=detail)
 
 
 def _report(reply: Reply, service: str, request_id: str) -> RequestReport:
     """Return what an answer says of a request; an answer that proves nothing is `UNKNOWN`."""
-    named = reply.headers.get("Request-Id", request_id)
-    if named != request_id:
+    named = reply.headers.get("Request-Id")
+    if named not in (None, request_id):
         return _lost(service, request_id, f"{reply.entry} answered for another request, {named}")
-    plain = reply.json() if reply.status != 200 else {}
     if reply.status == ACCEPTED_STATUS:
+        plain = reply.json()
         state, detail = str(plain.get("state", "")), str(plain.get("explanation", ""))
-        return RequestReport(service, request_id, None, reply.status, state, detail)
-    outcome = reply.headers.get("Request-Outcome") or plain.get("outcome")
-    if reply.status == 200 or outcome == Outcome.DONE:
-        return _done(reply, service, request_id, outcome)
-    if outcome not in set(Outcome):
-        return _lost(service, request_id, f"{reply.entry}: {_detail(reply)}")
-    runs = _count(reply, "Request-Runs")
+        return RequestReport(service, request_id, None, state=state, detail=detail)
+    if reply.status == 200:
+        return _done(reply, service, request_id)
+    outcome = reply.headers.get("Request-Outcome") or reply.json().get("outcome")
+    if outcome == Outcome.DONE:
+        return _lost(service, request_id, f"{reply.entry} answered done with an error status")
     return RequestReport(
-        service, request_id, Outcome(outcome), reply.status, detail=_detail(reply), runs=runs
+        service,
+        request_id,
+        Outcome(outcome) if outcome in set(Outcome) else Outcome.UNKNOWN,
+        is_final=named is not None and "Request-Outcome" in reply.headers,
+        kind=_known_kind(reply),
+        detail=_detail(reply),
+        runs=_count(reply, "Request-Runs"),
     )
 
 
-def _done(reply: Reply, service: str, request_id: str, outcome: str | None) -> RequestReport:
+def _done(reply: Reply, service: str, request_id: str) -> RequestReport:
     complete = (
-        reply.status == 200
-        and outcome == Outcome.DONE
+        reply.headers.get("Request-Outcome") == Outcome.DONE
         and "Request-Id" in reply.headers
         and sha256_of(reply.headers) is not None
     )
@@ -588,7 +604,7 @@
         service,
         request_id,
         Outcome.DONE,
-        reply.status,
+        is_final=True,
         body=reply.body,
         runs=_count(reply, "Request-Runs"),
         endpoint_status=_count(reply, "Endpoint-Status"),
--- a/packages/cli/src/fescuecrank_cli/session.py
+++ b/packages/cli/src/fescuecrank_cli/session.py
@@ -10,7 +10,7 @@
 
 import attrs
 import typer
-from fescuecrank_core.errors import Failure
+from fescuecrank_core.errors import Failure, FailureKind
 from result import Err, Ok, Result
 
 from fescuecrank_cli import render
@@ -96,7 +96,10 @@
 
 
 def _status_of(failure: Failure) -> ExitStatus:
-    return ExitStatus.UNREACHABLE if isinstance(failure, Unreachable) else ExitStatus.REFUSED
+    if isinstance(failure, Unreachable):
+        return ExitStatus.UNREACHABLE
+    unsure = failure.kind in (FailureKind.TIMEOUT, FailureKind.UNKNOWN)
+    return ExitStatus.UNKNOWN if unsure else ExitStatus.REFUSED
 
 
 def entry_addresses(given: Sequence[str]) -> Result[tuple[str, ...], str]:
--- a/packages/cli/src/fescuecrank_cli/transport.py
+++ b/packages/cli/src/fescuecrank_cli/transport.py
@@ -15,7 +15,8 @@
 from tornado.httputil import HTTPHeaders
 
 CONNECT_TIMEOUT_MS = 2_000
-# Longer than the 10 s for which an entry looks for a lost append before it answers `unknown`.
+# Longer than the 10 s for which an entry looks for a lost append before it answers `unknown`, and
+# than the longest wait that the client asks for within one call.
 REQUEST_TIMEOUT_MS = 15_000
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
@@ -40,7 +41,6 @@
     path: str
     body: bytes | None = None
     headers: dict[str, str] = attrs.field(factory=dict)
-    timeout_ms: int = REQUEST_TIMEOUT_MS
 
 
 @attrs.frozen
@@ -98,7 +98,7 @@
             headers=headers,
             body=call.body,
             connect_timeout=CONNECT_TIMEOUT_MS / 1_000,
-            request_timeout=call.timeout_ms / 1_000,
+            request_timeout=REQUEST_TIMEOUT_MS / 1_000,
             follow_redirects=False,
             decompress_response=False,
             ca_certs=self._tls.ca_file or None,
--- a/packages/cli/tests/entry_fake.py
+++ b/packages/cli/tests/entry_fake.py
@@ -179,6 +179,17 @@
     return plain({"status": status, "kind": kind, "detail": f"because {kind}", **more}, status)
 
 
+def ended(status: int, outcome: str) -> Answer:
+    """Return the answer that the record of a request holds, other than `done`."""
+
+    def answer(request: HTTPServerRequest) -> Canned:
+        headers = {"Request-Id": request_id_of(request), "Request-Outcome": outcome}
+        value = {"status": status, "outcome": outcome, "kind": "conflict", "detail": "so it ended"}
+        return Canned(status, json.dumps(value).encode(), headers)
+
+    return answer
+
+
 def waiting() -> Answer:
     """Return the answer for a request that still waits."""
     return plain({"state": "queued", "explanation": "behind 3 requests"}, 202)
--- a/packages/cli/tests/test_operators.py
+++ b/packages/cli/tests/test_operators.py
@@ -35,6 +35,7 @@
     "refused": ([REFUSED], [ACCEPTED], [NOT_KNOWN], 1, 1),
     "key refused": ([refusal(401, "unauthorized")], [ACCEPTED], [NOT_KNOWN], 1, 1),
     "first entry not current": ([NOT_CURRENT], [ACCEPTED], [NOT_KNOWN], 0, 2),
+    "first entry stopping": ([refusal(429, "overloaded")], [ACCEPTED], [NOT_KNOWN], 0, 2),
     "nobody current": ([NOT_CURRENT], [NOT_CURRENT], [NOT_KNOWN], 1, 2),
     "unknown, then found": ([UNKNOWN], [ACCEPTED], [UNKNOWN, NOT_KNOWN, ACCEPTED], 0, 1),
     "lost, then found refused": ([DROP], [ACCEPTED], [NOT_KNOWN, DROP, REFUSED], 1, 1),
