--- a/packages/cli/src/fescuecrank_cli/client.py
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import base64
-import enum
 import json
 import time
 from collections.abc import Callable, Sequence
@@ -14,22 +13,33 @@
 from urllib.parse import quote
 
 import attrs
-from fescuecrank_core.declarations import Declaration, Fleet, RequestClass
+from fescuecrank_core.declarations import Fleet, RequestClass
 from fescuecrank_core.errors import Failure, FailureKind
-from fescuecrank_core.plain import declaration_from_plain, declaration_to_plain
+from fescuecrank_core.plain import declaration_to_plain
 from fescuecrank_core.records import Change
 from fescuecrank_core.requests import Outcome
 from result import Err, Ok, Result
 
+from fescuecrank_cli.answers import (
+    ConfigInForce,
+    Publication,
+    RequestReport,
+    Verdict,
+    applied_offset,
+    config_in_force,
+    known_kind,
+    looked_up,
+    publication_of,
+    refusal,
+    report_or_lost,
+)
 from fescuecrank_cli.ids import uuid7
 from fescuecrank_cli.key_material import NewKey
 from fescuecrank_cli.transport import (
     JSON_TYPE,
     Call,
-    Reply,
     TlsOptions,
     Transport,
-    sha256_of,
 )
 
 # How long to look for a publication whose answer was lost.
@@ -41,8 +51,6 @@
 # Passes over all entries under the same request id before the outcome is given as unknown.
 SUBMIT_PASSES = 3
 
-UNAVAILABLE_STATUS = 503
-ACCEPTED_STATUS = 202
 # Refusals that hold for one entry and may not hold for the next.
 OTHER_ENTRY_KINDS = frozenset(
     {
@@ -54,29 +62,11 @@
 )
 
 
-class Verdict(enum.StrEnum):
-    """What became of a publication."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
 @attrs.frozen
 class Unreachable(Failure):
     """No entry gave an answer, and nothing can have been changed."""
 
 
-@attrs.frozen
-class Publication:
-    """What an entry says of one record; `offset` is -1 if it is not on the log."""
-
-    record_id: str
-    verdict: Verdict
-    offset: int = -1
-    detail: str = ""
-
-
 @attrs.frozen
 class Submission:
     """One request of a caller; amounts that are None are not sent.
@@ -98,34 +88,6 @@
     traceparent: str = ""
 
 
-@attrs.frozen
-class RequestReport:
-    """What is known of a request; `outcome` is None while it waits or runs.
-
-    `is_final` tells an answer that names the request and its outcome in its headers, as entries
-    do for answers that the record of the request holds. `kind` is that of a typed refusal.
-    """
-
-    service: str
-    request_id: str
-    outcome: Outcome | None
-    is_final: bool = False
-    kind: FailureKind | None = None
-    state: str = ""
-    detail: str = ""
-    body: bytes = b""
-    runs: int = 0
-    endpoint_status: int = 0
-
-
-@attrs.frozen
-class ConfigInForce:
-    """Versions and values in force by section and name, as of offset `applied`."""
-
-    applied: int
-    sections: dict[str, dict[str, tuple[int, Declaration]]]
-
-
 class EntryClient:
     """Speaks to a fleet through any of its entries; use it within one running event loop."""
 
@@ -142,7 +104,7 @@
     async def config(self) -> Result[ConfigInForce, Failure]:
         """Return the declarations in force."""
         reply = await self.read("/v1/config", "config.read")
-        return reply.and_then(_config_in_force)
+        return reply.and_then(config_in_force)
 
     async def status(self) -> Result[dict[str, Any], Failure]:
         """Return members, claims, pools, budgets and currency as one entry sees them."""
@@ -166,7 +128,7 @@
             elif outcome.ok_value.status == 200 and outcome.ok_value.json():
                 return Ok(outcome.ok_value.json())
             else:
-                failure = _refusal(outcome.ok_value, step)
+                failure = refusal(outcome.ok_value, step)
                 if failure.kind not in OTHER_ENTRY_KINDS:
                     return Err(failure)
         return Err(failure or _no_entries(step))
@@ -177,7 +139,7 @@
         outcomes = await asyncio.gather(
             *(self._transport.exchange(entry, call) for entry in self.entries)
         )
-        return dict(zip(self.entries, map(_applied, outcomes), strict=True))
+        return dict(zip(self.entries, map(applied_offset, outcomes), strict=True))
 
     async def wait_in_force(
         self, offset: int, wait_ms: int, progress: Callable[[int], None]
@@ -276,10 +238,10 @@
                 continue
             if outcome.is_err():
                 return await self._look_up(record_id, str(outcome.err_value))
-            publication = _publication(outcome.ok_value, record_id)
+            publication = publication_of(outcome.ok_value, record_id)
             if publication.verdict is Verdict.UNKNOWN:
                 return await self._look_up(record_id, publication.detail)
-            if _known_kind(outcome.ok_value) not in OTHER_ENTRY_KINDS:
+            if known_kind(outcome.ok_value) not in OTHER_ENTRY_KINDS:
                 return Ok(publication)
             refused = publication
         return Ok(refused) if refused else Err(failure)
@@ -313,7 +275,7 @@
             if outcome.is_err():
                 failure = _unreachable(outcome.err_value)
                 continue
-            found = _looked_up(outcome.ok_value, record_id)
+            found = looked_up(outcome.ok_value, record_id)
             if found.verdict is not Verdict.UNKNOWN:
                 return Ok(found)
             unknown = unknown or found
@@ -350,7 +312,7 @@
             if outcome.is_err() and outcome.err_value.kind is FailureKind.UNAVAILABLE:
                 failure = _unreachable(outcome.err_value)
                 continue
-            report = _report_or_lost(outcome, service, request_id)
+            report = report_or_lost(outcome, service, request_id)
             if report.outcome is Outcome.UNKNOWN:
                 doubt = report
             elif report.outcome is not Outcome.NOT_RUN:
@@ -403,7 +365,7 @@
                 if isinstance(failure, Unreachable):
                     failure = _unreachable(outcome.err_value)
                 continue
-            report = _report_or_lost(outcome, service, request_id)
+            report = report_or_lost(outcome, service, request_id)
             if report.outcome is None or report.is_final:
                 return Ok(report)
             if report.kind is None:
@@ -491,131 +453,6 @@
     return Unreachable(failure.kind, failure.step, failure.peer, failure.detail)
 
 
-def _refusal(reply: Reply, step: str) -> Failure:
-    return Failure(_known_kind(reply) or FailureKind.INVALID, step, reply.entry, _detail(reply))
-
-
-def _known_kind(reply: Reply) -> FailureKind | None:
-    kind = reply.json().get("kind")
-    return FailureKind(kind) if kind in set(FailureKind) else None
-
-
-def _detail(reply: Reply) -> str:
-    problem = reply.json()
-    detail = problem.get("detail") or problem.get("title") or problem.get("explanation")
-    return str(detail or f"HTTP status {reply.status}")
-
-
-def _applied(outcome: Result[Reply, Failure]) -> int | None:
-    if outcome.is_err():
-        return None
-    applied = outcome.ok_value.json().get("applied")
-    return applied if isinstance(applied, int) else None
-
-
-def _config_in_force(plain: dict[str, Any]) -> Result[ConfigInForce, Failure]:
-    sections: dict[str, dict[str, tuple[int, Declaration]]] = {}
-    try:
-        for section, items in plain["sections"].items():
-            sections[section] = {}
-            for name, item in items.items():
-                value = declaration_from_plain(section, name, item["value"])
-                if value.is_err():
-                    return Err(_malformed_config(str(value.err_value[0])))
-                sections[section][name] = (int(item["version"]), value.ok_value)
-        return Ok(ConfigInForce(int(plain["applied"]), sections))
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        return Err(_malformed_config(f"{exc.__class__.__name__}: {exc}"))
-
-
-def _malformed_config(detail: str) -> Failure:
-    return Failure(FailureKind.INVALID, "config.read", "", f"malformed answer: {detail}")
-
-
-def _publication(reply: Reply, record_id: str) -> Publication:
-    """Return the verdict of an entry; an answer that is not typed proves nothing."""
-    plain = reply.json()
-    detail = _detail(reply) if reply.status != 200 else str(plain.get("detail", ""))
-    verdict = plain.get("verdict")
-    if verdict is None and "kind" in plain and 400 <= reply.status <= UNAVAILABLE_STATUS:
-        unsure = plain["kind"] in (FailureKind.UNKNOWN.value, FailureKind.TIMEOUT.value)
-        verdict = Verdict.UNKNOWN if unsure else Verdict.REFUSED
-    elif plain.get("record_id") != record_id:
-        return Publication(record_id, Verdict.UNKNOWN, detail=f"answer without this id: {detail}")
-    offset = plain.get("offset")
-    known = verdict if verdict in set(Verdict) else Verdict.UNKNOWN
-    at = offset if isinstance(offset, int) else -1
-    return Publication(record_id, Verdict(known), at, detail)
-
-
-def _looked_up(reply: Reply, record_id: str) -> Publication:
-    """Return the verdict of a look-up; a refusal to look says nothing of the record."""
-    if "verdict" in reply.json():
-        return _publication(reply, record_id)
-    return Publication(record_id, Verdict.UNKNOWN, detail=_detail(reply))
-
-
-def _report_or_lost(
-    outcome: Result[Reply, Failure], service: str, request_id: str
-) -> RequestReport:
-    if outcome.is_err():
-        return _lost(service, request_id, str(outcome.err_value))
-    return _report(outcome.ok_value, service, request_id)
-
-
-def _lost(service: str, request_id: str, detail: str) -> RequestReport:
-    return RequestReport(service, request_id, Outcome.UNKNOWN, detail=detail)
-
-
-def _report(reply: Reply, service: str, request_id: str) -> RequestReport:
-    """Return what an answer says of a request; an answer that proves nothing is `UNKNOWN`."""
-    named = reply.headers.get("Request-Id")
-    if named not in (None, request_id):
-        return _lost(service, request_id, f"{reply.entry} answered for another request, {named}")
-    if reply.status == ACCEPTED_STATUS:
-        plain = reply.json()
-        state, detail = str(plain.get("state", "")), str(plain.get("explanation", ""))
-        return RequestReport(service, request_id, None, state=state, detail=detail)
-    if reply.status == 200:
-        return _done(reply, service, request_id)
-    outcome = reply.headers.get("Request-Outcome") or reply.json().get("outcome")
-    if outcome == Outcome.DONE:
-        return _lost(service, request_id, f"{reply.entry} answered done with an error status")
-    return RequestReport(
-        service,
-        request_id,
-        Outcome(outcome) if outcome in set(Outcome) else Outcome.UNKNOWN,
-        is_final=named is not None and "Request-Outcome" in reply.headers,
-        kind=_known_kind(reply),
-        detail=_detail(reply),
-        runs=_count(reply, "Request-Runs"),
-    )
-
-
-def _done(reply: Reply, service: str, request_id: str) -> RequestReport:
-    complete = (
-        reply.headers.get("Request-Outcome") == Outcome.DONE
-        and "Request-Id" in reply.headers
-        and sha256_of(reply.headers) is not None
-    )
-    if not complete:
-        return _lost(service, request_id, f"{reply.entry} answered without outcome, id or digest")
-    return RequestReport(
-        service,
-        request_id,
-        Outcome.DONE,
-        is_final=True,
-        body=reply.body,
-        runs=_count(reply, "Request-Runs"),
-        endpoint_status=_count(reply, "Endpoint-Status"),
-    )
-
-
-def _count(reply: Reply, header: str) -> int:
-    text = reply.headers.get(header, "")
-    return int(text) if text.isdecimal() else 0
-
-
 def new_record_id() -> str:
     """Return the id of a new publication."""
     return uuid7()
--- a/packages/cli/src/fescuecrank_cli/main.py
+++ b/packages/cli/src/fescuecrank_cli/main.py
@@ -17,15 +17,8 @@
 from rich.console import Console
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
-from fescuecrank_cli.client import (
-    ConfigInForce,
-    EntryClient,
-    Publication,
-    RequestReport,
-    Submission,
-    Verdict,
-    new_record_id,
-)
+from fescuecrank_cli.answers import ConfigInForce, Publication, RequestReport, Verdict
+from fescuecrank_cli.client import EntryClient, Submission, new_record_id
 from fescuecrank_cli.ids import new_trace_id, traceparent, uuid7
 from fescuecrank_cli.key_material import NewKey, new_key
 from fescuecrank_cli.render import OutputFormat
--- a/packages/cli/src/fescuecrank_cli/session.py
+++ b/packages/cli/src/fescuecrank_cli/session.py
@@ -14,7 +14,8 @@
 from result import Err, Ok, Result
 
 from fescuecrank_cli import render
-from fescuecrank_cli.client import EntryClient, Publication, Unreachable, Verdict
+from fescuecrank_cli.answers import Publication, Verdict
+from fescuecrank_cli.client import EntryClient, Unreachable
 from fescuecrank_cli.render import OutputFormat
 from fescuecrank_cli.transport import TlsOptions
 
--- a/packages/cli/tests/test_operators.py
+++ b/packages/cli/tests/test_operators.py
@@ -42,6 +42,7 @@
     "lost and never found": ([DROP], [ACCEPTED], [NOT_KNOWN], 3, 1),
     "lost, look-up denied": ([DROP], [ACCEPTED], [refusal(403, "forbidden")], 3, 1),
     "answer for another record": ([OTHER], [ACCEPTED], [ACCEPTED], 0, 1),
+    "nonsense types": ([plain({"verdict": [], "kind": {}}, 409)], [REFUSED], [NOT_KNOWN], 3, 1),
     "untyped refusal": ([UNTYPED], [ACCEPTED], [NOT_KNOWN], 3, 1),
     "timed out inside": ([refusal(504, "timeout")], [ACCEPTED], [NOT_KNOWN], 3, 1),
 }
--- a/packages/cli/tests/test_requests.py
+++ b/packages/cli/tests/test_requests.py
@@ -46,6 +46,7 @@
     "truncated answer": ([done(b"x", Content_Length="9")], [GOOD], [], 0, 2),
     "not run": ([NOT_RUN], [GOOD], [], 1, 1),
     "denied": ([DENIED], [GOOD], [], 1, 1),
+    "nonsense types": ([plain({"kind": [], "outcome": {}}, 400)], [GOOD], [], 0, 2),
     "nobody current": ([NOT_CURRENT], [NOT_CURRENT], [], 1, 2),
     "lost, then not run": ([DROP], [NOT_RUN], [], 3, 2),
     "lost, then denied": ([DROP], [DENIED], [DENIED], 3, 2),
