Add the I/O shell of the entry daemon

The reducer needs a process around it. Adapters call the platform over HTTP and report a start command as not sent only when the connection was refused; peers authenticate each other and stamp messages, so that a heartbeat that waited in a buffer is not taken for a fresh one; the HTTP listener holds callers' futures outside the reducer under reply tokens.

--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/checked.py
@@ -0,0 +1,126 @@
+"""Plain YAML or JSON values to attrs classes, checked against the metadata of their fields."""
+
+import enum
+import math
+import types
+import typing
+from typing import Any
+
+import attrs
+from fescuecrank_core.declarations import METADATA_KEY, FieldInfo
+from result import Err, Ok, Result
+
+
+@attrs.frozen
+class FieldProblem:
+    """One field that is wrong; `path` is dotted, such as `peers.address`."""
+
+    path: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.path or '(top level)'}: {self.detail}"
+
+
+def build(cls: type, plain: Any, path: str = "") -> Result[Any, list[FieldProblem]]:
+    """Return an instance of `cls` made from a decoded mapping, or everything wrong with it."""
+    problems: list[FieldProblem] = []
+    value = _object(cls, plain, path, problems)
+    return Err(problems) if problems else Ok(value)
+
+
+def _object(cls: type, plain: Any, path: str, problems: list[FieldProblem]) -> Any:
+    if not isinstance(plain, dict):
+        problems.append(FieldProblem(path, "expected a mapping"))
+        return None
+    attrs.resolve_types(cls)
+    fields = {field.name: field for field in attrs.fields(cls)}
+    before = len(problems)
+    for key in plain:
+        if key not in fields:
+            problems.append(FieldProblem(_join(path, str(key)), "unknown field"))
+    values = {}
+    for name, field in fields.items():
+        if name in plain:
+            values[name] = _field(field, plain[name], _join(path, name), problems)
+        elif field.default is attrs.NOTHING:
+            problems.append(FieldProblem(_join(path, name), "required field is missing"))
+    return cls(**values) if len(problems) == before else None
+
+
+def _field(field: attrs.Attribute, plain: Any, path: str, problems: list[FieldProblem]) -> Any:
+    value = _value(field.type, plain, path, problems)
+    info: FieldInfo | None = field.metadata.get(METADATA_KEY)
+    if info is not None and isinstance(value, int | float) and not isinstance(value, bool):
+        _check_range(value, info, path, problems)
+    return value
+
+
+def _check_range(value: float, info: FieldInfo, path: str, problems: list[FieldProblem]) -> None:
+    unit = f" {info.unit}" if info.unit else ""
+    if isinstance(value, float) and not math.isfinite(value):
+        problems.append(FieldProblem(path, "must be a finite number"))
+    elif info.minimum is not None and value < info.minimum:
+        problems.append(FieldProblem(path, f"must be at least {info.minimum:g}{unit}"))
+    elif info.maximum is not None and value > info.maximum:
+        problems.append(FieldProblem(path, f"must be at most {info.maximum:g}{unit}"))
+
+
+def _value(kind: Any, plain: Any, path: str, problems: list[FieldProblem]) -> Any:
+    origin = typing.get_origin(kind)
+    if origin is types.UnionType:
+        inner = next(arg for arg in typing.get_args(kind) if arg is not type(None))
+        return None if plain is None else _value(inner, plain, path, problems)
+    if origin is tuple:
+        return _items(typing.get_args(kind)[0], plain, path, problems)
+    if origin is dict:
+        return _mapping(typing.get_args(kind)[1], plain, path, problems)
+    if attrs.has(kind):
+        return _object(kind, plain, path, problems)
+    return _scalar(kind, plain, path, problems)
+
+
+def _items(kind: Any, plain: Any, path: str, problems: list[FieldProblem]) -> Any:
+    if not isinstance(plain, list):
+        problems.append(FieldProblem(path, "expected a list"))
+        return None
+    return tuple(
+        _value(kind, item, f"{path}[{index}]", problems) for index, item in enumerate(plain)
+    )
+
+
+def _mapping(kind: Any, plain: Any, path: str, problems: list[FieldProblem]) -> Any:
+    if not isinstance(plain, dict):
+        problems.append(FieldProblem(path, "expected a mapping"))
+        return None
+    return {
+        str(key): _value(kind, item, _join(path, str(key)), problems) for key, item in plain.items()
+    }
+
+
+# The messages never repeat the value, which may be a secret.
+def _scalar(kind: type, plain: Any, path: str, problems: list[FieldProblem]) -> Any:
+    if issubclass(kind, enum.Enum):
+        choices = [member.value for member in kind]
+        if plain in choices:
+            return kind(plain)
+        problems.append(FieldProblem(path, f"must be one of {', '.join(choices)}"))
+    elif kind is float and isinstance(plain, int | float) and not isinstance(plain, bool):
+        return float(plain)
+    elif isinstance(plain, kind) and not (kind is int and isinstance(plain, bool)):
+        return plain
+    else:
+        problems.append(FieldProblem(path, f"expected {KIND_NAMES[kind]}"))
+    return None
+
+
+KIND_NAMES = {
+    str: "text",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+}
+
+
+def _join(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/http_base.py
@@ -0,0 +1,152 @@
+"""Base of all HTTP handlers: limits on bodies, typed refusals, one log line for each call."""
+
+from collections.abc import Callable
+
+import attrs
+import orjson
+from fescuecrank_core.clock import Clock
+from fescuecrank_core.effects import ReplyFailure
+from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_core.requests import Outcome
+from structlog.typing import FilteringBoundLogger
+from tornado.web import RequestHandler, stream_request_body
+
+from fescuecrank_daemon.exchange import CallResult, Exchange, ProcessEnded, Waiting
+from fescuecrank_daemon.metrics import ShellMetrics
+from fescuecrank_daemon.problems import (
+    CONTENT_TYPE,
+    FAILURE_STATUS,
+    STATUS_KIND,
+    ProblemDocument,
+)
+from fescuecrank_daemon.settings import HttpSettings
+from fescuecrank_daemon.tracing import Tracing
+
+BEARER = "Bearer "
+
+
+@attrs.frozen
+class HttpContext:
+    """What handlers need of the entry."""
+
+    entry: str
+    cfg: HttpSettings
+    log_calls: bool
+    clock: Clock
+    exchange: Exchange
+    tracing: Tracing
+    metrics: ShellMetrics
+    log: FilteringBoundLogger
+    core_metrics: Callable[[], dict[str, float]]
+    ready: Callable[[], bool]
+
+
+@stream_request_body
+class EntryHandler(RequestHandler):
+    """Collects the body within its limit and turns every error into a problem document."""
+
+    def initialize(self, context: HttpContext, route: str) -> None:
+        """Keep the context; `route` names the handler in metrics."""
+        self.context = context
+        self.route = route
+        self.outcome_if_refused: Outcome | None = None
+        self.log_fields: dict[str, str] = {}
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def set_default_headers(self) -> None:
+        """Identify no software, and keep answers out of caches."""
+        self.clear_header("Server")
+        self.set_header("Cache-Control", "no-store")
+
+    def prepare(self) -> None:
+        """Refuse a body whose stated length is over the limit before reading it."""
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdecimal() and int(length) > self.context.cfg.max_body_bytes:
+            self.refuse_large_body()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep one part of the body, up to the limit."""
+        self._size += len(chunk)
+        if self._size <= self.context.cfg.max_body_bytes:
+            self._chunks.append(chunk)
+
+    def body(self) -> bytes | None:
+        """Return the whole body; refuse the call and return None if it was too large."""
+        if self._size <= self.context.cfg.max_body_bytes:
+            return b"".join(self._chunks)
+        self.refuse_large_body()
+        return None
+
+    def refuse_large_body(self) -> None:
+        """Answer 413; the connection is closed, as the rest of the body is not read."""
+        detail = f"the body is larger than {self.context.cfg.max_body_bytes} bytes"
+        self.set_header("Connection", "close")
+        self.refuse(self.failure(FailureKind.TOO_LARGE, detail))
+
+    def secret(self) -> str:
+        """Return the key that the caller sent, or the empty string."""
+        value = self.request.headers.get("Authorization", "")
+        return value[len(BEARER) :].strip() if value.startswith(BEARER) else ""
+
+    def failure(self, kind: FailureKind, detail: str) -> Failure:
+        """Return a failure of this call, found by this entry."""
+        return Failure(kind, f"http.{self.route}", self.context.entry, detail)
+
+    def refuse(self, failure: Failure, status: int | None = None) -> None:
+        """Answer with a problem document."""
+        status = status or FAILURE_STATUS[failure.kind]
+        self.send_problem(ProblemDocument(status, failure, self.outcome_if_refused))
+
+    def send_problem(self, problem: ProblemDocument) -> None:
+        """Answer with a problem document as it is."""
+        self.set_status(problem.status)
+        self.set_header("Content-Type", CONTENT_TYPE)
+        if problem.status == 401:
+            self.set_header("WWW-Authenticate", "Bearer")
+        self.finish(problem.encode())
+
+    def send_json(self, status: int, value: object) -> None:
+        """Answer with a JSON document."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(orjson.dumps(value))
+
+    def send_no_reply(self, result: CallResult) -> None:
+        """Answer a call whose result is a refusal or no reply at all."""
+        if isinstance(result, ReplyFailure):
+            self.refuse(result.failure)
+        elif isinstance(result, Waiting):
+            self.refuse(self.failure(FailureKind.TIMEOUT, "no reply in time"))
+        elif isinstance(result, ProcessEnded):
+            self.refuse(self.failure(FailureKind.UNKNOWN, "this entry stopped before it replied"))
+        else:
+            kind = type(result).__name__
+            self.refuse(self.failure(FailureKind.UNKNOWN, f"unexpected reply {kind}"))
+
+    def write_error(self, status_code: int, **_: object) -> None:
+        """Answer errors of the framework with a problem document."""
+        kind = STATUS_KIND.get(status_code, FailureKind.INVALID)
+        self.refuse(self.failure(kind, self._reason), status_code)
+
+    def on_finish(self) -> None:
+        """Count and log the call."""
+        status = self.get_status()
+        self.context.metrics.answered(self.route, status)
+        if self.context.log_calls:
+            self.context.log.info(
+                "http_call",
+                step=f"http.{self.route}",
+                method=self.request.method,
+                status=status,
+                ms=round(self.request.request_time() * 1_000, 1),
+                **self.log_fields,
+            )
+
+
+class UnknownRouteHandler(EntryHandler):
+    """Answers paths that no route matches."""
+
+    def prepare(self) -> None:
+        """Refuse the call."""
+        self.refuse(self.failure(FailureKind.NOT_FOUND, "no such path"))
--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/log_http.py
@@ -0,0 +1,125 @@
+"""The log service over HTTP; the wire format stands in docs/platform.md."""
+
+from typing import Any
+from urllib.parse import urlsplit
+
+import cbor2
+import orjson
+from fescuecrank_core import codec
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_core.events import AppendDone, AppendFailed, LogExpired, LogRead, LogUnreadable
+from fescuecrank_core.records import LogEntry, Record
+from result import Err, Ok, Result
+from structlog.typing import FilteringBoundLogger
+from tornado.httpclient import HTTPResponse
+
+from fescuecrank_daemon.http_caller import Call, CallLimits, HttpCaller
+from fescuecrank_daemon.platform_clients import LogClient
+from fescuecrank_daemon.settings import LogSettings
+from fescuecrank_daemon.tls import client_context
+
+# With these answers the log states that it stored nothing.
+NOT_STORED = {400, 403, 404, 413, 429}
+
+APPEND_STEP = "log.append"
+READ_STEP = "log.read"
+
+
+class HttpLogClient(LogClient):
+    """Log client by HTTP."""
+
+    def __init__(self, cfg: LogSettings, log: FilteringBoundLogger) -> None:
+        self._cfg = cfg
+        self._log = log
+        self._peer = urlsplit(cfg.url).netloc
+        self._base = cfg.url.rstrip("/")
+        limits = CallLimits(cfg.connect_timeout_ms, cfg.max_answer_bytes, cfg.max_clients)
+        self._caller = HttpCaller(limits, client_context(cfg.tls))
+
+    async def append(self, record: Record) -> AppendDone | AppendFailed:
+        """Append one record."""
+        call = Call(
+            APPEND_STEP,
+            self._peer,
+            f"{self._base}/records",
+            self._cfg.append_timeout_ms,
+            method="POST",
+            headers={"Record-Id": record.record_id, "Content-Type": "application/cbor"},
+            body=codec.encode(record),
+        )
+        answer = await self._caller.call(call)
+        if answer.is_err():
+            lost = answer.err_value
+            return AppendFailed(record.record_id, lost.failure, maybe_stored=lost.sent)
+        response = answer.ok_value
+        if response.code != 200:
+            failure = self._failure(FailureKind.UNAVAILABLE, APPEND_STEP, _status(response))
+            return AppendFailed(record.record_id, failure, response.code not in NOT_STORED)
+        offset = _appended_offset(response, record.record_id)
+        if offset is None:
+            failure = self._failure(FailureKind.UNKNOWN, APPEND_STEP, "malformed answer")
+            return AppendFailed(record.record_id, failure, maybe_stored=True)
+        return AppendDone(record.record_id, offset)
+
+    async def read(self, first: int, now: Instant) -> LogRead | LogExpired | LogUnreadable:
+        """Read records from offset `first` on."""
+        cfg = self._cfg
+        query = f"first={first}&wait_ms={cfg.read_wait_ms}&limit={cfg.read_limit}"
+        url = f"{self._base}/records?{query}"
+        answer = await self._caller.call(Call(READ_STEP, self._peer, url, cfg.read_timeout_ms))
+        if answer.is_err():
+            return LogUnreadable(answer.err_value.failure)
+        response = answer.ok_value
+        if response.code not in (200, 410):
+            failure = self._failure(FailureKind.UNAVAILABLE, READ_STEP, _status(response))
+            return LogUnreadable(failure)
+        parsed = self._parse(response, first, now)
+        return parsed.ok_value if parsed.is_ok() else LogUnreadable(parsed.err_value)
+
+    def _parse(
+        self, response: HTTPResponse, first: int, now: Instant
+    ) -> Result[LogRead | LogExpired, Failure]:
+        try:
+            page = cbor2.loads(response.body)
+            if response.code == 410:
+                return Ok(LogExpired(int(page["first"])))
+            entries = tuple(self._entry(item) for item in page["records"])
+            read = LogRead(entries, int(page["end"]), now.mono_ms)
+        except Exception as exc:
+            detail = f"malformed answer: {exc.__class__.__name__}"
+            return Err(self._failure(FailureKind.INVALID, READ_STEP, detail))
+        expected = range(first, first + len(entries))
+        if [entry.offset for entry in entries] != list(expected):
+            detail = f"answer does not hold consecutive records from {first}"
+            return Err(self._failure(FailureKind.INVALID, READ_STEP, detail))
+        return Ok(read)
+
+    def _entry(self, item: dict[str, Any]) -> LogEntry:
+        """Return one entry; a record that cannot be decoded becomes a plain `Record`.
+
+        One malformed record must not stop every reader of the log for as long as it is retained.
+        """
+        decoded = codec.decode(item["body"], Record, READ_STEP, self._peer)
+        if decoded.is_ok() and decoded.ok_value.record_id == item["record_id"]:
+            return LogEntry(item["offset"], decoded.ok_value)
+        reason = str(decoded.err_value) if decoded.is_err() else "record id differs from the body"
+        self._log.error("log_record_skipped", offset=item["offset"], reason=reason)
+        return LogEntry(item["offset"], Record(str(item["record_id"])))
+
+    def _failure(self, kind: FailureKind, step: str, detail: str) -> Failure:
+        return Failure(kind, step, self._peer, detail)
+
+
+def _status(response: HTTPResponse) -> str:
+    return f"answered with status {response.code}"
+
+
+def _appended_offset(response: HTTPResponse, record_id: str) -> int | None:
+    """Return the offset in the answer to an append, or None if it is not one for this record."""
+    try:
+        answer = orjson.loads(response.body)
+        offset = answer["offset"] if answer["record_id"] == record_id else None
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return None
+    return offset if isinstance(offset, int) else None
--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/logs.py
@@ -0,0 +1,77 @@
+"""Structured logs as JSON lines on one stream, without secrets."""
+
+import logging
+from collections.abc import MutableMapping
+from typing import Any, TextIO
+
+import orjson
+import structlog
+from structlog.typing import FilteringBoundLogger, WrappedLogger
+
+from fescuecrank_daemon.settings import LoggingSettings
+
+SECRET_FIELDS = frozenset(
+    {"secret", "shared_key", "authorization", "password", "token", "salt", "digest", "key"}
+)
+HIDDEN = "(hidden)"
+
+# Libraries log through the standard module; below this level their lines only repeat ours.
+LIBRARY_LEVEL = logging.ERROR
+
+
+def hide_secrets(
+    _: WrappedLogger, __: str, fields: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Replace the values of fields that are named like secrets."""
+    for name in SECRET_FIELDS & fields.keys():
+        fields[name] = HIDDEN
+    return fields
+
+
+def _dump(fields: Any, **_: Any) -> str:
+    return orjson.dumps(fields, default=str).decode()
+
+
+PROCESSORS = [
+    structlog.processors.add_log_level,
+    structlog.processors.TimeStamper(fmt="iso", utc=True),
+    structlog.processors.dict_tracebacks,
+    hide_secrets,
+    structlog.processors.JSONRenderer(serializer=_dump),
+]
+
+
+def make_logger(cfg: LoggingSettings, stream: TextIO, entry: str) -> FilteringBoundLogger:
+    """Return the logger of one entry; it shares no state with those of other entries."""
+    level = logging.getLevelNamesMapping()[cfg.level.value.upper()]
+    log = structlog.wrap_logger(
+        structlog.PrintLogger(stream),
+        processors=PROCESSORS,
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+    )
+    return log.bind(entry=entry)
+
+
+class LibraryHandler(logging.Handler):
+    """Passes what libraries log on to the structured log."""
+
+    def __init__(self, log: FilteringBoundLogger) -> None:
+        super().__init__(LIBRARY_LEVEL)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record; its text is kept short, as it may quote received data."""
+        cause = record.exc_info[1] if record.exc_info else None
+        self._log.error(
+            "library_message",
+            library=record.name,
+            text=record.getMessage()[:200],
+            cause=type(cause).__name__ if cause else "",
+        )
+
+
+def route_library_logs(log: FilteringBoundLogger) -> None:
+    """Send the log lines of all libraries in this process to `log`."""
+    root = logging.getLogger()
+    root.handlers[:] = [LibraryHandler(log)]
+    root.setLevel(LIBRARY_LEVEL)
--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/peer_dialler.py
@@ -0,0 +1,133 @@
+"""Outgoing connection to one peer: it carries this entry's messages to that peer."""
+
+import asyncio
+import random
+import ssl
+
+from structlog.typing import FilteringBoundLogger
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from fescuecrank_daemon.metrics import ShellMetrics
+from fescuecrank_daemon.peer_auth import PeerAuthenticator
+from fescuecrank_daemon.peer_channel import PeerChannel, abort
+from fescuecrank_daemon.peer_frames import NO_STAMP, Frame, decode_frame
+from fescuecrank_daemon.send_queue import SendQueue
+from fescuecrank_daemon.settings import PeerSettings
+
+# Attempts are spread, so that entries which start together do not all dial at the same moment.
+FIRST_PAUSE_MS = 50
+LONGEST_PAUSE_MS = 1_000
+
+
+class PeerDialler:
+    """Keeps one connection to a peer and replaces it whenever it ends."""
+
+    def __init__(
+        self,
+        peer: str,
+        address: str,
+        cfg: PeerSettings,
+        auth: PeerAuthenticator,
+        tls: ssl.SSLContext | None,
+        log: FilteringBoundLogger,
+        metrics: ShellMetrics,
+    ) -> None:
+        self.peer = peer
+        self.address = address
+        self._cfg = cfg
+        self._auth = auth
+        self._tls = tls
+        self._log = log.bind(peer=peer)
+        self._metrics = metrics
+        self._queue = SendQueue(cfg.queue_messages, cfg.queue_bytes)
+        self._conn: ClientConnection | None = None
+        self._stamp = NO_STAMP
+        self._pause_ms = FIRST_PAUSE_MS
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def connected(self) -> bool:
+        """Whether an authenticated connection is up."""
+        return self._conn is not None
+
+    def send(self, data: bytes) -> None:
+        """Queue one encoded message."""
+        dropped = self._queue.put(Frame(self._stamp, data))
+        if dropped:
+            self._metrics.peer_dropped(self.peer, "queue_full", dropped)
+
+    def reset(self) -> None:
+        """Drop the connection in use, so that a new one is made."""
+        if self._conn is not None:
+            self._conn.transport.abort()
+
+    async def close(self) -> None:
+        """Drop the connection and stop dialling."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            reason = await self._attempt()
+            self._log.info("peer_connection_ended", step="peer.connect", reason=reason)
+            await asyncio.sleep(random.uniform(0.5, 1.0) * self._pause_ms / 1_000)
+            self._pause_ms = min(2 * self._pause_ms, LONGEST_PAUSE_MS)
+
+    async def _attempt(self) -> str:
+        scheme = "wss" if self._tls else "ws"
+        dialling = connect(
+            f"{scheme}://{self.address}/peer",
+            ssl=self._tls,
+            proxy=None,
+            compression=None,
+            ping_interval=None,
+            open_timeout=self._cfg.connect_timeout_ms / 1_000,
+            max_size=self._cfg.max_message_bytes,
+        )
+        try:
+            conn = await dialling
+        except (OSError, TimeoutError, WebSocketException) as exc:
+            return f"not connected: {exc.__class__.__name__}: {exc}"
+        try:
+            return await self._serve(conn)
+        finally:
+            self._conn = None
+            self._stamp = NO_STAMP
+            self._queue.forget_stamps()
+            self._metrics.peer_connected(self.peer, False)
+            await abort(conn)
+
+    async def _serve(self, conn: ClientConnection) -> str:
+        try:
+            async with asyncio.timeout(self._cfg.connect_timeout_ms / 1_000):
+                authenticated = await self._auth.dial(conn, self.peer)
+        except (TimeoutError, ConnectionClosed) as exc:
+            return f"not authenticated: {exc.__class__.__name__}"
+        if authenticated.is_err():
+            return str(authenticated.err_value)
+        self._conn = conn
+        self._pause_ms = FIRST_PAUSE_MS
+        self._metrics.peer_connected(self.peer, True)
+        self._log.info("peer_connected", step="peer.connect", address=self.address)
+        sender = asyncio.create_task(self._send_all(conn))
+        try:
+            return await PeerChannel(conn, self._cfg, self._note_stamp, self._heartbeat).run()
+        finally:
+            sender.cancel()
+
+    async def _send_all(self, conn: ClientConnection) -> None:
+        try:
+            while True:
+                frame = await self._queue.get()
+                await conn.send(frame.encode())
+        except ConnectionClosed:
+            return
+
+    def _note_stamp(self, data: bytes) -> None:
+        frame = decode_frame(data)
+        if frame is not None:
+            self._stamp = frame.stamp
+
+    def _heartbeat(self) -> bytes:
+        return Frame(self._stamp).encode()
--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/peer_listener.py
@@ -0,0 +1,142 @@
+"""Listener for other entries: receives their messages."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from fescuecrank_core import codec
+from fescuecrank_core.clock import Clock
+from fescuecrank_core.messages import Heartbeat, Message
+from structlog.typing import FilteringBoundLogger
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed
+
+from fescuecrank_daemon.metrics import ShellMetrics
+from fescuecrank_daemon.peer_auth import PeerAuthenticator
+from fescuecrank_daemon.peer_channel import PeerChannel, abort
+from fescuecrank_daemon.peer_frames import NO_STAMP, Frame, decode_frame
+from fescuecrank_daemon.settings import PeerSettings
+from fescuecrank_daemon.tls import listener_context
+
+# Connections that have not proved the shared key yet; further ones are dropped at once.
+MAX_UNAUTHENTICATED = 16
+
+
+class PeerListener:
+    """Accepts authenticated connections and passes on their messages."""
+
+    def __init__(
+        self,
+        cfg: PeerSettings,
+        auth: PeerAuthenticator,
+        clock: Clock,
+        receive: Callable[[str, Message], None],
+        log: FilteringBoundLogger,
+        metrics: ShellMetrics,
+    ) -> None:
+        self._cfg = cfg
+        self._auth = auth
+        self._clock = clock
+        self._receive = receive
+        self._log = log
+        self._metrics = metrics
+        self._unauthenticated = 0
+        self._by_peer: dict[str, ServerConnection] = {}
+        self._server: Server | None = None
+
+    async def start(self, sock: socket.socket) -> None:
+        """Serve connections on a bound socket."""
+        self._server = await serve(
+            self._handle,
+            sock=sock,
+            ssl=listener_context(self._cfg.listener_tls),
+            compression=None,
+            ping_interval=None,
+            open_timeout=self._cfg.connect_timeout_ms / 1_000,
+            max_size=self._cfg.max_message_bytes,
+        )
+
+    async def close(self) -> None:
+        """Stop listening and drop all connections."""
+        if self._server is None:
+            return
+        for conn in list(self._server.connections):
+            conn.transport.abort()
+        self._server.close()
+        await self._server.wait_closed()
+
+    def drop(self, peer: str) -> None:
+        """Drop the connection that a peer made, if any."""
+        conn = self._by_peer.get(peer)
+        if conn is not None:
+            conn.transport.abort()
+
+    async def _handle(self, conn: ServerConnection) -> None:
+        if self._unauthenticated >= MAX_UNAUTHENTICATED:
+            return await abort(conn)
+        self._unauthenticated += 1
+        try:
+            peer = await self._authenticate(conn)
+        finally:
+            self._unauthenticated -= 1
+        if peer is None:
+            return await abort(conn)
+        await self._serve(conn, peer)
+        return None
+
+    async def _authenticate(self, conn: ServerConnection) -> str | None:
+        try:
+            async with asyncio.timeout(self._cfg.connect_timeout_ms / 1_000):
+                outcome = await self._auth.accept(conn)
+        except (TimeoutError, ConnectionClosed):
+            outcome = None
+        if outcome is not None and outcome.is_ok():
+            return outcome.ok_value
+        reason = outcome.err_value.detail if outcome else "no handshake in time"
+        remote = str(conn.remote_address)
+        self._log.warning("peer_refused", step="peer.accept", remote=remote, reason=reason)
+        self._metrics.peer_refused()
+        return None
+
+    async def _serve(self, conn: ServerConnection, peer: str) -> None:
+        self.drop(peer)
+        self._by_peer[peer] = conn
+        channel = PeerChannel(
+            conn, self._cfg, lambda data: self._receive_frame(peer, data), self._stamp
+        )
+        reason = await channel.run()
+        if self._by_peer.get(peer) is conn:
+            del self._by_peer[peer]
+        self._log.info("peer_left", step="peer.accept", peer=peer, reason=reason)
+
+    def _stamp(self) -> bytes:
+        return Frame(self._clock.now().mono_ms).encode()
+
+    def _receive_frame(self, peer: str, data: bytes) -> None:
+        frame = decode_frame(data)
+        if frame is None:
+            self._drop_message(peer, "malformed", "frame without a stamp")
+        elif frame.payload:
+            self._receive_message(peer, frame)
+
+    def _receive_message(self, peer: str, frame: Frame) -> None:
+        decoded = codec.decode(frame.payload, Message, "peer.receive", peer)
+        if decoded.is_err():
+            self._drop_message(peer, "malformed", str(decoded.err_value))
+            return
+        message = decoded.ok_value
+        # The currency rule counts the age of a heartbeat from its arrival, so one that waited in
+        # a buffer would keep an isolated entry at work for too long. Other messages may be late.
+        if isinstance(message, Heartbeat) and not self._is_fresh(frame):
+            self._drop_message(peer, "stale", "heartbeat older than the limit")
+            return
+        self._metrics.peer_received(peer)
+        self._receive(peer, message)
+
+    def _is_fresh(self, frame: Frame) -> bool:
+        age_ms = self._clock.now().mono_ms - frame.stamp
+        return frame.stamp != NO_STAMP and 0 <= age_ms <= self._cfg.max_heartbeat_age_ms
+
+    def _drop_message(self, peer: str, reason: str, detail: str) -> None:
+        self._metrics.peer_dropped(peer, reason, 1)
+        self._log.info("peer_message_dropped", step="peer.receive", peer=peer, reason=detail)
--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/publications.py
@@ -0,0 +1,187 @@
+"""JSON bodies of operator calls to log records."""
+
+import base64
+import binascii
+from typing import Any
+
+import attrs
+import orjson
+from fescuecrank_core import codec
+from fescuecrank_core.declarations import SECTIONS
+from fescuecrank_core.records import (
+    Change,
+    ConfigPublished,
+    DrainCancelled,
+    DrainRequested,
+    KeyGranted,
+    KeyWithdrawn,
+    Record,
+    WavePaused,
+    WaveResumed,
+    WaveStarted,
+)
+from result import Err, Ok, Result
+
+from fescuecrank_daemon.checked import build
+from fescuecrank_daemon.submissions import ID_PATTERN
+
+KEY_KINDS = ("team", "operator")
+
+
+@attrs.frozen
+class ChangeBody:
+    """One change of a declaration; the value is checked apart, by its section."""
+
+    section: str
+    name: str
+    follows: int
+
+
+@attrs.frozen
+class ConfigBody:
+    """Body of `POST /v1/config` without the values of its changes."""
+
+    record_id: str
+    author: str
+    changes: tuple[ChangeBody, ...]
+
+
+@attrs.frozen
+class KeyBody:
+    """Body of `POST /v1/keys`; salt and digest are in base64."""
+
+    record_id: str
+    key_id: str
+    kind: str
+    salt: str
+    digest: str
+    team: str = ""
+
+
+@attrs.frozen
+class WaveBody:
+    """Body of `POST /v1/waves`; no pools stand for all of them."""
+
+    record_id: str
+    wave_id: str
+    pools: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class RecordIdBody:
+    """Body of calls that need no more than a record id."""
+
+    record_id: str
+    author: str = ""
+
+
+Parsed = Result[Record, str]
+
+
+def parse_body(cls: type, body: bytes) -> Result[Any, str]:
+    """Return the JSON body as an instance of `cls`, whose record id is well formed."""
+    try:
+        plain = orjson.loads(body)
+    except orjson.JSONDecodeError as exc:
+        return Err(f"the body is not JSON: {exc}")
+    built = build(cls, plain)
+    if built.is_err():
+        return Err("; ".join(str(problem) for problem in built.err_value))
+    return _checked_id(built.ok_value.record_id).map(lambda _: built.ok_value)
+
+
+def _checked_id(record_id: str) -> Result[str, str]:
+    if ID_PATTERN.fullmatch(record_id):
+        return Ok(record_id)
+    return Err("record_id: must have 1 to 128 letters, digits, '.', '_', '~' or '-'")
+
+
+def config_record(body: bytes) -> Parsed:
+    """Return the record of `POST /v1/config`."""
+    try:
+        plain = orjson.loads(body)
+        changes = plain["changes"]
+        values = [change.pop("value", None) for change in changes]
+    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError):
+        return Err("the body must be a JSON object with a list of changes")
+    parsed = parse_body(ConfigBody, orjson.dumps(plain))
+    if parsed.is_err():
+        return parsed
+    head = parsed.ok_value
+    if not head.changes:
+        return Err("changes: must not be empty")
+    made: list[Change] = []
+    for change, value in zip(head.changes, values, strict=True):
+        outcome = _change(change, value)
+        if outcome.is_err():
+            return outcome
+        made.append(outcome.ok_value)
+    return Ok(ConfigPublished(head.record_id, tuple(made), head.author))
+
+
+def _change(change: ChangeBody, value: Any) -> Result[Change, str]:
+    where = f"{change.section}/{change.name}"
+    cls = SECTIONS.get(change.section)
+    if cls is None:
+        return Err(f"{where}: unknown section")
+    if value is None:
+        return Ok(Change(change.section, change.name, change.follows, None))
+    if not isinstance(value, dict) or value.get("name", change.name) != change.name:
+        return Err(f"{where}: the value must be an object of the same name")
+    built = build(cls, {**value, "name": change.name})
+    if built.is_err():
+        return Err(f"{where}: " + "; ".join(str(problem) for problem in built.err_value))
+    encoded = codec.encode(built.ok_value)
+    return Ok(Change(change.section, change.name, change.follows, encoded))
+
+
+def grant_record(body: bytes) -> Parsed:
+    """Return the record of `POST /v1/keys`."""
+    parsed = parse_body(KeyBody, body)
+    if parsed.is_err():
+        return parsed
+    key = parsed.ok_value
+    if key.kind not in KEY_KINDS:
+        return Err(f"kind: must be one of {', '.join(KEY_KINDS)}")
+    if (key.kind == "team") != bool(key.team):
+        return Err("team: is needed for keys of teams only")
+    try:
+        salt = base64.b64decode(key.salt, validate=True)
+        digest = base64.b64decode(key.digest, validate=True)
+    except (binascii.Error, ValueError):
+        return Err("salt and digest must be base64")
+    return Ok(KeyGranted(key.record_id, key.key_id, key.kind, key.team, salt, digest))
+
+
+def withdraw_record(record_id: str, key_id: str) -> Parsed:
+    """Return the record of `DELETE /v1/keys/{key_id}`."""
+    return _checked_id(record_id).map(lambda checked: KeyWithdrawn(checked, key_id))
+
+
+def wave_record(body: bytes) -> Parsed:
+    """Return the record of `POST /v1/waves`."""
+    return parse_body(WaveBody, body).map(
+        lambda wave: WaveStarted(wave.record_id, wave.wave_id, wave.pools)
+    )
+
+
+def pause_record(body: bytes, wave_id: str) -> Parsed:
+    """Return the record of `POST /v1/waves/{wave_id}/pause`."""
+    return parse_body(RecordIdBody, body).map(lambda head: WavePaused(head.record_id, wave_id))
+
+
+def resume_record(body: bytes, wave_id: str) -> Parsed:
+    """Return the record of `POST /v1/waves/{wave_id}/resume`."""
+    return parse_body(RecordIdBody, body).map(lambda head: WaveResumed(head.record_id, wave_id))
+
+
+def drain_record(body: bytes, worker: str) -> Parsed:
+    """Return the record of `POST /v1/workers/{name}/drain`."""
+    return parse_body(RecordIdBody, body).map(
+        lambda head: DrainRequested(head.record_id, worker, head.author)
+    )
+
+
+def undrain_record(record_id: str, worker: str) -> Parsed:
+    """Return the record of `DELETE /v1/workers/{name}/drain`."""
+    return _checked_id(record_id).map(lambda checked: DrainCancelled(checked, worker))
--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/tasks.py
@@ -0,0 +1,35 @@
+"""Background tasks that are never lost silently."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from structlog.typing import FilteringBoundLogger
+
+
+class BackgroundTasks:
+    """Holds running tasks, logs what they raise and cancels them at the end."""
+
+    def __init__(self, log: FilteringBoundLogger) -> None:
+        self._log = log
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, work: Coroutine, step: str) -> None:
+        """Run `work` in the background."""
+        task = asyncio.create_task(work, name=step)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    async def close(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        exc = task.exception()
+        if exc is not None:
+            self._log.error("task_failed", step=task.get_name(), exc_info=exc)
