Add stand-ins of the platform, their wire formats and tests of the shell

The daemon is tested against the log, the instance list and workers that lose, truncate, cross and delay answers. A worker that has rebooted does not claim that it never saw a task, since the task may have run before; a start command is followed by calls that end within a second, so that silence can be told from a long run.

--- a/packages/daemon/src/fescuecrank_daemon/main.py
+++ b/packages/daemon/src/fescuecrank_daemon/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from fescuecrank_daemon.compose import EntryDaemon, run_entries
+from fescuecrank_daemon.compose import EntryDaemon, make_reducer, run_entries
 from fescuecrank_daemon.logs import route_library_logs
 from fescuecrank_daemon.settings import Settings
 from fescuecrank_daemon.settings_file import load_settings
@@ -42,7 +42,7 @@
 
 async def _run(cfg: Settings) -> int:
     try:
-        entry = EntryDaemon(cfg)
+        entry = EntryDaemon(cfg, make_reducer)
     except OSError as exc:
         typer.echo(f"cannot start: {exc}", err=True)
         return EXIT_BAD_SETTINGS
--- a/packages/daemon/src/fescuecrank_daemon/peer_dialler.py
+++ b/packages/daemon/src/fescuecrank_daemon/peer_dialler.py
@@ -48,8 +48,8 @@
 
     @property
     def connected(self) -> bool:
-        """Whether an authenticated connection is up."""
-        return self._conn is not None
+        """Whether a connection is up on which both sides have proved the key."""
+        return self._stamp != NO_STAMP
 
     def send(self, data: bytes) -> None:
         """Queue one encoded message."""
@@ -107,9 +107,6 @@
         if authenticated.is_err():
             return str(authenticated.err_value)
         self._conn = conn
-        self._pause_ms = FIRST_PAUSE_MS
-        self._metrics.peer_connected(self.peer, True)
-        self._log.info("peer_connected", step="peer.connect", address=self.address)
         sender = asyncio.create_task(self._send_all(conn))
         try:
             return await PeerChannel(conn, self._cfg, self._note_stamp, self._heartbeat).run()
@@ -126,8 +123,17 @@
 
     def _note_stamp(self, data: bytes) -> None:
         frame = decode_frame(data)
-        if frame is not None:
-            self._stamp = frame.stamp
+        if frame is None:
+            return
+        if not self.connected:
+            self._confirm()
+        self._stamp = frame.stamp
+
+    def _confirm(self) -> None:
+        """Note the first stamp: the other side sends none before it has checked the proof."""
+        self._pause_ms = FIRST_PAUSE_MS
+        self._metrics.peer_connected(self.peer, True)
+        self._log.info("peer_connected", step="peer.connect", address=self.address)
 
     def _heartbeat(self) -> bytes:
         return Frame(self._stamp).encode()
--- a/packages/daemon/src/fescuecrank_daemon/settings_file.py
+++ b/packages/daemon/src/fescuecrank_daemon/settings_file.py
@@ -92,7 +92,7 @@
         for key_node, value_node in node.value:
             key = str(key_node.value)
             field = f"{path}.{key}" if path else key
-            self._lines.setdefault(field, key_node.start_mark.line + 1)
+            self._lines[field] = key_node.start_mark.line + 1
             if key in values:
                 self.problems.append(FieldProblem(field, "given twice"))
             values[key] = self._plain(loader, value_node, field)
--- a/packages/daemon/src/fescuecrank_daemon/settings_rules.py
+++ b/packages/daemon/src/fescuecrank_daemon/settings_rules.py
@@ -9,6 +9,7 @@
 from fescuecrank_daemon.adapters import INSTANCE_LISTERS, LOG_CLIENTS, WORKER_CLIENTS
 from fescuecrank_daemon.checked import FieldProblem
 from fescuecrank_daemon.settings import Settings, TraceExporter
+from fescuecrank_daemon.tls import client_context, listener_context
 
 MIN_KEY_CHARACTERS = 32
 
@@ -18,7 +19,8 @@
 
 def check_settings(cfg: Settings) -> list[FieldProblem]:
     """Return everything wrong with settings whose single fields are well formed."""
-    return [*_addresses(cfg), *_urls(cfg), *_adapters(cfg), *_keys(cfg), *_limits(cfg)]
+    checks = (_addresses, _urls, _adapters, _keys, _limits, _tls_files)
+    return [problem for check in checks for problem in check(cfg)]
 
 
 def _addresses(cfg: Settings) -> Iterator[FieldProblem]:
@@ -98,3 +100,20 @@
     ):
         if larger < smaller:
             yield FieldProblem(path, f"must be at least {smaller}")
+
+
+def _tls_files(cfg: Settings) -> Iterator[FieldProblem]:
+    for path, make, tls in (
+        ("http.tls", listener_context, cfg.http.tls),
+        ("peers.listener_tls", listener_context, cfg.peers.listener_tls),
+        ("peers.client_tls", client_context, cfg.peers.client_tls),
+        ("log.tls", client_context, cfg.log.tls),
+        ("instances.tls", client_context, cfg.instances.tls),
+        ("workers.tls", client_context, cfg.workers.tls),
+    ):
+        try:
+            make(tls)
+        except OSError as exc:
+            yield FieldProblem(path, f"unusable certificate, key or CA file: {exc}")
+    if (cfg.peers.listener_tls is None) != (cfg.peers.client_tls is None):
+        yield FieldProblem("peers", "listener_tls and client_tls must be given together")
--- /dev/null
+++ b/packages/daemon/tests/test_adapters.py
@@ -0,0 +1,206 @@
+"""HTTP adapters against stand-ins with faults."""
+
+import asyncio
+import socket
+
+import attrs
+import pytest
+from daemon_builders import request, run, silent_logger, task, until
+from fescuecrank_core import codec
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import (
+    ControlTask,
+    ControlWorker,
+    PollWorker,
+    QueryTask,
+    StartTask,
+    TaskAction,
+)
+from fescuecrank_core.events import (
+    AppendDone,
+    AppendFailed,
+    ControlAction,
+    LogExpired,
+    LogRead,
+    LogUnreadable,
+    TaskEnd,
+)
+from fescuecrank_core.records import KeyWithdrawn, Record
+from fescuecrank_daemon.log_http import HttpLogClient
+from fescuecrank_daemon.settings import LogSettings, WorkerSettings
+from fescuecrank_daemon.workers_http import HttpWorkerClient
+from fescuecrank_standin.log_service import LogStandIn
+from fescuecrank_standin.worker import WorkerStandIn
+from fescuecrank_standin.worker_tasks import RunResult, WorkerTask, echo_endpoint
+
+NOW = Instant(5, 5)
+
+
+def _log_client(log: LogStandIn, **changes: int) -> HttpLogClient:
+    patient = {"append_timeout_ms": 20_000, "read_timeout_ms": 20_000, "read_wait_ms": 20}
+    return HttpLogClient(LogSettings(url=log.url, **{**patient, **changes}), silent_logger())
+
+
+def test_append_is_maybe_stored_unless_the_log_cannot_have_it():
+    """Guards against reporting a stored record as refused when only its answer was lost."""
+
+    async def scenario():
+        log = LogStandIn()
+        await log.start()
+        client = _log_client(log)
+        record = KeyWithdrawn("r1", "k1")
+        assert await client.append(record) == AppendDone("r1", 0)
+        log.faults.lost_answers = 1
+        lost = await client.append(record)
+        assert (lost.maybe_stored, log.end) == (True, 2)
+        log.faults.slow_ms = 60_000
+        late = await _log_client(log, append_timeout_ms=50).append(record)
+        assert isinstance(late, AppendFailed)
+        assert late.maybe_stored
+        await log.stop()
+        refused = await client.append(record)
+        assert not refused.maybe_stored
+
+    run(scenario())
+
+
+def test_reads_give_consecutive_records_and_tell_of_expiry():
+    """Guards against a gap in what is folded, and against a malformed record stopping readers."""
+
+    async def scenario():
+        log = LogStandIn(retain_records=2)
+        await log.start()
+        client = _log_client(log)
+        log.append("bad", b"\xff not cbor")
+        log.append("r2", codec.encode(KeyWithdrawn("r2", "k1")))
+        read = await client.read(0, NOW)
+        assert isinstance(read, LogRead)
+        assert [entry.record for entry in read.entries] == [
+            Record("bad"),
+            KeyWithdrawn("r2", "k1"),
+        ]
+        assert (read.end, read.sent_mono_ms) == (2, NOW.mono_ms)
+        assert (await client.read(2, NOW)).entries == ()
+        log.append("r3", b"")
+        assert await client.read(0, NOW) == LogExpired(1)
+        log.faults.down = True
+        assert isinstance(await client.read(1, NOW), LogUnreadable)
+        await log.stop()
+
+    run(scenario())
+
+
+PATIENT = WorkerSettings(answer_wait_ms=20, silence_ms=20_000)
+IMPATIENT = WorkerSettings(answer_wait_ms=20, silence_ms=100, body_timeout_ms=1)
+
+
+async def _started(**kwargs: object) -> tuple[WorkerStandIn, HttpWorkerClient]:
+    worker = WorkerStandIn("w1", **kwargs)
+    await worker.start()
+    return worker, HttpWorkerClient(PATIENT)
+
+
+async def _start(client: HttpWorkerClient, worker: WorkerStandIn, **changes: object):
+    started = attrs.evolve(task(), **changes)
+    return await client.start(StartTask(started, worker.address, request(), 10_000), "")
+
+
+@pytest.mark.parametrize("fault", ["truncated", "crossed", "corrupted", "lost_answers", "silent"])
+def test_answer_that_is_not_whole_is_lost(fault):
+    """Guards against an incomplete or foreign answer being taken for the answer of a task."""
+
+    async def scenario():
+        worker, client = await _started()
+        setattr(worker.faults, fault, 1)
+        starting = HttpWorkerClient(IMPATIENT) if fault == "silent" else client
+        report = await _start(starting, worker)
+        assert (report.end, report.body) == (TaskEnd.LOST, b"")
+        query = QueryTask(task(), worker.address, forbid=True)
+        again = await client.query(query)
+        assert (again.end, again.body) == (TaskEnd.ANSWERED, b"payload")
+        assert worker.runs("r1") == 1
+        await worker.stop()
+
+    run(scenario())
+
+
+def test_only_a_refused_connection_is_not_sent():
+    """Guards against a command that may have been received being reported as never sent."""
+
+    async def scenario():
+        worker, client = await _started()
+        await worker.stop()
+        assert (await _start(client, worker)).end is TaskEnd.NOT_SENT
+        # The system accepts the connection and the command, and nobody ever reads them.
+        with socket.create_server(("127.0.0.1", worker.port)):
+            assert (await _start(HttpWorkerClient(IMPATIENT), worker)).end is TaskEnd.LOST
+
+    run(scenario())
+
+
+def test_long_task_is_followed_by_calls_that_each_end_soon():
+    """Guards against a long task being taken for a silent connection."""
+
+    async def scenario():
+        async def until_asked_twice(running: WorkerTask) -> RunResult:
+            await until(lambda: worker.queries >= 2)
+            return RunResult(200, running.run.body)
+
+        worker, client = await _started(endpoint=until_asked_twice)
+        assert (await _start(client, worker)).end is TaskEnd.ANSWERED
+        assert worker.runs("r1") == 1
+        await worker.stop()
+
+    run(scenario())
+
+
+def test_refusals_and_queries_promise_that_the_task_never_starts():
+    """Guards against a second run after a promise that the first will not happen."""
+
+    async def scenario():
+        worker, client = await _started()
+        query = QueryTask(task(), worker.address, forbid=True)
+        assert (await client.query(query)).end is TaskEnd.NEVER_SEEN
+        refused = await _start(client, worker)
+        assert (refused.end, refused.detail) == (TaskEnd.REFUSED, "forbidden")
+        stale = await _start(client, worker, task_id="t2", fence=6)
+        assert (stale.end, stale.detail) == (TaskEnd.REFUSED, "stale_fence")
+        unseen = QueryTask(task("t3"), worker.address, forbid=False)
+        assert (await client.query(unseen)).end is TaskEnd.LOST
+        drain = ControlWorker("w1", worker.address, 7, ControlAction.DRAIN)
+        assert (await client.control_worker(drain)).failure is None
+        assert (await _start(client, worker, task_id="t4")).draining
+        worker.reboot()
+        forgotten = QueryTask(task("t5"), worker.address, forbid=True)
+        assert (await client.query(forgotten)).end is TaskEnd.LOST
+        assert worker.tasks.executions == []
+        await worker.stop()
+
+    run(scenario())
+
+
+def test_stopped_task_and_failed_endpoint_are_told_apart_from_success():
+    """Guards against a stopped or failed run being reported as done."""
+
+    async def scenario():
+        worker, client = await _started()
+        worker.faults.fail_all = True
+        failed = await _start(client, worker, task_id="t2")
+        assert (failed.end, failed.endpoint_failed) == (TaskEnd.ANSWERED, True)
+        worker.faults.fail_all = False
+        worker._endpoint = echo_endpoint(run_ms=600_000)
+        worker.faults.lost_answers = 1
+        started = asyncio.create_task(_start(client, worker))
+        await until(lambda: worker.tasks.running())
+        poll = PollWorker("w1", worker.address, 7, ("t1",), 10_000)
+        polled = await client.poll(poll)
+        assert (polled.reachable, polled.running) == (True, ("t1",))
+        stop = ControlTask(task(), worker.address, TaskAction.STOP)
+        assert (await client.control_task(stop)).end is TaskEnd.STOPPED
+        assert (await started).end is TaskEnd.LOST
+        short = StartTask(task("t3"), worker.address, request(), 30)
+        assert (await client.start(short, "")).end is TaskEnd.STOPPED
+        await until(lambda: not worker.tasks.running())
+        await worker.stop()
+
+    run(scenario())
--- /dev/null
+++ b/packages/daemon/tests/test_entry.py
@@ -0,0 +1,171 @@
+"""Whole entries with a small reducer against the stand-ins."""
+
+import asyncio
+import io
+
+import attrs
+import daemon_builders as build
+import orjson
+import pytest
+from daemon_builders import run, settings, submit
+from fescuecrank_core.events import CallerGone, RequestReceived
+from fescuecrank_daemon.compose import run_entries
+from fescuecrank_daemon.digests import repr_digest
+from fescuecrank_daemon.settings import TraceExporter, TracingSettings
+from fescuecrank_standin.log_service import LogStandIn
+from fescuecrank_standin.worker import WorkerStandIn
+
+
+async def _worker() -> WorkerStandIn:
+    worker = WorkerStandIn("w1")
+    await worker.start()
+    return worker
+
+
+def test_request_travels_through_two_entries_to_a_worker_and_back():
+    """Guards against any hop losing the body, the trace or the key of a request."""
+
+    async def scenario():
+        worker = await _worker()
+        traced = settings(tracing=TracingSettings(TraceExporter.JSON, sample_ratio=1.0))
+        holder = build.entry(attrs.evolve(traced, name="e2"), worker=worker.address)
+        gateway = build.entry(traced, holder="e2", holder_address=holder.peer_address)
+        await holder.start()
+        holder.peers.connect("e1", gateway.peer_address)
+        await gateway.start()
+        trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+        answer = await submit(gateway, body=b"\x00\xff body", traceparent=trace)
+        assert (answer.code, answer.body) == (200, b"\x00\xff body")
+        assert answer.headers["Repr-Digest"] == repr_digest(answer.body)
+        assert answer.headers["Request-Outcome"] == "done"
+        assert worker.runs("r1") == 1
+        started = holder.reducer.requests["task-r1"]
+        assert started.traceparent.split("-")[1] == trace.split("-")[1]
+        for daemon in (gateway, holder):
+            await daemon.close()
+        await worker.stop()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("fault", ["truncated", "crossed", "corrupted", "lost_answers", "silent"])
+def test_faulty_answer_is_asked_for_again_and_runs_once(fault):
+    """Guards against a truncated, crossed, corrupted or missing answer reaching the caller."""
+
+    async def scenario():
+        worker = await _worker()
+        setattr(worker.faults, fault, 1)
+        daemon = build.entry(worker=worker.address)
+        await daemon.start()
+        answer = await submit(daemon, body=b"whole answer")
+        assert (answer.code, answer.body) == (200, b"whole answer")
+        assert worker.runs("r1") == 1
+        await daemon.close()
+        await worker.stop()
+
+    run(scenario())
+
+
+def test_oversized_body_is_refused_as_not_run():
+    """Guards against a large body filling memory or being reported without a typed refusal."""
+
+    async def scenario():
+        daemon = build.entry()
+        await daemon.start()
+        answer = await submit(daemon, body=b"x" * 1_001)
+        problem = orjson.loads(answer.body)
+        assert answer.code == 413
+        assert answer.headers["Content-Type"] == "application/problem+json"
+        assert (problem["kind"], problem["outcome"]) == ("too_large", "not_run")
+        assert not daemon.reducer.seen(RequestReceived)
+        await daemon.close()
+
+    run(scenario())
+
+
+def test_secrets_never_reach_log_or_metrics():
+    """Guards against keys of callers, operators or peers being written anywhere."""
+
+    async def scenario():
+        stream = io.StringIO()
+        worker = await _worker()
+        daemon = build.entry(log=stream, worker=worker.address)
+        await daemon.start()
+        assert (await submit(daemon)).code == 200
+        wrong = await submit(daemon, "r2", Authorization="Bearer k2.another-secret")
+        assert wrong.code == 401
+        metrics = await build.call(daemon, "GET", "/metrics")
+        daemon.log.info("careless", secret=build.TEAM_SECRET, shared_key=build.SHARED_KEY)
+        await daemon.close()
+        await worker.stop()
+        written = stream.getvalue() + metrics.body.decode() + repr(daemon.cfg)
+        assert '"request_id":"r1"' in written
+        assert "fescuecrank_steps_total" in written
+        for secret in (build.TEAM_SECRET, "another-secret", build.SHARED_KEY):
+            assert secret not in written
+
+    run(scenario())
+
+
+def test_waiting_caller_gets_202_and_the_reducer_learns_that_it_left():
+    """Guards against a caller being held past its wait, or its token being kept for ever."""
+
+    async def scenario():
+        daemon = build.entry(answers=False)
+        await daemon.start()
+        answer = await submit(daemon, Prefer="respond-async")
+        assert (answer.code, orjson.loads(answer.body)["state"]) == (202, "queued")
+        await build.until(lambda: daemon.reducer.seen(CallerGone))
+        assert len(daemon.exchange) == 0
+        await daemon.close()
+
+    run(scenario())
+
+
+def test_callers_that_wait_at_the_end_learn_that_the_outcome_is_unknown():
+    """Guards against the end of a process being reported as not run."""
+
+    async def scenario():
+        daemon = build.entry(answers=False)
+        running = asyncio.create_task(run_entries([daemon]))
+        await asyncio.sleep(0)
+        waiting = asyncio.create_task(submit(daemon))
+        await build.until(lambda: daemon.reducer.seen(RequestReceived))
+        daemon.shut_down()
+        answer = await waiting
+        assert (answer.code, orjson.loads(answer.body)["outcome"]) == (504, "unknown")
+        assert await running == 0
+
+    run(scenario())
+
+
+def test_published_change_reaches_the_log_once_checked():
+    """Guards against a malformed declaration being published, or a good one being mangled."""
+
+    async def scenario():
+        log = LogStandIn()
+        await log.start()
+        cfg = settings()
+        daemon = build.entry(attrs.evolve(cfg, log=attrs.evolve(cfg.log, url=log.url)))
+        await daemon.start()
+        change = {"section": "teams", "name": "t", "follows": -1, "value": {"share": 1, "limit": 5}}
+        body = {"record_id": "c1", "author": "op", "changes": [change]}
+        answer = await build.call(daemon, "POST", "/v1/config", body=orjson.dumps(body))
+        assert (answer.code, orjson.loads(answer.body)["offset"]) == (200, 0)
+        change["value"]["limit"] = -1
+        answer = await build.call(daemon, "POST", "/v1/config", body=orjson.dumps(body))
+        assert (answer.code, log.end) == (400, 1)
+        await daemon.close()
+        await log.stop()
+
+    run(scenario())
+
+
+def test_reducer_that_raises_ends_the_entry():
+    """Guards against an entry that goes on with a half-changed state."""
+
+    async def scenario():
+        daemon = build.entry(broken=True)
+        assert await run_entries([daemon]) == 70
+
+    run(scenario())
--- /dev/null
+++ b/packages/standin/src/fescuecrank_standin/worker_tasks.py
@@ -0,0 +1,176 @@
+"""Tasks of a stand-in worker: leases, slots, fences and what it remembers."""
+
+import asyncio
+import enum
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+
+import attrs
+from fescuecrank_core.declarations import Resources
+
+STOPPED_BY_LEASE = "lease expired"
+
+
+class TaskState(enum.StrEnum):
+    """State of a task as the worker states it."""
+
+    RUNNING = "running"
+    DONE = "done"
+    STOPPED = "stopped"
+    REFUSED = "refused"
+    NEVER_SEEN = "never_seen"
+    FORGOTTEN = "forgotten"
+
+
+@attrs.frozen
+class Execution:
+    """One run of a request, kept so that tests can count the runs of each request."""
+
+    task_id: str
+    request_id: str
+    service: str
+    body: bytes
+    fence: int
+
+
+@attrs.frozen
+class RunResult:
+    """What the endpoint of a task answered."""
+
+    status: int
+    body: bytes
+
+
+@attrs.define(eq=False)
+class WorkerTask:
+    """One task; times are monotonic milliseconds."""
+
+    run: Execution
+    started_ms: int
+    state: TaskState = TaskState.RUNNING
+    result: RunResult = RunResult(0, b"")
+    reason: str = ""
+    throttled: bool = False
+    ended_ms: int = 0
+    ended: asyncio.Event = attrs.field(factory=asyncio.Event)
+    job: asyncio.Task | None = None
+    lease: asyncio.TimerHandle | None = None
+
+
+Endpoint = Callable[[WorkerTask], Awaitable[RunResult]]
+
+
+def echo_endpoint(run_ms: int = 0) -> Endpoint:
+    """Return an endpoint that answers the body after `run_ms`, half as fast when throttled."""
+
+    async def run(task: WorkerTask) -> RunResult:
+        left_ms = run_ms
+        while left_ms > 0:
+            slice_ms = min(left_ms, 20)
+            await asyncio.sleep(slice_ms / 1_000)
+            left_ms -= slice_ms // 2 if task.throttled and slice_ms > 1 else slice_ms
+        return RunResult(200, task.run.body)
+
+    return run
+
+
+class WorkerTasks:
+    """All that a worker knows about its tasks."""
+
+    def __init__(self, slots: int, endpoint: Endpoint) -> None:
+        self.slots = slots
+        self.endpoint = endpoint
+        self.uses = Resources(cpu_millis=500, memory_mb=256, slots=1)
+        self.executions: list[Execution] = []
+        self.fence = -1
+        self.draining = False
+        self.rebooted_ms: int | None = None
+        self.settle_ms = 30_000
+        self._new_boot()
+
+    def _new_boot(self) -> None:
+        self.boot_id = uuid.uuid4().hex
+        self.tasks: dict[str, WorkerTask] = {}
+        self.forbidden: set[str] = set()
+
+    def admit_fence(self, fence: int) -> bool:
+        """Return whether a command with this fence is obeyed; remember the highest."""
+        if fence < self.fence:
+            return False
+        self.fence = fence
+        return True
+
+    def running(self) -> list[WorkerTask]:
+        """Return the tasks that run."""
+        return [task for task in self.tasks.values() if task.state is TaskState.RUNNING]
+
+    def refusal(self, run: Execution) -> str:
+        """Return why a new task cannot start, or the empty string."""
+        if run.task_id in self.forbidden:
+            return "forbidden"
+        if not self.admit_fence(run.fence):
+            return "stale_fence"
+        if self.draining:
+            return "draining"
+        return "full" if len(self.running()) >= self.slots else ""
+
+    def start(self, run: Execution, lease_ms: int) -> WorkerTask:
+        """Start a task; its id must be new and admitted."""
+        task = WorkerTask(run, _now_ms())
+        self.tasks[run.task_id] = task
+        self.executions.append(run)
+        task.job = asyncio.create_task(self._execute(task))
+        self.renew(task, lease_ms)
+        return task
+
+    async def _execute(self, task: WorkerTask) -> None:
+        task.result = await self.endpoint(task)
+        self._end(task, TaskState.DONE, "")
+
+    def renew(self, task: WorkerTask, lease_ms: int) -> None:
+        """Let a task run for `lease_ms` from now on."""
+        if task.lease is not None:
+            task.lease.cancel()
+        loop = asyncio.get_running_loop()
+        task.lease = loop.call_later(lease_ms / 1_000, self.stop, task, STOPPED_BY_LEASE)
+
+    def stop(self, task: WorkerTask, reason: str) -> None:
+        """Stop a task that runs."""
+        if task.state is not TaskState.RUNNING:
+            return
+        if task.job is not None:
+            task.job.cancel()
+        self._end(task, TaskState.STOPPED, reason)
+
+    def _end(self, task: WorkerTask, state: TaskState, reason: str) -> None:
+        task.state, task.reason, task.ended_ms = state, reason, _now_ms()
+        if task.lease is not None:
+            task.lease.cancel()
+        task.ended.set()
+
+    def state_of(self, task_id: str, forbid: bool) -> TaskState:
+        """Return the state of a task; with `forbid` an unknown one can never start afterwards.
+
+        After a reboot the worker has forgotten tasks that may have run, so for longer than any
+        lease it does not claim that an unknown task was never seen.
+        """
+        if task_id in self.tasks:
+            return self.tasks[task_id].state
+        if forbid:
+            self.forbidden.add(task_id)
+        if self.rebooted_ms is not None and _now_ms() - self.rebooted_ms < self.settle_ms:
+            return TaskState.FORGOTTEN
+        return TaskState.NEVER_SEEN
+
+    def reboot(self) -> None:
+        """Stop and forget all tasks; the fence is kept by the platform."""
+        for task in list(self.tasks.values()):
+            self.stop(task, "reboot")
+        self.draining = False
+        self.rebooted_ms = _now_ms()
+        self._new_boot()
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
