Bound the memory of waiting calls and the cost of the instance list

A flood of calls could hold a body each without a limit in bytes, and each poll of the instance list built every instance again. Tracebacks in the log no longer carry local variables, which hold callers' keys.

--- a/packages/daemon/src/fescuecrank_daemon/compose.py
+++ b/packages/daemon/src/fescuecrank_daemon/compose.py
@@ -141,7 +141,7 @@
         # Wall time grows over restarts, so a later start has a higher incarnation.
         identity = Identity(cfg, self.peer_address, now.wall_ms, operator_keys(cfg))
         self.reducer = make(identity, now)
-        self.exchange = Exchange(cfg.name, cfg.http.max_pending, self.post, metrics)
+        self.exchange = Exchange(cfg.name, cfg.http, self.post, metrics)
         self.peers = Peers(
             cfg.name, cfg.peers, clock, self._peer_message, log, metrics, self._tasks
         )
--- a/packages/daemon/src/fescuecrank_daemon/exchange.py
+++ b/packages/daemon/src/fescuecrank_daemon/exchange.py
@@ -17,6 +17,7 @@
 from fescuecrank_core.events import CallerGone, Event
 
 from fescuecrank_daemon.metrics import ShellMetrics
+from fescuecrank_daemon.settings import HttpSettings
 
 ReplyEffect = Reply | ReplyFailure | ReplyAccepted | ReplyView | ReplyVerdict
 
@@ -50,39 +51,52 @@
     """Gives events their reply tokens and replies their callers."""
 
     def __init__(
-        self, entry: str, max_pending: int, post: Callable[[Event], None], metrics: ShellMetrics
+        self, entry: str, cfg: HttpSettings, post: Callable[[Event], None], metrics: ShellMetrics
     ) -> None:
         self._prefix = entry
-        self._max_pending = max_pending
+        self._cfg = cfg
         self._post = post
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._pending: dict[str, PendingCall] = {}
+        self._bytes = 0
         self._closed = False
 
     def __len__(self) -> int:
         return len(self._pending)
 
     async def ask(
-        self, make_event: Callable[[str], Event], wait_ms: int, until_final: bool
+        self, make_event: Callable[[str], Event], wait_ms: int, until_final: bool, size: int = 0
     ) -> CallResult:
         """Post the event made for a new token and wait at most `wait_ms` for its reply.
 
-        Cancelling the wait tells the reducer that the caller is gone; the call itself goes on.
+        `size` is that of the call's body in bytes. Cancelling the wait tells the reducer that the
+        caller is gone; the call itself goes on.
         """
-        if self._closed or len(self._pending) >= self._max_pending:
-            detail = "this entry is stopping" if self._closed else "too many calls wait here"
-            return ReplyFailure("", Failure(FailureKind.OVERLOADED, "http.admit", "", detail))
+        refusal = self._refusal(size)
+        if refusal:
+            return ReplyFailure("", Failure(FailureKind.OVERLOADED, "http.admit", "", refusal))
         token = f"{self._prefix}-{next(self._numbers)}"
         call = PendingCall(asyncio.get_running_loop().create_future(), until_final)
         self._pending[token] = call
+        self._bytes += size
         try:
             self._post(make_event(token))
             return await self._wait(token, call, wait_ms)
         finally:
+            self._bytes -= size
             if self._pending.pop(token, None) is not None:
                 self._post(CallerGone(token))
 
+    def _refusal(self, size: int) -> str:
+        if self._closed:
+            return "this entry is stopping"
+        if len(self._pending) >= self._cfg.max_pending:
+            return "too many calls wait here"
+        if self._bytes + size > self._cfg.max_pending_bytes:
+            return "the bodies of waiting calls fill the memory set aside for them"
+        return ""
+
     async def _wait(self, token: str, call: PendingCall, wait_ms: int) -> CallResult:
         done, _ = await asyncio.wait([call.fut], timeout=wait_ms / 1_000)
         if not done:
--- a/packages/daemon/src/fescuecrank_daemon/http_base.py
+++ b/packages/daemon/src/fescuecrank_daemon/http_base.py
@@ -52,7 +52,7 @@
         self.outcome_if_refused: Outcome | None = None
         self.log_fields: dict[str, str] = {}
         self._chunks: list[bytes] = []
-        self._size = 0
+        self.body_size = 0
 
     def set_default_headers(self) -> None:
         """Identify no software, and keep answers out of caches."""
@@ -67,13 +67,13 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Keep one part of the body, up to the limit."""
-        self._size += len(chunk)
-        if self._size <= self.context.cfg.max_body_bytes:
+        self.body_size += len(chunk)
+        if self.body_size <= self.context.cfg.max_body_bytes:
             self._chunks.append(chunk)
 
     def body(self) -> bytes | None:
         """Return the whole body; refuse the call and return None if it was too large."""
-        if self._size <= self.context.cfg.max_body_bytes:
+        if self.body_size <= self.context.cfg.max_body_bytes:
             return b"".join(self._chunks)
         self.refuse_large_body()
         return None
--- a/packages/daemon/src/fescuecrank_daemon/http_requests.py
+++ b/packages/daemon/src/fescuecrank_daemon/http_requests.py
@@ -32,7 +32,7 @@
 
     async def answer(self, request_id: str, event: object, wait_ms: int, until_final: bool) -> None:
         """Ask the reducer and send what it replies."""
-        ask = self.context.exchange.ask(event, wait_ms, until_final)
+        ask = self.context.exchange.ask(event, wait_ms, until_final, self.body_size)
         self._asking = asyncio.create_task(ask)
         try:
             result = await self._asking
--- a/packages/daemon/src/fescuecrank_daemon/logs.py
+++ b/packages/daemon/src/fescuecrank_daemon/logs.py
@@ -32,10 +32,15 @@
     return orjson.dumps(fields, default=str).decode()
 
 
+# Local variables stay out of tracebacks: they hold events, and events hold callers' keys.
+TRACEBACKS = structlog.processors.ExceptionRenderer(
+    structlog.tracebacks.ExceptionDictTransformer(show_locals=False)
+)
+
 PROCESSORS = [
     structlog.processors.add_log_level,
     structlog.processors.TimeStamper(fmt="iso", utc=True),
-    structlog.processors.dict_tracebacks,
+    TRACEBACKS,
     hide_secrets,
     structlog.processors.JSONRenderer(serializer=_dump),
 ]
--- a/packages/daemon/src/fescuecrank_daemon/settings.py
+++ b/packages/daemon/src/fescuecrank_daemon/settings.py
@@ -64,6 +64,9 @@
         minimum=1,
         maximum=1_000_000,
     )
+    max_pending_bytes: int = size(
+        "Bodies of waiting calls before new ones are refused.", 67_108_864
+    )
     tls: ListenerTls | None = described("TLS of the listener; plain HTTP without it.", default=None)
 
 
--- a/packages/daemon/src/fescuecrank_daemon/settings_rules.py
+++ b/packages/daemon/src/fescuecrank_daemon/settings_rules.py
@@ -96,6 +96,7 @@
         ("peers.max_heartbeat_age_ms", peers.heartbeat_ms + 1, peers.max_heartbeat_age_ms),
         ("workers.silence_ms", workers.answer_wait_ms + 1, workers.silence_ms),
         ("log.read_timeout_ms", cfg.log.read_wait_ms + 1, cfg.log.read_timeout_ms),
+        ("http.max_pending_bytes", cfg.http.max_body_bytes, cfg.http.max_pending_bytes),
         ("http.max_wait_ms", cfg.http.default_wait_ms, cfg.http.max_wait_ms),
     ):
         if larger < smaller:
--- a/packages/daemon/tests/daemon_builders.py
+++ b/packages/daemon/tests/daemon_builders.py
@@ -122,14 +122,14 @@
         return [event for event in self.events if isinstance(event, cls)]
 
     def step(self, event: Event, now: Instant) -> list[Effect]:
+        if self.broken and isinstance(event, RequestReceived):
+            raise RuntimeError("broken on purpose")
         if not isinstance(event, Tick):
             self.events.append(event)
         handler = getattr(self, "on_" + type(event).__name__, None)
         return handler(event) if handler else []
 
     def on_Tick(self, _: Tick) -> list[Effect]:  # noqa: N802
-        if self.broken:
-            raise RuntimeError("broken on purpose")
         if self.started:
             return []
         self.started = True
@@ -192,12 +192,15 @@
 
 def entry(cfg: Settings | None = None, log: io.StringIO | None = None, **reducer: object):
     """Return an unstarted entry around a `FakeReducer`."""
-    return EntryDaemon(
+    spans = io.StringIO()
+    daemon = EntryDaemon(
         cfg or settings(),
         make=lambda identity, _: FakeReducer(identity, **reducer),
         log_stream=log or io.StringIO(),
-        span_stream=io.StringIO(),
+        span_stream=spans,
     )
+    daemon.span_stream = spans
+    return daemon
 
 
 async def call(daemon: EntryDaemon, method: str, path: str, **kwargs: object) -> HTTPResponse:
@@ -212,9 +215,15 @@
         client.close()
 
 
-async def submit(daemon: EntryDaemon, request_id: str = "r1", body: bytes = b"hi", **headers: str):
+async def submit(
+    daemon: EntryDaemon,
+    request_id: str = "r1",
+    body: bytes | None = b"hi",
+    body_producer: object = None,
+    **headers: str,
+):
     """Submit a request with the team's key."""
     sent = {"Authorization": f"Bearer {TEAM_SECRET}", "Idempotency-Key": request_id}
     sent.update({name.replace("_", "-"): value for name, value in headers.items()})
     path = "/v1/services/svc/requests"
-    return await call(daemon, "POST", path, headers=sent, body=body)
+    return await call(daemon, "POST", path, headers=sent, body=body, body_producer=body_producer)
--- a/packages/daemon/tests/test_adapters.py
+++ b/packages/daemon/tests/test_adapters.py
@@ -8,6 +8,7 @@
 from daemon_builders import request, run, silent_logger, task, until
 from fescuecrank_core import codec
 from fescuecrank_core.clock import Instant
+from fescuecrank_core.declarations import Resources
 from fescuecrank_core.effects import (
     ControlTask,
     ControlWorker,
@@ -20,15 +21,18 @@
     AppendDone,
     AppendFailed,
     ControlAction,
+    InstanceState,
     LogExpired,
     LogRead,
     LogUnreadable,
     TaskEnd,
 )
 from fescuecrank_core.records import KeyWithdrawn, Record
+from fescuecrank_daemon.instances_http import HttpInstanceLister
 from fescuecrank_daemon.log_http import HttpLogClient
-from fescuecrank_daemon.settings import LogSettings, WorkerSettings
+from fescuecrank_daemon.settings import InstanceSettings, LogSettings, WorkerSettings
 from fescuecrank_daemon.workers_http import HttpWorkerClient
+from fescuecrank_standin.instance_list import InstanceListStandIn
 from fescuecrank_standin.log_service import LogStandIn
 from fescuecrank_standin.worker import WorkerStandIn
 from fescuecrank_standin.worker_tasks import RunResult, WorkerTask, echo_endpoint
@@ -204,3 +208,27 @@
         await worker.stop()
 
     run(scenario())
+
+
+def test_instance_list_is_read_once_and_then_only_its_changes():
+    """Guards against a stale list after a change, and against rebuilding an unchanged one."""
+
+    async def scenario():
+        instances = InstanceListStandIn()
+        await instances.start()
+        workers = [WorkerStandIn(name) for name in ("w1", "w2")]
+        instances.replace(tuple(w.instance("r", "dc", "rack", Resources()) for w in workers))
+        client = HttpInstanceLister(InstanceSettings(url=instances.url, timeout_ms=20_000))
+        first = (await client.list_instances()).ok()
+        again = (await client.list_instances()).ok()
+        assert again.instances == first.instances
+        assert again.as_of_wall_ms >= first.as_of_wall_ms > 0
+        instances.set_state("w1", InstanceState.LEAVING)
+        changed = (await client.list_instances()).ok()
+        assert [i.state for i in changed.instances] == [InstanceState.LEAVING, InstanceState.LIVE]
+        assert changed.instances[1] is first.instances[1]
+        instances.down = True
+        assert (await client.list_instances()).is_err()
+        await instances.stop()
+
+    run(scenario())
--- a/packages/daemon/tests/test_entry.py
+++ b/packages/daemon/tests/test_entry.py
@@ -39,10 +39,18 @@
         assert answer.headers["Repr-Digest"] == repr_digest(answer.body)
         assert answer.headers["Request-Outcome"] == "done"
         assert worker.runs("r1") == 1
-        started = holder.reducer.requests["task-r1"]
-        assert started.traceparent.split("-")[1] == trace.split("-")[1]
         for daemon in (gateway, holder):
             await daemon.close()
+        spans = [
+            orjson.loads(line)
+            for daemon in (gateway, holder)
+            for line in daemon.span_stream.getvalue().splitlines()
+        ]
+        by_name = {span["name"]: span for span in spans}
+        hops = [by_name[name] for name in ("http.submit", "peer.forward", "task.start")]
+        assert {span["trace_id"] for span in hops} == {trace.split("-")[1]}
+        parents = [trace.split("-")[2], hops[0]["span_id"], hops[1]["span_id"]]
+        assert [span["parent_id"] for span in hops] == parents
         await worker.stop()
 
     run(scenario())
@@ -77,12 +85,40 @@
         assert answer.code == 413
         assert answer.headers["Content-Type"] == "application/problem+json"
         assert (problem["kind"], problem["outcome"]) == ("too_large", "not_run")
+        chunked = await submit(daemon, body=None, body_producer=_long_body)
+        assert chunked.code == 413
         assert not daemon.reducer.seen(RequestReceived)
         await daemon.close()
 
     run(scenario())
 
 
+async def _long_body(write) -> None:
+    for _ in range(20):
+        await write(b"x" * 100)
+
+
+def test_waiting_bodies_are_limited_in_number_and_size():
+    """Guards against a flood of calls filling the memory of a small instance."""
+
+    async def scenario():
+        cfg = settings()
+        http = attrs.evolve(cfg.http, max_pending=2, max_pending_bytes=1_500)
+        daemon = build.entry(attrs.evolve(cfg, http=http), answers=False)
+        await daemon.start()
+        waiting = asyncio.create_task(submit(daemon, body=b"x" * 1_000))
+        await build.until(lambda: len(daemon.exchange) == 1)
+        full = await submit(daemon, "r2", body=b"x" * 501)
+        assert (full.code, orjson.loads(full.body)["outcome"]) == (429, "not_run")
+        second = asyncio.create_task(submit(daemon, "r3"))
+        await build.until(lambda: len(daemon.exchange) == 2)
+        assert (await submit(daemon, "r4")).code == 429
+        await daemon.close()
+        assert {(await waiting).code, (await second).code} == {504}
+
+    run(scenario())
+
+
 def test_secrets_never_reach_log_or_metrics():
     """Guards against keys of callers, operators or peers being written anywhere."""
 
@@ -162,10 +198,17 @@
 
 
 def test_reducer_that_raises_ends_the_entry():
-    """Guards against an entry that goes on with a half-changed state."""
+    """Guards against going on with a half-changed state, and against keys in tracebacks."""
 
     async def scenario():
-        daemon = build.entry(broken=True)
-        assert await run_entries([daemon]) == 70
+        stream = io.StringIO()
+        daemon = build.entry(log=stream, broken=True)
+        running = asyncio.create_task(run_entries([daemon]))
+        await asyncio.sleep(0)
+        answer = await submit(daemon)
+        assert (answer.code, orjson.loads(answer.body)["outcome"]) == (504, "unknown")
+        assert await running == 70
+        assert "reducer_failed" in stream.getvalue()
+        assert build.TEAM_SECRET not in stream.getvalue()
 
     run(scenario())
--- a/packages/standin/src/fescuecrank_standin/instance_list.py
+++ b/packages/standin/src/fescuecrank_standin/instance_list.py
@@ -58,7 +58,9 @@
             return
         view = self.instances.shown()
         items = [attrs.asdict(item) for item in view.instances]
-        self.send_json(200, {"as_of_wall_ms": view.wall_ms, "instances": items})
+        # tornado adds an ETag of the body and answers 304 if the caller has it.
+        self.set_header("As-Of-Wall-Ms", str(view.wall_ms))
+        self.send_json(200, {"instances": items})
 
 
 def _wall_ms() -> int:
--- a/packages/standin/src/fescuecrank_standin/worker.py
+++ b/packages/standin/src/fescuecrank_standin/worker.py
@@ -120,9 +120,9 @@
         """Return the use of each task as it was `usage_lag_ms` ago."""
         as_of_ms = time.monotonic_ns() // 1_000_000 - self.usage_lag_ms
         reports = []
-        for task in self.tasks.tasks.values():
+        for task in self.tasks.reported(as_of_ms - ENDED_USAGE_MS):
             last_ms = min(task.ended_ms or as_of_ms, as_of_ms)
-            if task.started_ms > as_of_ms or as_of_ms - last_ms > ENDED_USAGE_MS:
+            if task.started_ms > as_of_ms:
                 continue
             reports.append(
                 {
--- a/packages/standin/src/fescuecrank_standin/worker_tasks.py
+++ b/packages/standin/src/fescuecrank_standin/worker_tasks.py
@@ -4,6 +4,7 @@
 import enum
 import time
 import uuid
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -93,6 +94,8 @@
         self.boot_id = uuid.uuid4().hex
         self.tasks: dict[str, WorkerTask] = {}
         self.forbidden: set[str] = set()
+        self._running: dict[str, WorkerTask] = {}
+        self._ended: deque[WorkerTask] = deque()
 
     def admit_fence(self, fence: int) -> bool:
         """Return whether a command with this fence is obeyed; remember the highest."""
@@ -103,7 +106,13 @@
 
     def running(self) -> list[WorkerTask]:
         """Return the tasks that run."""
-        return [task for task in self.tasks.values() if task.state is TaskState.RUNNING]
+        return list(self._running.values())
+
+    def reported(self, ended_ms: int) -> list[WorkerTask]:
+        """Return the tasks that run, and those that ended at `ended_ms` or later."""
+        while self._ended and self._ended[0].ended_ms < ended_ms:
+            self._ended.popleft()
+        return [*self._ended, *self._running.values()]
 
     def refusal(self, run: Execution) -> str:
         """Return why a new task cannot start, or the empty string."""
@@ -113,12 +122,12 @@
             return "stale_fence"
         if self.draining:
             return "draining"
-        return "full" if len(self.running()) >= self.slots else ""
+        return "full" if len(self._running) >= self.slots else ""
 
     def start(self, run: Execution, lease_ms: int) -> WorkerTask:
         """Start a task; its id must be new and admitted."""
         task = WorkerTask(run, _now_ms())
-        self.tasks[run.task_id] = task
+        self.tasks[run.task_id] = self._running[run.task_id] = task
         self.executions.append(run)
         task.job = asyncio.create_task(self._execute(task))
         self.renew(task, lease_ms)
@@ -147,6 +156,8 @@
         task.state, task.reason, task.ended_ms = state, reason, _now_ms()
         if task.lease is not None:
             task.lease.cancel()
+        self._running.pop(task.run.task_id, None)
+        self._ended.append(task)
         task.ended.set()
 
     def state_of(self, task_id: str, forbid: bool) -> TaskState:
