Keep hanging appends away from reads and split the worker stand-in

Appends that hang used up the calls that reads of the log share with them, which would have made the entry lose its currency. Defaults of sizes now fit the memory of a small instance with eight peers.

--- a/packages/daemon/src/fescuecrank_daemon/compose.py
+++ b/packages/daemon/src/fescuecrank_daemon/compose.py
@@ -231,7 +231,8 @@
         await self._http.close()
         await self.peers.close()
         await self._tasks.close()
-        self._tracing.close()
+        # The last export makes blocking calls, and other entries may share this loop.
+        await asyncio.to_thread(self._tracing.close)
         for sock in (self._http_socket, self._peer_socket):
             with contextlib.suppress(OSError):
                 sock.close()
--- a/packages/daemon/src/fescuecrank_daemon/log_http.py
+++ b/packages/daemon/src/fescuecrank_daemon/log_http.py
@@ -35,7 +35,9 @@
         self._peer = urlsplit(cfg.url).netloc
         self._base = cfg.url.rstrip("/")
         limits = CallLimits(cfg.connect_timeout_ms, cfg.max_answer_bytes, cfg.max_clients)
-        self._caller = HttpCaller(limits, client_context(cfg.tls))
+        tls = client_context(cfg.tls)
+        # Appends that hang must not keep reads waiting in line.
+        self._appends, self._reads = HttpCaller(limits, tls), HttpCaller(limits, tls)
 
     async def append(self, record: Record) -> AppendDone | AppendFailed:
         """Append one record."""
@@ -48,7 +50,7 @@
             headers={"Record-Id": record.record_id, "Content-Type": "application/cbor"},
             body=codec.encode(record),
         )
-        answer = await self._caller.call(call)
+        answer = await self._appends.call(call)
         if answer.is_err():
             lost = answer.err_value
             return AppendFailed(record.record_id, lost.failure, maybe_stored=lost.sent)
@@ -67,7 +69,7 @@
         cfg = self._cfg
         query = f"first={first}&wait_ms={cfg.read_wait_ms}&limit={cfg.read_limit}"
         url = f"{self._base}/records?{query}"
-        answer = await self._caller.call(Call(READ_STEP, self._peer, url, cfg.read_timeout_ms))
+        answer = await self._reads.call(Call(READ_STEP, self._peer, url, cfg.read_timeout_ms))
         if answer.is_err():
             return LogUnreadable(answer.err_value.failure)
         response = answer.ok_value
--- a/packages/daemon/src/fescuecrank_daemon/settings.py
+++ b/packages/daemon/src/fescuecrank_daemon/settings.py
@@ -83,7 +83,7 @@
     max_heartbeat_age_ms: int = duration(
         "Bound on the age of an entry's heartbeat on arrival; older ones are dropped.", 500
     )
-    max_message_bytes: int = size("Largest message.", 16_777_216)
+    max_message_bytes: int = size("Largest message.", 8_388_608)
     queue_messages: int = described(
         "Messages that wait for one peer; the oldest are dropped beyond it.",
         default=4_096,
@@ -91,7 +91,7 @@
         minimum=1,
         maximum=1_000_000,
     )
-    queue_bytes: int = size("Bytes that wait for one peer.", 33_554_432)
+    queue_bytes: int = size("Bytes that wait for one peer.", 16_777_216)
     listener_tls: ListenerTls | None = described("TLS of the peer listener.", default=None)
     client_tls: ClientTls | None = described("TLS of connections to peers.", default=None)
 
@@ -109,7 +109,7 @@
     read_limit: int = described(
         "Records in one read.", default=1_000, unit="records", minimum=1, maximum=100_000
     )
-    max_answer_bytes: int = size("Largest answer to a read.", 67_108_864)
+    max_answer_bytes: int = size("Largest answer to a read.", 33_554_432)
     max_clients: int = described(
         "Calls in flight.", default=256, unit="calls", minimum=2, maximum=100_000
     )
@@ -124,7 +124,7 @@
     adapter: str = described("Name of the adapter.", default="http")
     connect_timeout_ms: int = duration("Longest time to connect.", 500)
     timeout_ms: int = duration("Longest time for one poll.", 1_500)
-    max_answer_bytes: int = size("Largest instance list.", 67_108_864)
+    max_answer_bytes: int = size("Largest instance list.", 33_554_432)
     tls: ClientTls | None = described("TLS settings of https URLs.", default=None)
 
 
@@ -139,7 +139,7 @@
     body_timeout_ms: int = duration(
         "Added to the silence limit for calls that carry a request body.", 3_000
     )
-    max_answer_bytes: int = size("Largest answer body.", 8_388_608)
+    max_answer_bytes: int = size("Largest answer body.", 4_194_304)
     max_clients: int = described(
         "Calls in flight.", default=10_000, unit="calls", minimum=10, maximum=1_000_000
     )
--- a/packages/standin/src/fescuecrank_standin/worker.py
+++ b/packages/standin/src/fescuecrank_standin/worker.py
@@ -4,31 +4,25 @@
 import time
 
 import attrs
-import orjson
 from fescuecrank_core.declarations import Resources
 from fescuecrank_core.events import Instance, InstanceState
-from fescuecrank_daemon.digests import hex_digest, repr_digest
 
-from fescuecrank_standin.server import StandIn, StandInHandler
+from fescuecrank_standin.server import StandIn
+from fescuecrank_standin.worker_http import (
+    ControlHandler,
+    LeasesHandler,
+    QueryHandler,
+    RunHandler,
+    TaskControlHandler,
+)
 from fescuecrank_standin.worker_tasks import (
     Endpoint,
-    Execution,
     RunResult,
-    TaskState,
     WorkerTask,
     WorkerTasks,
     echo_endpoint,
 )
 
-STATE_STATUS = {
-    TaskState.RUNNING: 202,
-    TaskState.DONE: 200,
-    TaskState.STOPPED: 200,
-    TaskState.REFUSED: 409,
-    TaskState.NEVER_SEEN: 404,
-    TaskState.FORGOTTEN: 404,
-}
-
 # How long the usage of an ended task is still reported.
 ENDED_USAGE_MS = 10_000
 
@@ -79,11 +73,11 @@
         """Return the routes for tornado."""
         kwargs = {"worker": self}
         return [
-            (r"/run/([^/]+)", _RunHandler, kwargs),
-            (r"/tasks/([^/]+)/query", _QueryHandler, kwargs),
-            (r"/tasks/([^/]+)/(throttle|checkpoint|stop)", _TaskControlHandler, kwargs),
-            (r"/leases", _LeasesHandler, kwargs),
-            (r"/control/(drain|undrain|reboot)", _ControlHandler, kwargs),
+            (r"/run/([^/]+)", RunHandler, kwargs),
+            (r"/tasks/([^/]+)/query", QueryHandler, kwargs),
+            (r"/tasks/([^/]+)/(throttle|checkpoint|stop)", TaskControlHandler, kwargs),
+            (r"/leases", LeasesHandler, kwargs),
+            (r"/control/(drain|undrain|reboot)", ControlHandler, kwargs),
         ]
 
     def instance(self, region: str, data_centre: str, rack: str, capacity: Resources) -> Instance:
@@ -133,202 +127,3 @@
                 }
             )
         return reports
-
-
-class _WorkerHandler(StandInHandler):
-    def initialize(self, worker: WorkerStandIn) -> None:
-        self.worker = worker
-
-    async def prepare(self) -> None:
-        if self.worker.faults.slow_ms:
-            await asyncio.sleep(self.worker.faults.slow_ms / 1_000)
-
-    def fence(self) -> int:
-        return int(self.request.headers["Fence"])
-
-    def refuse_stale(self) -> bool:
-        if self.worker.tasks.admit_fence(self.fence()):
-            return False
-        self.send_json(409, {"detail": f"fence is below {self.worker.tasks.fence}"})
-        return True
-
-    def send_state(self, task_id: str, state: TaskState, body: bytes = b"", **headers: str) -> None:
-        self.set_status(STATE_STATUS[state])
-        for name, value in _task_headers(task_id, state, body).items():
-            self.set_header(name, value)
-        for name, value in headers.items():
-            self.set_header(name.replace("_", "-"), value)
-        self.finish(body)
-
-    def send_task(self, task: WorkerTask) -> None:
-        if task.state is TaskState.DONE:
-            status = str(task.result.status)
-            self.send_state(task.run.task_id, task.state, task.result.body, Endpoint_Status=status)
-        else:
-            self.send_state(task.run.task_id, task.state, Reason=task.reason)
-
-
-class _RunHandler(_WorkerHandler):
-    async def post(self, service: str) -> None:
-        worker, headers = self.worker, self.request.headers
-        task_id = headers["Task-Id"]
-        run = Execution(
-            task_id, headers.get("Request-Id", ""), service, self.request.body, self.fence()
-        )
-        if hex_digest(headers.get("Repr-Digest", "")) != hex_digest(repr_digest(run.body)):
-            self._refuse(task_id, "digest")
-            return
-        if worker.open_runs >= worker.connections:
-            self._refuse(task_id, "connections")
-            return
-        worker.open_runs += 1
-        try:
-            await self._run(run, int(headers["Lease-Ms"]), int(headers.get("Wait-Ms", "0")))
-        finally:
-            worker.open_runs -= 1
-
-    def _refuse(self, task_id: str, reason: str) -> None:
-        """Refuse a task for ever, which is what lets its holder try elsewhere."""
-        self.worker.tasks.forbidden.add(task_id)
-        self.send_state(task_id, TaskState.REFUSED, Refusal=reason)
-
-    async def _run(self, run: Execution, lease_ms: int, wait_ms: int) -> None:
-        tasks = self.worker.tasks
-        task = tasks.tasks.get(run.task_id)
-        if task is None:
-            reason = tasks.refusal(run)
-            if reason:
-                self._refuse(run.task_id, reason)
-                return
-            task = tasks.start(run, lease_ms)
-        if await self._strike(task):
-            return
-        await _wait(task, wait_ms)
-        self.send_task(task)
-
-    async def _strike(self, task: WorkerTask) -> bool:
-        """Apply a fault to the answer of this command; return whether one applied."""
-        faults = self.worker.faults
-        for name, strike in FAULT_ANSWERS:
-            if getattr(faults, name) > 0:
-                setattr(faults, name, getattr(faults, name) - 1)
-                await strike(self, task)
-                return True
-        return False
-
-    async def silent(self, _: WorkerTask) -> None:
-        await self.stay_silent()
-
-    async def lost(self, task: WorkerTask) -> None:
-        await task.ended.wait()
-        self.drop_connection()
-
-    async def truncated(self, task: WorkerTask) -> None:
-        await task.ended.wait()
-        body = task.result.body
-        headers = _task_headers(task.run.task_id, TaskState.DONE, body)
-        await self.send_truncated({**headers, "Endpoint-Status": "200"}, body)
-
-    async def crossed(self, task: WorkerTask) -> None:
-        await task.ended.wait()
-        self.send_state("another-task", TaskState.DONE, b"not yours", Endpoint_Status="200")
-
-    async def corrupted(self, task: WorkerTask) -> None:
-        await task.ended.wait()
-        wrong = b"x" * len(task.result.body)
-        digest = repr_digest(task.result.body)
-        self.send_state(
-            task.run.task_id, TaskState.DONE, wrong, Endpoint_Status="200", Repr_Digest=digest
-        )
-
-
-FAULT_ANSWERS = (
-    ("silent", _RunHandler.silent),
-    ("lost_answers", _RunHandler.lost),
-    ("truncated", _RunHandler.truncated),
-    ("crossed", _RunHandler.crossed),
-    ("corrupted", _RunHandler.corrupted),
-)
-
-
-class _QueryHandler(_WorkerHandler):
-    async def post(self, task_id: str) -> None:
-        self.worker.queries += 1
-        if self.refuse_stale():
-            return
-        tasks = self.worker.tasks
-        task = tasks.tasks.get(task_id)
-        if task is None:
-            forbid = self.get_query_argument("forbid", "false") == "true"
-            self.send_state(task_id, tasks.state_of(task_id, forbid))
-            return
-        await _wait(task, int(self.get_query_argument("wait_ms", "0")))
-        self.send_task(task)
-
-
-class _TaskControlHandler(_WorkerHandler):
-    def post(self, task_id: str, action: str) -> None:
-        if self.refuse_stale():
-            return
-        tasks = self.worker.tasks
-        task = tasks.tasks.get(task_id)
-        if task is None:
-            self.send_state(task_id, tasks.state_of(task_id, forbid=False))
-            return
-        if action == "throttle":
-            task.throttled = True
-        else:
-            tasks.stop(task, action)
-        self.send_task(task)
-
-
-class _LeasesHandler(_WorkerHandler):
-    def post(self) -> None:
-        if self.refuse_stale():
-            return
-        tasks = self.worker.tasks
-        renewal = orjson.loads(self.request.body)
-        for task_id in renewal["tasks"]:
-            task = tasks.tasks.get(task_id)
-            if task is not None and task.state is TaskState.RUNNING:
-                tasks.renew(task, renewal["lease_ms"])
-        self.send_json(
-            200,
-            {
-                "boot_id": tasks.boot_id,
-                "draining": tasks.draining,
-                "running": [task.run.task_id for task in tasks.running()],
-                "usage": self.worker.usage(),
-            },
-        )
-
-
-class _ControlHandler(_WorkerHandler):
-    def post(self, action: str) -> None:
-        if self.refuse_stale():
-            return
-        if action == "reboot":
-            self.worker.reboot()
-        else:
-            self.worker.tasks.draining = action == "drain"
-        self.send_json(200, {"draining": self.worker.tasks.draining})
-
-
-def _task_headers(task_id: str, state: TaskState, body: bytes) -> dict[str, str]:
-    return {
-        "Task-Id": task_id,
-        "Task-State": state.value,
-        "Content-Type": "application/octet-stream",
-        "Content-Length": str(len(body)),
-        "Repr-Digest": repr_digest(body),
-    }
-
-
-async def _wait(task: WorkerTask, wait_ms: int) -> None:
-    if wait_ms <= 0 or task.ended.is_set():
-        return
-    try:
-        async with asyncio.timeout(wait_ms / 1_000):
-            await task.ended.wait()
-    except TimeoutError:
-        return
