--- a/packages/core/src/fescuecrank_core/events.py
+++ b/packages/core/src/fescuecrank_core/events.py
@@ -110,7 +110,7 @@
     """
 
     reply_to: str
-    secret: str
+    secret: str = attrs.field(repr=False)
     request: Request
 
 
@@ -119,7 +119,7 @@
     """A caller cancels the request with this id."""
 
     reply_to: str
-    secret: str
+    secret: str = attrs.field(repr=False)
     request_id: str
     service: str
 
@@ -129,7 +129,7 @@
     """A caller asks what became of a request; `explain` asks for the reason it waits."""
 
     reply_to: str
-    secret: str
+    secret: str = attrs.field(repr=False)
     request_id: str
     service: str
     explain: bool = False
@@ -147,7 +147,7 @@
     """An operator publishes one record; the id in it makes the call idempotent."""
 
     reply_to: str
-    secret: str
+    secret: str = attrs.field(repr=False)
     record: Record
 
 
@@ -156,7 +156,7 @@
     """An operator asks what became of a record id."""
 
     reply_to: str
-    secret: str
+    secret: str = attrs.field(repr=False)
     record_id: str
 
 
@@ -165,7 +165,7 @@
     """An operator asks for a view: `status`, `config`, `waves` or `why` (with a worker name)."""
 
     reply_to: str
-    secret: str
+    secret: str = attrs.field(repr=False)
     view: str
     subject: str = ""
 
--- a/packages/core/src/fescuecrank_core/gateway.py
+++ b/packages/core/src/fescuecrank_core/gateway.py
@@ -4,7 +4,7 @@
 
 from fescuecrank_core.claims import cell_scope
 from fescuecrank_core.clock import Instant
-from fescuecrank_core.declarations import Service
+from fescuecrank_core.declarations import Resources, Service
 from fescuecrank_core.effects import Effect, Reply, ReplyAccepted, ReplyFailure, SendPeer
 from fescuecrank_core.entry_config import EntryConfig
 from fescuecrank_core.errors import Failure, FailureKind
@@ -97,8 +97,22 @@
         if failure is not None:
             self._count("refused")
             return [ReplyFailure(event.reply_to, failure)]
-        key = RequestKey(team, request.key.request_id)
-        return self._admit(attrs.evolve(request, key=key), event.reply_to, now)
+        request = self._with_defaults(request, RequestKey(team, request.key.request_id))
+        return self._admit(request, event.reply_to, now)
+
+    def _with_defaults(self, request: Request, key: RequestKey) -> Request:
+        """Fill in what the caller did not declare from the profile of the service."""
+        service = self._ledger.fleet.services[request.service]
+        profile = self._ledger.fleet.profiles[service.profile]
+        declared = request.need
+        need = Resources(
+            declared.cpu_millis or profile.need.cpu_millis,
+            declared.memory_mb or profile.need.memory_mb,
+            declared.accelerators or profile.need.accelerators,
+            max(1, declared.slots),
+        )
+        run_ms = request.expected_run_ms or profile.expected_run_ms
+        return attrs.evolve(request, key=key, need=need, expected_run_ms=run_ms)
 
     def _admission_failure(self, now: Instant) -> Failure | None:
         if self.closed:
--- a/packages/core/src/fescuecrank_core/ledger.py
+++ b/packages/core/src/fescuecrank_core/ledger.py
@@ -419,4 +419,6 @@
     records.DrainRequested: _fold_drain_requested,
     records.DrainCancelled: _fold_drain_cancelled,
     records.Snapshot: _fold_snapshot,
+    # A record that could not be decoded has no effect, but its offset counts.
+    Record: lambda state, offset, record: Refusal("the record cannot be decoded"),
 }
--- /dev/null
+++ b/packages/core/tests/test_membership.py
@@ -0,0 +1,106 @@
+"""The currency rule: what proves that an entry may act, and for how long."""
+
+from builders import config_record, fleet
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.entry_config import CURRENCY_MS, EntryConfig
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.membership import Membership
+from fescuecrank_core.messages import Heartbeat
+from fescuecrank_core.records import LogEntry, MemberJoined, MemberLeft
+
+NAMES = ("e1", "e2", "e3")
+
+
+def at(mono_ms: int) -> Instant:
+    return Instant(mono_ms, mono_ms)
+
+
+def membership_of_three() -> tuple[Ledger, Membership]:
+    """Return the state of `e1`, which knows three members and has read nothing lately."""
+    ledger = Ledger()
+    for offset, name in enumerate(NAMES):
+        record = MemberJoined(f"join-{name}", name, 1, "r1", "dc1", name)
+        ledger.fold(LogEntry(offset, record))
+    cfg = EntryConfig("e1", "r1", "dc1", "e1", 1)
+    return ledger, Membership(cfg, ledger, at(0))
+
+
+def beat(
+    name: str,
+    stamp_ms: int,
+    echo_ms: int,
+    applied: int = 3,
+    read_age_ms: int = -1,
+    echo_incarnation: int = 1,
+) -> Heartbeat:
+    return Heartbeat(
+        name=name,
+        incarnation=1,
+        region="r1",
+        data_centre="dc1",
+        peer_address=name,
+        applied=applied,
+        read_age_ms=read_age_ms,
+        ready=True,
+        draining=False,
+        stamp_ms=stamp_ms,
+        echo_ms=echo_ms,
+        echo_incarnation=echo_incarnation,
+    )
+
+
+def test_heartbeats_of_a_majority_prove_currency_until_their_stamps_are_old():
+    """Guards against an isolated entry that goes on acting."""
+    _, membership = membership_of_three()
+    membership.on_heartbeat("e2", beat("e2", 1, 1_000), at(1_002))
+    assert membership.is_current(at(1_000 + CURRENCY_MS))
+    assert not membership.is_current(at(1_001 + CURRENCY_MS))
+
+
+def test_heartbeat_that_was_under_way_for_long_proves_nothing():
+    """Guards against currency counted from the arrival of a heartbeat that a buffer held back."""
+    _, membership = membership_of_three()
+    late = at(1_000 + CURRENCY_MS + 1)
+    membership.on_heartbeat("e2", beat("e2", 1, 1_000, read_age_ms=0), late)
+    membership.on_heartbeat("e3", beat("e3", 1, 1_000, read_age_ms=0), late)
+    assert not membership.is_current(late)
+
+
+def test_echo_of_an_earlier_incarnation_proves_nothing():
+    """Guards against stamps from before a restart, which another clock may have made."""
+    _, membership = membership_of_three()
+    membership.on_heartbeat("e2", beat("e2", 1, 1_000, echo_incarnation=0), at(1_001))
+    assert not membership.is_current(at(1_001))
+
+
+def test_log_read_of_a_peer_counts_only_with_its_records():
+    """Guards against trusting a peer's read of records that this entry has not applied."""
+    ledger, membership = membership_of_three()
+    membership.on_heartbeat("e2", beat("e2", 1, 1_000, applied=4, read_age_ms=100), at(1_001))
+    assert not membership.is_current(at(1_001))
+    ledger.fold(LogEntry(3, config_record("config", fleet())))
+    assert membership.is_current(at(900 + CURRENCY_MS))
+
+
+def test_majority_that_knows_more_proves_nothing():
+    """Guards against acting without a record that a majority has applied."""
+    _, membership = membership_of_three()
+    membership.on_heartbeat("e2", beat("e2", 1, 1_000, applied=4), at(1_001))
+    membership.on_heartbeat("e3", beat("e3", 1, 1_000, applied=3), at(1_001))
+    assert not membership.is_current(at(1_001))
+
+
+def test_acceptance_needs_a_majority_of_every_member_list_that_may_still_be_in_use():
+    """Guards against a minority that removes the majority from the members and then decides."""
+    ledger, membership = membership_of_three()
+    membership.on_heartbeat("e2", beat("e2", 1, 1_000), at(1_001))
+    assert membership.is_accepted(2)
+    for offset, name in ((3, "e2"), (4, "e3")):
+        ledger.fold(LogEntry(offset, MemberLeft(f"left-{name}", name, 1)))
+    assert set(ledger.state.members) == {"e1"}
+    assert not membership.is_accepted(4)
+    membership.on_heartbeat("e2", beat("e2", 2, 1_100, applied=5), at(1_101))
+    # The list after the first removal was e1 and e3, so e1 and e2 are no majority of it.
+    assert not membership.is_accepted(4)
+    membership.on_heartbeat("e3", beat("e3", 1, 1_100, applied=5), at(1_101))
+    assert membership.is_accepted(4)
