--- a/packages/model/src/fescuecrank_model/moves.py
+++ b/packages/model/src/fescuecrank_model/moves.py
@@ -58,6 +58,7 @@
     fence: int
     busy: frozenset[int]
     pools: int = 1
+    recipient_refused: bool = False
 
 
 def pool_of(log: tuple[Record, ...], rules: MoveRules) -> list[int]:
@@ -166,9 +167,11 @@
             yield "recipient applies a record", state._replace(recipient=state.recipient + 1)
         known = state.log[: state.recipient]
         moved = RECIPIENT in pool_of(known, self.rules)
+        fence = 0
+        if moved and self.rules.fence_is_newest_offset:
+            fence = 1 + next(n for n, record in enumerate(known) if record.to == RECIPIENT)
         if not self.rules.recipient_waits_for_fold:
-            moved = any(record.to == RECIPIENT for record in state.appends) or moved
-        fence = len(known) if self.rules.fence_is_newest_offset else 0
+            moved = moved or any(record.to == RECIPIENT for record in state.appends)
         if moved and (fence, RECIPIENT) not in state.starts and RECIPIENT not in state.busy:
             starts = state.starts | {(fence, RECIPIENT)}
             yield "recipient sends a start command", state._replace(starts=starts)
@@ -177,7 +180,8 @@
         for fence, cell in sorted(state.starts):
             after = state._replace(starts=state.starts - {(fence, cell)})
             if fence < state.fence:
-                yield "worker refuses a fenced command", after
+                refused = state.recipient_refused or cell == RECIPIENT
+                yield "worker refuses a fenced command", after._replace(recipient_refused=refused)
             else:
                 busy = state.busy | {cell}
                 yield f"worker starts a task of cell {cell}", after._replace(fence=fence, busy=busy)
@@ -186,11 +190,13 @@
 
 
 ONE_POOL = "the fold has exactly one pool"
+NOT_FENCED = "the worker accepts the recipient's commands"
 ONE_USER = "one cell uses the instance"
 
 Moves.properties = {
     ONE_USER: lambda s: len(s.busy) <= 1,
     ONE_POOL: lambda s: s.pools == 1,
+    NOT_FENCED: lambda s: not s.recipient_refused,
 }
 Moves.witnesses = {
     "recipient uses the instance": lambda s: RECIPIENT in s.busy,
@@ -205,5 +211,5 @@
     Mutant("drain_before_append", ONE_USER),
     Mutant("keep_drained_if_unknown", ONE_USER),
     Mutant("recipient_waits_for_fold", ONE_USER),
-    Mutant("fence_is_newest_offset", ONE_USER),
+    Mutant("fence_is_newest_offset", NOT_FENCED),
 )
