Mend the protocol where the specifications refuted it

Cause: exhaustive search of the first specifications found traces in which a request ran twice or a refusal was untrue. Conclusion: each has a test that failed before.

--- a/packages/cli/src/fescuecrank_cli/client.py
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -236,6 +236,7 @@
             if outcome.is_err() and outcome.err_value.kind is FailureKind.UNAVAILABLE:
                 failure = _unreachable(outcome.err_value)
                 continue
+            call = _as_retry(call)
             if outcome.is_err():
                 return await self._look_up(record_id, str(outcome.err_value))
             publication = publication_of(outcome.ok_value, record_id)
@@ -435,6 +436,11 @@
     return Call("request.submit", "POST", path, submission.body, headers)
 
 
+def _as_retry(call: Call) -> Call:
+    """Return the call with the mark that an earlier copy of it may have reached an entry."""
+    return attrs.evolve(call, headers={**call.headers, "Request-Retry": "true"})
+
+
 def _plain_change(change: Change, wanted: Fleet) -> dict[str, Any]:
     value = getattr(wanted, change.section).get(change.name)
     return {
--- a/packages/core/src/fescuecrank_core/backups.py
+++ b/packages/core/src/fescuecrank_core/backups.py
@@ -38,11 +38,16 @@
 
 @attrs.define
 class Backup:
-    """Copy of one cell's records under one epoch; `complete` once a full copy has arrived."""
+    """Copy of one cell's records under one epoch; `complete` once a full copy has arrived.
+
+    Records of epochs below `fence` are refused: the holder of that epoch already has a copy, which
+    would lack them.
+    """
 
     epoch: int
     table: RecordTable = attrs.field(factory=RecordTable)
     complete: bool = False
+    fence: int = -1
     received: PartsReceived = attrs.field(factory=PartsReceived)
 
 
@@ -64,13 +69,14 @@
 
     def _backup(self, scope: str, epoch: int) -> Backup | None:
         backup = self._backups.get(scope)
-        if backup is not None and backup.epoch > epoch:
+        if backup is not None and epoch < max(backup.epoch, backup.fence):
             return None
         if backup is None or backup.epoch < epoch:
             # The copy of the epoch before stays as a base: nothing in it is wrong, and the new
             # holder may die before its own copy is complete.
             table = backup.table if backup else RecordTable()
-            backup = self._backups[scope] = Backup(epoch, table)
+            fence = backup.fence if backup else -1
+            backup = self._backups[scope] = Backup(epoch, table, fence=fence)
         return backup
 
     def on_table_offer(self, sender: str, message: TableOffer, now: Instant) -> list[Effect]:
@@ -99,9 +105,7 @@
 
     def on_table_request(self, sender: str, message: TableRequest, now: Instant) -> list[Effect]:
         """Give the new holder what is kept for its scope."""
-        backup = self._backups.get(message.scope)
-        if backup is None:
-            backup = Backup(-1)
+        backup = self.fence(message.scope, message.epoch)
         source_epoch = backup.epoch if backup.complete else -1
         batches = split_records(list(backup.table))
         return [
@@ -124,9 +128,11 @@
         """Keep the table of a cell that this entry held itself."""
         self._backups[scope] = Backup(epoch, table, complete=True)
 
-    def get(self, scope: str) -> Backup | None:
-        """Return what is kept for a scope."""
-        return self._backups.get(scope)
+    def fence(self, scope: str, epoch: int) -> Backup:
+        """Return what is kept for a scope, and refuse records of earlier epochs from now on."""
+        backup = self._backups.setdefault(scope, Backup(-1))
+        backup.fence = max(backup.fence, epoch)
+        return backup
 
     def on_tick(self, now: Instant) -> list[Effect]:
         """Forget expired records."""
--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -26,6 +26,7 @@
 from fescuecrank_core.messages import (
     CellLoad,
     EscrowGrant,
+    Forward,
     ForwardAnswer,
     ReplicateAck,
     ResultReply,
@@ -176,20 +177,28 @@
 
     # Requests
 
+    def refuse_or_none(self, message: Forward, now: Instant) -> Answer | None:
+        """Return the answer to a request that is not taken in, or None if it is."""
+        request = message.request
+        if self.table.get(request.key) is not None:
+            return None
+        reason = self._unknown_reason(request, now)
+        if reason:
+            return Answer(request.key, Outcome.UNKNOWN, reason)
+        reason = self._refusal(request)
+        if not reason:
+            return None
+        request_id = request.key.request_id
+        before = may_have_run_before(request_id, self.records_since_ms, now.wall_ms)
+        is_unsure = before or message.is_retry
+        return Answer(request.key, Outcome.UNKNOWN if is_unsure else Outcome.NOT_RUN, reason)
+
     def submit(self, sender: str, request: Request, now: Instant) -> list[Effect]:
-        """Take in a request that a gateway forwarded, or forwarded again."""
+        """Take in a request that a gateway forwarded, or join the one that is known by its key."""
         key = request.key
         record = self.table.get(key)
         if record is not None:
             return self._join(sender, record, request)
-        reason = self._unknown_reason(request, now)
-        if reason:
-            return self._answer_only(sender, Answer(key, Outcome.UNKNOWN, reason))
-        reason = self._refusal(request)
-        if reason:
-            before = may_have_run_before(key.request_id, self.records_since_ms, now.wall_ms)
-            outcome = Outcome.UNKNOWN if before else Outcome.NOT_RUN
-            return self._answer_only(sender, Answer(key, outcome, reason))
         self._waiters.setdefault(key, set()).add(sender)
         self._store(RequestRecord(request, RequestState.QUEUED, 0), now)
         self._enqueue(request, now)
@@ -605,7 +614,7 @@
         effects.extend(self._start_waiting(now))
         effects.extend(self._ask_lost(now))
         effects.extend(self._reclaim(now))
-        self._state_wants()
+        self._state_needs()
         effects.extend(self._dispatch(now))
         if self._is_due("load", LOAD_INTERVAL_MS, now):
             effects.extend(self._report_load())
@@ -667,9 +676,9 @@
                 effects.extend(self._control(running, TaskAction.CHECKPOINT, now))
         return effects
 
-    def _state_wants(self) -> None:
+    def _state_needs(self) -> None:
         for team, units in self._wanted.items():
-            self.accounts.set_want(team, units)
+            self.accounts.set_waiting(team, units)
 
     def _load(self) -> float:
         slots = sum(v.instance.capacity.slots for v in self.workers.views().values() if v.instance)
--- a/packages/core/src/fescuecrank_core/cells.py
+++ b/packages/core/src/fescuecrank_core/cells.py
@@ -23,6 +23,7 @@
     CancelRequest,
     EscrowGrant,
     Forward,
+    ForwardAnswer,
     MoveAdvice,
     ReplicateAck,
     ResultRequest,
@@ -33,11 +34,14 @@
 from fescuecrank_core.publishing import Publisher
 from fescuecrank_core.record_table import RecordTable
 from fescuecrank_core.records import LIMITS_SCOPE, BackupsChanged
+from fescuecrank_core.requests import Answer
 from fescuecrank_core.workers import LEASE_MS, POLL_TIMEOUT_MS
 
 REQUEST_INTERVAL_MS = 300
 # Sources that are alive answer within milliseconds; one that does not is taken to be lost.
 COLLECT_TIMEOUT_MS = 2_000
+# Longer than a gateway repeats a submission.
+REFUSED_KEEP_MS = 120_000
 
 
 @attrs.define
@@ -67,6 +71,14 @@
         return bool(backups) and backups <= self.whole
 
 
+@attrs.frozen
+class Refused:
+    """The refusal of one submission, kept so that a late copy of it cannot run."""
+
+    answer: Answer
+    since_ms: int
+
+
 class CellHost:
     """Runs the cells of the claims that this entry holds."""
 
@@ -88,8 +100,9 @@
         self._backups = backups
         self._ids = ids
         self._takeovers: dict[str, Takeover] = {}
-        self._backup_records: dict[str, str] = {}
+        self._backup_records: dict[str, BackupsChanged] = {}
         self._listed: dict[str, Instance] = {}
+        self._refused: dict[str, Refused] = {}
         self.cells: dict[str, Cell] = {}
 
     def cell(self, scope: str) -> Cell | None:
@@ -98,6 +111,7 @@
 
     def on_tick(self, now: Instant) -> list[Effect]:
         """Start cells of new claims, drop those of lost ones, and run the others."""
+        self._forget_refused(now)
         effects: list[Effect] = []
         for scope in self._claims.scopes():
             if scope != LIMITS_SCOPE:
@@ -134,11 +148,10 @@
         takeover = Takeover(claim, now.mono_ms)
         if claim.source_epoch >= 0:
             takeover.missing = {claim.source_holder, *claim.source_backups}
-        own = self._backups.get(claim.scope)
-        if own is not None:
-            takeover.table.merge(own.table)
-            if own.complete and own.epoch == claim.source_epoch:
-                takeover.whole.add(self._cfg.name)
+        own = self._backups.fence(claim.scope, claim.epoch)
+        takeover.table.merge(own.table)
+        if own.complete and own.epoch == claim.source_epoch:
+            takeover.whole.add(self._cfg.name)
         takeover.missing.discard(self._cfg.name)
         return takeover
 
@@ -187,15 +200,22 @@
             return []
         effects = cell.replicator.offer_copies(now)
         in_flight = self._backup_records.get(cell.scope)
-        if in_flight is not None and self._publisher.is_pending(in_flight):
-            return effects
+        if in_flight is not None and self._ledger.verdict(in_flight.record_id) is None:
+            # Until there is a verdict, the record may be folded; dispatch counts on both lists.
+            is_mine = in_flight.epoch == cell.epoch
+            if is_mine and not self._publisher.is_pending(in_flight.record_id):
+                effects.extend(self._publisher.publish(in_flight, now))
+            if is_mine:
+                return effects
+        cell.replicator.proposed = None
         backups = cell.replicator.new_backups(now)
         if backups is None or not self._membership.hears_majority(now):
             return effects
+        cell.replicator.proposed = backups
         record = BackupsChanged(
             self._ids.next("backups"), cell.scope, cell.epoch, backups, cell.records_since_ms
         )
-        self._backup_records[cell.scope] = record.record_id
+        self._backup_records[cell.scope] = record
         return effects + self._publisher.publish(record, now)
 
     # Messages
@@ -251,8 +271,24 @@
 
     def on_forward(self, sender: str, message: Forward, now: Instant) -> list[Effect]:
         """Take in a request; the gateway repeats it until some holder answers."""
+        refused = self._refused.get(message.submission)
+        if refused is not None:
+            return [SendPeer(sender, ForwardAnswer(refused.answer))]
         cell = self._active_cell(message.request.service, now)
-        return cell.submit(sender, message.request, now) if cell else []
+        if cell is None:
+            return []
+        answer = cell.refuse_or_none(message, now)
+        if answer is None:
+            return cell.submit(sender, message.request, now)
+        self._refused[message.submission] = Refused(answer, now.mono_ms)
+        return [SendPeer(sender, ForwardAnswer(answer))]
+
+    def _forget_refused(self, now: Instant) -> None:
+        while self._refused:
+            submission, refused = next(iter(self._refused.items()))
+            if now.mono_ms - refused.since_ms <= REFUSED_KEEP_MS:
+                return
+            del self._refused[submission]
 
     def on_cancel(self, sender: str, message: CancelRequest, now: Instant) -> list[Effect]:
         """Note a cancellation."""
--- a/packages/core/src/fescuecrank_core/escrow.py
+++ b/packages/core/src/fescuecrank_core/escrow.py
@@ -20,6 +20,8 @@
 URGENT_SEND_INTERVAL_MS = 25
 # A cell keeps idle units this long, so that a short gap between tasks costs no round trip.
 IDLE_KEEP_MS = 1_000
+# Shortest time that a cell keeps granted units that it has work for.
+GRANT_KEEP_MS = 1_000
 
 
 @attrs.define
@@ -34,7 +36,7 @@
     granted: int = 0
     returned: int = 0
     in_use: int = 0
-    want: int = 0
+    waiting: int = 0
     recall: int = 0
     idle_since_ms: int = 0
 
@@ -43,6 +45,11 @@
         """Units that the cell has, in use or free."""
         return self.opened + self.granted - self.returned
 
+    @property
+    def need(self) -> int:
+        """Units that the cell can use now."""
+        return self.in_use + self.waiting
+
     @property
     def free(self) -> int:
         """Units that the cell may start tasks with."""
@@ -88,11 +95,10 @@
         """Use units for a task; return False, and ask for more, if too few are free."""
         account = self.team(team)
         if account.free < units:
-            if account.want == 0:
-                self._next_send_ms = min(
-                    self._next_send_ms, self._sent_ms + URGENT_SEND_INTERVAL_MS
-                )
-            account.want = max(account.want, units - account.free)
+            if account.waiting == 0:
+                soon_ms = self._sent_ms + URGENT_SEND_INTERVAL_MS
+                self._next_send_ms = min(self._next_send_ms, soon_ms)
+            account.waiting = max(account.waiting, units)
             return False
         account.in_use += units
         return True
@@ -104,10 +110,9 @@
         account.idle_since_ms = now.mono_ms
         account.return_units(account.recall)
 
-    def set_want(self, team: str, units: int) -> None:
-        """State how many units beyond the free ones the queue could use now."""
-        account = self.team(team)
-        account.want = max(0, units - account.free)
+    def set_waiting(self, team: str, units: int) -> None:
+        """State how many units the queue could use now."""
+        self.team(team).waiting = units
 
     def on_grant(self, message: EscrowGrant, now: Instant) -> None:
         """Take in what the minter has granted so far, and return what it recalls."""
@@ -138,9 +143,9 @@
             report = EscrowReport(self._scope, self._epoch, epoch, dict(self._report))
             return [SendPeer(minter.name, report)]
         self._return_idle(now)
-        want = {name: account.want for name, account in self._teams.items() if account.want}
+        need = {name: account.need for name, account in self._teams.items() if account.need}
         returned = {n: account.returned for n, account in self._teams.items() if account.returned}
-        demand = EscrowDemand(self._scope, self._epoch, epoch, want, returned)
+        demand = EscrowDemand(self._scope, self._epoch, epoch, need, returned)
         return [SendPeer(minter.name, demand)]
 
     def _open(self, minter_epoch: int) -> None:
@@ -156,8 +161,8 @@
     def _return_idle(self, now: Instant) -> None:
         for account in self._teams.values():
             idle = now.mono_ms - account.idle_since_ms > IDLE_KEEP_MS
-            if account.want == 0 and account.free > 0 and idle:
-                account.return_units(account.free)
+            if idle and account.units > account.need:
+                account.return_units(account.units - account.need)
 
 
 @attrs.define
@@ -169,8 +174,18 @@
     opened: dict[str, int] = attrs.field(factory=dict)
     granted: dict[str, int] = attrs.field(factory=dict)
     returned: dict[str, int] = attrs.field(factory=dict)
-    want: dict[str, int] = attrs.field(factory=dict)
+    need: dict[str, int] = attrs.field(factory=dict)
     recall: dict[str, int] = attrs.field(factory=dict)
+    granted_ms: dict[str, int] = attrs.field(factory=dict)
+
+    def want(self, team: str) -> int:
+        """Units that the cell could use and does not have."""
+        return max(0, self.need.get(team, 0) - self.units(team))
+
+    def grant(self, team: str, units: int, now: Instant) -> None:
+        """Count units as granted."""
+        self.granted[team] = self.granted.get(team, 0) + units
+        self.granted_ms[team] = now.mono_ms
 
     def units(self, team: str) -> int:
         """Units of a team that the cell may have."""
@@ -219,14 +234,16 @@
         is_known = book is not None and book.epoch == message.epoch
         if not is_known or message.minter_epoch != self._epoch:
             return []
-        book.want = dict(message.want)
+        book.need = dict(message.need)
         for team, units in message.returned.items():
             book.returned[team] = max(book.returned.get(team, 0), units)
-        if not book.want or not self._may_act(LIMITS_SCOPE, now) or not self._all_reported():
+        short = [name for name in book.need if book.want(name)]
+        if not short or not self._may_act(LIMITS_SCOPE, now) or not self._all_reported():
             return []
         # A cell that lacks units has requests waiting; it is not made to wait for the next tick.
-        for name in book.want.keys() & self._ledger.fleet.teams.keys():
-            self._grant_team(name, self._ledger.fleet.teams[name].limit)
+        for name in short:
+            if name in self._ledger.fleet.teams:
+                self._grant_team(name, self._ledger.fleet.teams[name].limit, now)
         return [self._grant_message(message.cell, book)]
 
     def _is_from_holder(self, sender: str, cell: str, epoch: int) -> bool:
@@ -241,7 +258,7 @@
         if not self._begin() or not self._all_reported():
             return []
         for team in self._ledger.fleet.teams.values():
-            self._grant_team(team.name, team.limit)
+            self._grant_team(team.name, team.limit, now)
         self._recall_removed_teams()
         return [self._grant_message(cell, book) for cell, book in self._books.items()]
 
@@ -254,24 +271,23 @@
         cells = self._ledger.state.claims.keys() - {LIMITS_SCOPE}
         return cells <= self._books.keys()
 
-    def _grant_team(self, team: str, limit: int) -> None:
-        left = limit - self.outstanding(team)
-        wants = [book for book in self._books.values() if book.want.get(team, 0) > 0]
+    def _grant_team(self, team: str, limit: int, now: Instant) -> None:
         for book in self._books.values():
             book.recall.pop(team, None)
-        while left > 0 and wants:
-            share = max(1, left // len(wants))
-            for book in list(wants):
-                units = min(share, book.want[team], left)
-                book.granted[team] = book.granted.get(team, 0) + units
-                book.want[team] -= units
-                left -= units
-                if book.want[team] <= 0:
-                    wants.remove(book)
+        left = limit - self.outstanding(team)
         if left < 0:
             self._recall_in_proportion(team, -left)
-        elif wants:
-            self._recall_above_fair_part(team, limit, sum(book.want[team] for book in wants))
+            return
+        wants = [book for book in self._books.values() if book.want(team)]
+        while left > 0 and wants:
+            # Cells with the fewest units come first, and among them the one that waited longest.
+            wants.sort(key=lambda book: (book.units(team), book.granted_ms.get(team, 0)))
+            units = min(max(1, left // len(wants)), wants[0].want(team), left)
+            wants[0].grant(team, units, now)
+            left -= units
+            wants = [book for book in wants if book.want(team)]
+        if wants:
+            self._recall_for(team, limit, now)
 
     def _recall_in_proportion(self, team: str, excess: int) -> None:
         total = self.outstanding(team)
@@ -280,14 +296,25 @@
             if units > 0:
                 book.recall[team] = min(units, -(-excess * units // total))
 
-    def _recall_above_fair_part(self, team: str, limit: int, short: int) -> None:
-        active = [b for b in self._books.values() if b.units(team) > 0 or b.want.get(team, 0) > 0]
-        fair = max(1, limit // len(active))
-        for book in active:
-            spare = book.units(team) - (fair if book.want.get(team, 0) > 0 else 0)
-            if spare > 0 and short > 0:
-                book.recall[team] = min(spare, short)
-                short -= book.recall[team]
+    def _recall_for(self, team: str, limit: int, now: Instant) -> None:
+        """Ask for units that are not used, and for those above an equal part, for cells in want."""
+        books = list(self._books.values())
+        active = [book for book in books if book.need.get(team, 0)]
+        part = limit // len(active)
+        short = sum(book.want(team) for book in books)
+        starving = sum(
+            max(0, min(book.need[team], max(1, part)) - book.units(team)) for book in active
+        )
+        for book in books:
+            unused = max(0, book.units(team) - book.need.get(team, 0))
+            # A cell that has just got units must be able to use them before they are asked back.
+            is_fresh = now.mono_ms - book.granted_ms.get(team, 0) < GRANT_KEEP_MS
+            above = 0 if is_fresh else max(0, min(book.units(team) - part, starving))
+            units = min(unused if is_fresh else max(unused, above), max(short, starving))
+            if units > 0:
+                book.recall[team] = units
+                short -= units
+                starving -= units
 
     def _recall_removed_teams(self) -> None:
         teams = self._ledger.fleet.teams
--- a/packages/core/src/fescuecrank_core/events.py
+++ b/packages/core/src/fescuecrank_core/events.py
@@ -106,12 +106,14 @@
 class RequestReceived(Event):
     """A caller's request; `reply_to` is the token that `Reply` effects name.
 
-    `secret` is the key as sent, or empty. The gateway replaces the team in `request.key`.
+    `secret` is the key as sent, or empty. The gateway replaces the team in `request.key`. With
+    `is_retry` the caller says that it has sent this id before.
     """
 
     reply_to: str
     secret: str = attrs.field(repr=False)
     request: Request
+    is_retry: bool = False
 
 
 @attrs.frozen
--- a/packages/core/src/fescuecrank_core/gateway.py
+++ b/packages/core/src/fescuecrank_core/gateway.py
@@ -25,6 +25,7 @@
     ResultReply,
     ResultRequest,
 )
+from fescuecrank_core.record_table import is_from_the_future
 from fescuecrank_core.requests import Answer, Outcome, Request, RequestKey
 
 # A forward that got no answer is sent again; the holder knows the request by its key.
@@ -46,11 +47,21 @@
     """
 
     request: Request
+    submission: str
+    is_retry: bool
     since_ms: int
     waiting: list[str] = attrs.field(factory=list)
     sent: bool = False
     next_send_ms: int = 0
 
+    def forward(self) -> Forward:
+        """Return the message for the holder; each copy of it is the same."""
+        return Forward(self.request, self.submission, self.is_retry)
+
+    def unsent_outcome(self) -> Outcome:
+        """Return what is true of a request that this entry has not sent on."""
+        return Outcome.UNKNOWN if self.is_retry else Outcome.NOT_RUN
+
 
 @attrs.define
 class PendingQuery:
@@ -80,6 +91,10 @@
         self.closed = False
         self.counts: dict[str, int] = {}
 
+    def forward_of(self, key: RequestKey) -> Forward:
+        """Return the forward of a request whose caller waits here."""
+        return self._pending[key].forward()
+
     def pending_count(self) -> int:
         """Return the number of requests whose callers wait here."""
         return len(self._pending)
@@ -90,15 +105,23 @@
         """Admit a request, or refuse it with a reason; a refusal here means not run."""
         request = event.request
         failure = self._admission_failure(now) or self._service_failure(request.service)
+        failure = failure or self._id_failure(request, now)
         if failure is None:
             team = self._team_of(event.secret, self._ledger.fleet.services[request.service], now)
             if isinstance(team, Failure):
                 failure = team
         if failure is not None:
             self._count("refused")
-            return [ReplyFailure(event.reply_to, failure)]
+            return [self._refuse(event, failure)]
         request = self._with_defaults(request, RequestKey(team, request.key.request_id))
-        return self._admit(request, event.reply_to, now)
+        return self._admit(request, event, now)
+
+    def _refuse(self, event: RequestReceived, failure: Failure) -> Effect:
+        """Refuse a submission; of a repeated one only its earlier copies know the outcome."""
+        if not event.is_retry:
+            return ReplyFailure(event.reply_to, failure)
+        reason = f"not accepted ({failure.detail}); an earlier copy may have run"
+        return Reply(event.reply_to, Answer(event.request.key, Outcome.UNKNOWN, reason))
 
     def _with_defaults(self, request: Request, key: RequestKey) -> Request:
         """Fill in what the caller did not declare from the profile of the service."""
@@ -127,6 +150,12 @@
     def _unavailable(self, detail: str) -> Failure:
         return Failure(FailureKind.UNAVAILABLE, "gateway.admit", self._cfg.name, detail)
 
+    def _id_failure(self, request: Request, now: Instant) -> Failure | None:
+        if not is_from_the_future(request.key.request_id, now.wall_ms):
+            return None
+        detail = "the time in the request id lies too far in the future"
+        return Failure(FailureKind.INVALID, "gateway.admit", self._cfg.name, detail)
+
     def _service_failure(self, name: str) -> Failure | None:
         if name in self._ledger.fleet.services:
             return None
@@ -145,16 +174,18 @@
             return Failure(FailureKind.FORBIDDEN, "gateway.admit", self._cfg.name, detail)
         return key.team
 
-    def _admit(self, request: Request, reply_to: str, now: Instant) -> list[Effect]:
+    def _admit(self, request: Request, event: RequestReceived, now: Instant) -> list[Effect]:
         pending = self._pending.get(request.key)
         if pending is not None and pending.request.fingerprint != request.fingerprint:
             detail = "the id was used before for a different request"
             failure = Failure(FailureKind.CONFLICT, "gateway.admit", self._cfg.name, detail)
-            return [ReplyFailure(reply_to, failure)]
+            return [ReplyFailure(event.reply_to, failure)]
         if pending is None:
             self._count("admitted")
-            pending = self._pending[request.key] = PendingRequest(request, now.mono_ms)
-        pending.waiting.append(reply_to)
+            submission = self._ids.next("submission")
+            pending = PendingRequest(request, submission, event.is_retry, now.mono_ms)
+            self._pending[request.key] = pending
+        pending.waiting.append(event.reply_to)
         return self._forward(pending, now)
 
     def _holder_of(self, service: str) -> str | None:
@@ -172,7 +203,7 @@
         if holder is None:
             return []
         pending.sent = True
-        return [SendPeer(holder, Forward(pending.request))]
+        return [SendPeer(holder, pending.forward())]
 
     # Answers
 
@@ -199,7 +230,7 @@
     def _follow(self, pending: PendingRequest, now: Instant) -> list[Effect]:
         age = now.mono_ms - pending.since_ms
         if not pending.sent and age > NO_HOLDER_TIMEOUT_MS:
-            return self._finish(pending, Outcome.NOT_RUN, "no entry schedules this service now")
+            return self._finish(pending, pending.unsent_outcome(), "no entry schedules this now")
         if age > ANSWER_TIMEOUT_MS:
             return self._time_out(pending)
         if now.mono_ms >= pending.next_send_ms:
@@ -220,7 +251,7 @@
         """Answer every waiting caller truthfully; the entry is about to stop."""
         effects: list[Effect] = []
         for pending in list(self._pending.values()):
-            outcome = Outcome.UNKNOWN if pending.sent else Outcome.NOT_RUN
+            outcome = Outcome.UNKNOWN if pending.sent else pending.unsent_outcome()
             effects.extend(self._finish(pending, outcome, "the entry is stopping"))
         return effects
 
--- a/packages/core/src/fescuecrank_core/log_reader.py
+++ b/packages/core/src/fescuecrank_core/log_reader.py
@@ -95,17 +95,22 @@
         if self._scan_next < event.end:
             return
         entries, self._scan = self._scan, None
-        state = self._newest_snapshot(entries)
+        first = entries[0].offset if entries else event.end
+        state = self._newest_snapshot(entries, first)
         if state is not None and self._ledger.restore(state):
             self._recent.clear()
         self._fold_all(entries)
 
-    def _newest_snapshot(self, entries: list[LogEntry]) -> LedgerState | None:
-        for entry in reversed(entries):
-            if isinstance(entry.record, Snapshot):
-                decoded = codec.decode(entry.record.state, LedgerState, "log.restore", "log")
-                if decoded.is_ok():
-                    return decoded.ok_value
+    def _newest_snapshot(self, entries: list[LogEntry], first: int) -> LedgerState | None:
+        """Return the newest state from which the records kept by the log continue without a gap.
+
+        A writer that was paused may have appended an older snapshot after a newer one.
+        """
+        snapshots = [item.record for item in entries if isinstance(item.record, Snapshot)]
+        for snapshot in sorted(snapshots, key=lambda item: item.through, reverse=True):
+            decoded = codec.decode(snapshot.state, LedgerState, "log.restore", "log")
+            if decoded.is_ok() and decoded.ok_value.applied >= first:
+                return decoded.ok_value
         return None
 
     def on_log_unreadable(self, event: LogUnreadable, now: Instant) -> list[Effect]:
--- a/packages/core/src/fescuecrank_core/messages.py
+++ b/packages/core/src/fescuecrank_core/messages.py
@@ -65,9 +65,15 @@
 
 @attrs.frozen
 class Forward(Message):
-    """A request for the holder of its cell; repeated until answered, with the same key."""
+    """A request for the holder of its cell; repeated until answered, with the same key.
+
+    `submission` names one call of a caller, so that a copy that arrives late gets the same refusal.
+    With `is_retry` the caller has sent the same id before, and another copy may still be under way.
+    """
 
     request: Request
+    submission: str
+    is_retry: bool = False
 
 
 @attrs.frozen
@@ -195,16 +201,16 @@
 
 @attrs.frozen
 class EscrowDemand(Message):
-    """What a cell wants and has given back since its accounts were opened.
+    """What a cell can use and has given back since its accounts were opened.
 
-    `want` is the number of units that it lacks now; `returned` only ever grows, so that a lost or
-    repeated message does no harm.
+    `need` is the number of units in use or waited for now; `returned` only ever grows, so that a
+    lost or repeated message does no harm.
     """
 
     cell: str
     epoch: int
     minter_epoch: int
-    want: dict[str, int]
+    need: dict[str, int]
     returned: dict[str, int]
 
 
--- a/packages/core/src/fescuecrank_core/replication.py
+++ b/packages/core/src/fescuecrank_core/replication.py
@@ -39,6 +39,7 @@
         self._changes: dict[RequestKey, Unacknowledged] = {}
         self._offered: dict[str, int] = {}
         self._stored: dict[str, int] = {}
+        self.proposed: tuple[str, ...] | None = None
 
     def wanted_backups(self, now: Instant) -> tuple[str, ...]:
         """Return the entries that should be backups now; present ones stay while they live."""
@@ -125,18 +126,21 @@
         return True
 
     def is_safe(self, key: RequestKey, now: Instant) -> bool:
-        """Return whether every live receiver has stored the newest change of a record.
+        """Return whether a later holder will surely find the newest change of a record.
 
-        One acknowledgement is required at least, unless this entry is the only live member.
+        Every live receiver must have stored it. A later holder takes its copy for complete once it
+        has reached all backups listed in the log, so one of them must have stored it; while a
+        change of the list is under way, one of each list.
         """
         change = self._changes.get(key)
         if change is None:
             return True
         live = {member.name for member in self._membership.live_members(now)}
-        needed = self._receivers() & live
-        if not needed:
-            return len(live) <= 1
-        return needed <= change.acks
+        if not self._receivers() & live <= change.acks:
+            return False
+        listed = self._ledger.claim(self._scope).backups
+        lists = (listed, listed if self.proposed is None else self.proposed)
+        return all(not names or change.acks & set(names) for names in lists)
 
     def settled(self, key: RequestKey) -> None:
         """Stop repeating a change; its record is dispatched, ended or dropped."""
--- a/packages/core/src/fescuecrank_core/workers.py
+++ b/packages/core/src/fescuecrank_core/workers.py
@@ -63,7 +63,7 @@
     step: TripStep = TripStep.DRAINING
     boot_before: str = ""
     command_ms: int = 0
-    record_id: str = ""
+    move: InstanceMoved | None = None
 
 
 @attrs.define
@@ -528,19 +528,21 @@
     def _advance_move(self, view: WorkerView, trip: Trip, now: Instant) -> list[Effect]:
         if self._ledger.pool_of(view.name) != self._pool:
             return []
-        if trip.record_id:
-            if self._publisher.is_pending(trip.record_id):
-                return []
-            # Refused or without a verdict: the worker stays in this pool and serves again.
+        if trip.move is None:
+            version = self._ledger.state.assignments[view.name].version
+            record_id = self._ids.next("move")
+            trip.move = InstanceMoved(
+                record_id, view.name, trip.target, version, self._scope, self._epoch
+            )
+        verdict = self._ledger.verdict(trip.move.record_id)
+        if verdict is not None and not verdict.accepted:
             view.trip = None
             self._refresh(view)
             return []
-        trip.record_id = self._ids.next("move")
-        assignment = self._ledger.state.assignments[view.name]
-        record = InstanceMoved(
-            trip.record_id, view.name, trip.target, assignment.version, self._scope, self._epoch
-        )
-        return self._publisher.publish(record, now)
+        # Without a verdict the record may still be folded, so the worker stays drained.
+        if verdict is not None or self._publisher.is_pending(trip.move.record_id):
+            return []
+        return self._publisher.publish(trip.move, now)
 
     def on_controlled(self, event: WorkerControlled, now: Instant) -> list[Effect]:
         """Poll a worker again soon after a command."""
--- a/packages/core/tests/test_codec.py
+++ b/packages/core/tests/test_codec.py
@@ -18,7 +18,8 @@
     request = Request(
         RequestKey("team", "id"), "svc", RequestClass.QUICK, False, Resources(), 5, b"\xff\x00", "f"
     )
-    assert codec.decode(codec.encode(Forward(request)), Message, "test", "").ok().request == request
+    encoded = codec.encode(Forward(request, "s1"))
+    assert codec.decode(encoded, Message, "test", "").ok().request == request
 
 
 def test_wrong_class_and_garbage_are_refused():
--- a/packages/core/tests/test_faults.py
+++ b/packages/core/tests/test_faults.py
@@ -14,7 +14,14 @@
 from fescuecrank_core import codec
 from fescuecrank_core.declarations import Team
 from fescuecrank_core.effects import ReplyFailure, Verdict
-from fescuecrank_core.events import InstanceState, PublicationAsked, ShutdownAsked
+from fescuecrank_core.events import (
+    InstanceState,
+    PeerMessage,
+    PublicationAsked,
+    RequestReceived,
+    ShutdownAsked,
+)
+from fescuecrank_core.messages import Replicate, TableRequest
 from fescuecrank_core.records import (
     Change,
     ConfigPublished,
@@ -23,7 +30,7 @@
     MemberLeft,
     WaveStarted,
 )
-from fescuecrank_core.requests import Outcome
+from fescuecrank_core.requests import Outcome, RequestRecord, RequestState
 from network import Network
 from properties import IN_FORCE_MS, PropertyChecker
 
@@ -476,3 +483,62 @@
     dep.net.give("e3", PublicationAsked("ask", OPERATOR_SECRET, "w1"))
     dep.net.run(500)
     assert dep.reply("ask").verdict is Verdict.ACCEPTED
+
+
+def test_limit_smaller_than_the_number_of_cells_serves_all():
+    """Guards against units of a limit that pass between cells without ever being used."""
+    dep = Deployment(pools=("hoist", "truss", "anchor"), teams=(("north", 1.0, 1),))
+    tokens = [dep.send("e1", service=service) for service in ("hoist", "truss", "anchor") * 4]
+    dep.net.run(30_000)
+    assert {dep.outcome(token) for token in tokens} == {Outcome.DONE}
+
+
+def test_late_copy_of_a_refused_submission_does_not_run():
+    """Guards against a forward that is delivered again after the caller was told "not run"."""
+    dep = Deployment(teams=(("north", 1.0, 1),), max_queue=1)
+    dep.set_run_ms(4_000)
+    holder = dep.net.nodes[dep.holder()].entry
+    gateway = dep.other_than(holder.cfg.name)
+    for _ in range(2):
+        dep.send(gateway)
+        dep.net.run(600)
+    token = dep.send(gateway)
+    forward = dep.net.nodes[gateway].entry.gateway.forward_of(dep.checker.asked[token])
+    dep.net.run(300)
+    assert dep.outcome(token) is Outcome.NOT_RUN
+    dep.net.run(10_000)
+    dep.net.give(holder.cfg.name, PeerMessage(gateway, forward))
+    dep.finish()
+
+
+def test_retry_is_never_told_not_run():
+    """Guards against "not run" for a request whose first copy is still under way elsewhere."""
+    dep = Deployment()
+    first, second = [name for name in NAMES if name != dep.holder()][:2]
+    request_id = uuid7(dep.net.now().wall_ms, 1)
+    dep.net.nodes[second].entry.gateway.closed = True
+    dep.send(first, request_id=request_id)
+    req = request(request_id=request_id, body=request_id.encode())
+    dep.net.give(second, RequestReceived("again", secret_of("north"), req, is_retry=True))
+    assert dep.outcome("again") is Outcome.UNKNOWN
+
+
+def test_id_from_the_future_is_refused():
+    """Guards against an id whose age cannot be judged once its record is forgotten."""
+    dep = Deployment()
+    request_id = uuid7(dep.net.now().wall_ms + 60_000, 1)
+    token = dep.send("e1", request_id=request_id)
+    assert isinstance(dep.reply(token), ReplyFailure)
+
+
+def test_backup_refuses_records_of_an_epoch_that_has_been_taken_over():
+    """Guards against a dispatch of the old holder that the new holder's copy lacks."""
+    dep = Deployment()
+    claim = dep.net.live()[0].ledger.claim("r1/hoist")
+    backup = dep.net.nodes[claim.backups[0]].entry.backups
+    now = dep.net.now()
+    copies = backup.on_table_request("e9", TableRequest("r1/hoist", claim.epoch + 100), now)
+    assert copies[-1].message.source_epoch == claim.epoch
+    req = request(request_id=uuid7(now.wall_ms, 1))
+    record = RequestRecord(req, RequestState.REPLICATING, (claim.epoch << 32) + 999)
+    assert backup.on_replicate("e1", Replicate("r1/hoist", claim.epoch, record), now) == []
--- a/packages/daemon/src/fescuecrank_daemon/effect_runner.py
+++ b/packages/daemon/src/fescuecrank_daemon/effect_runner.py
@@ -129,7 +129,8 @@
             "peer.forward", request.traceparent, peer=peer, request_id=request.key.request_id
         )
         hop.end()
-        return Forward(attrs.evolve(request, traceparent=hop.traceparent))
+        traced = attrs.evolve(request, traceparent=hop.traceparent)
+        return attrs.evolve(message, request=traced)
 
     def _connect_peer(self, effect: ConnectPeer) -> None:
         self._peers.connect(effect.peer, effect.address)
--- a/packages/daemon/src/fescuecrank_daemon/http_requests.py
+++ b/packages/daemon/src/fescuecrank_daemon/http_requests.py
@@ -130,8 +130,10 @@
             secret, request_id = self.secret(), request.key.request_id
             self.log_fields.update(request_id=request_id, service=service)
 
+            is_retry = headers.get("Request-Retry", "").lower() == "true"
+
             def event(token: str) -> Event:
-                return RequestReceived(token, secret, request)
+                return RequestReceived(token, secret, request, is_retry)
 
             if wait_ms:
                 await self.answer(request_id, event, wait_ms, until_final=True)
--- a/packages/daemon/tests/daemon_builders.py
+++ b/packages/daemon/tests/daemon_builders.py
@@ -154,7 +154,7 @@
         if not self.answers:
             return [accepted]
         if self.holder:
-            return [accepted, SendPeer(self.holder, Forward(req))]
+            return [accepted, SendPeer(self.holder, Forward(req, req.key.request_id))]
         return [accepted, self.start(req)]
 
     def on_PeerMessage(self, event: PeerMessage) -> list[Effect]:  # noqa: N802
