--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -11,6 +11,7 @@
 from fescuecrank_core.effects import (
     ControlTask,
     Effect,
+    Observe,
     QueryTask,
     SendPeer,
     StartTask,
@@ -62,6 +63,8 @@
 # Changes of a later epoch supersede those of an earlier one, so the epoch forms the high bits.
 SEQ_BITS = 32
 LOG_SILENCE_MS = 2_000
+# A throttled task may end or the need may pass; both are cheaper than a checkpoint.
+CHECKPOINT_AFTER_MS = 200
 
 
 @attrs.define
@@ -73,12 +76,14 @@
 
     task: Task
     slots: int
+    queued_ms: int = 0
     lost_since_ms: int | None = None
     next_query_ms: int = 0
     started: bool = False
     started_ms: int = 0
     used: Resources | None = None
     stop_asked: bool = False
+    throttled_ms: int | None = None
     reclaimed: bool = False
 
 
@@ -374,7 +379,7 @@
         self.queue.start(key, now.mono_ms)
         self._unqueue(key)
         task = Task(self._ids.next("task"), key, worker, self.workers.fence(worker))
-        self._remember(Running(task, waiting.need.slots))
+        self._remember(Running(task, waiting.need.slots, queued_ms=waiting.queued_ms))
         self.workers.add_task(worker, task.task_id, waiting.need, now)
         if record.attempts == 0:
             self.retries.note_first_attempt()
@@ -392,11 +397,17 @@
         record = self.table.get(key)
         record = attrs.evolve(record, state=RequestState.DISPATCHED, attempts=record.attempts + 1)
         self._store(record, now)
+        waited = Observe(
+            "queue_wait_seconds",
+            (now.mono_ms - running.queued_ms) / 1_000,
+            {"cell": self.scope, "class": record.request.request_class.value},
+        )
         running.started = True
         running.started_ms = now.mono_ms
         address = self.workers.address(running.task.worker)
         until_ms = self._membership.current_until_ms(now)
-        return [StartTask(running.task, address, record.request, LEASE_MS, until_ms)]
+        start = StartTask(running.task, address, record.request, LEASE_MS, until_ms)
+        return [start, waited]
 
     def on_replicate_ack(self, sender: str, message: ReplicateAck, now: Instant) -> list[Effect]:
         """Start a task whose record a backup has stored."""
@@ -664,16 +675,19 @@
         return effects
 
     def _reclaim(self, now: Instant) -> list[Effect]:
-        """Checkpoint tasks that hold capacity above their team's share while others wait."""
+        """Throttle, then checkpoint, tasks whose capacity others are entitled to."""
         effects: list[Effect] = []
         for key in self.queue.over_share(now.mono_ms):
-            record = self.table.get(key)
             running = self._running.get(key)
-            if record is None or running is None or not running.started:
+            if running is None or not running.started or running.reclaimed:
                 continue
-            if record.request.idempotent and not running.reclaimed:
-                running.reclaimed = True
-                effects.extend(self._control(running, TaskAction.CHECKPOINT, now))
+            if running.throttled_ms is None:
+                running.throttled_ms = now.mono_ms
+                effects.extend(self._control(running, TaskAction.THROTTLE, now))
+            elif now.mono_ms - running.throttled_ms >= CHECKPOINT_AFTER_MS:
+                running.reclaimed = self.table.get(key).request.idempotent
+                if running.reclaimed:
+                    effects.extend(self._control(running, TaskAction.CHECKPOINT, now))
         return effects
 
     def _state_needs(self) -> None:
--- a/packages/core/src/fescuecrank_core/effects.py
+++ b/packages/core/src/fescuecrank_core/effects.py
@@ -195,6 +195,15 @@
     fields: dict
 
 
+@attrs.frozen
+class Observe(Effect):
+    """One observation for a histogram; `seconds` is a duration."""
+
+    name: str
+    seconds: float
+    labels: dict
+
+
 @attrs.frozen
 class Exit(Effect):
     """The shutdown is complete."""
--- a/packages/core/src/fescuecrank_core/entry.py
+++ b/packages/core/src/fescuecrank_core/entry.py
@@ -17,6 +17,7 @@
 from fescuecrank_core.ledger import Ledger
 from fescuecrank_core.log_reader import LogReader
 from fescuecrank_core.membership import Membership
+from fescuecrank_core.metrics import Sample, collect
 from fescuecrank_core.mover import Mover
 from fescuecrank_core.operators import Operators
 from fescuecrank_core.publishing import Publisher
@@ -180,8 +181,9 @@
         messages.ViewReply: operators.on_view_reply,
     }
 
-    def metrics() -> dict[str, float]:
-        return collect_metrics(ledger, publisher, backups, cells, gateway, minter, mover)
+    def metrics(now: Instant) -> list[Sample]:
+        kept = backups.__len__
+        return collect(ledger, membership, publisher, kept, cells, gateway, now)
 
     def is_ready(now: Instant) -> bool:
         has_config = bool(ledger.fleet.services) or bool(ledger.state.members)
@@ -195,34 +197,3 @@
         return on_tick(now)
 
     return handle
-
-
-def collect_metrics(
-    ledger: Ledger,
-    publisher: Publisher,
-    backups: BackupKeeper,
-    cells: CellHost,
-    gateway: Gateway,
-    minter: Minter,
-    mover: Mover,
-) -> dict[str, float]:
-    """Return gauges and counters of one entry; labels are part of the name after a colon."""
-    values: dict[str, float] = {
-        "log_applied_offset": ledger.applied,
-        "members": len(ledger.state.members),
-        "publications_pending": publisher.pending_count(),
-        "backup_records": len(backups),
-        "requests_waiting_at_gateway": gateway.pending_count(),
-        "moves_advised": mover.moves_advised,
-    }
-    for outcome, count in gateway.counts.items():
-        values[f"requests_{outcome}"] = count
-    for scope, cell in cells.cells.items():
-        values[f"cell_queue:{scope}"] = len(cell.queue)
-        values[f"cell_running:{scope}"] = cell.unfinished()
-        values[f"cell_in_service:{scope}"] = len(cell.workers.usable())
-        values[f"cell_out:{scope}"] = len(cell.workers.out())
-        values[f"cell_retry_tokens:{scope}"] = cell.retries.tokens
-    for team in ledger.fleet.teams:
-        values[f"escrow_outstanding:{team}"] = minter.outstanding(team)
-    return values
--- a/packages/core/src/fescuecrank_core/ledger.py
+++ b/packages/core/src/fescuecrank_core/ledger.py
@@ -334,6 +334,7 @@
     if claim is None or claim.epoch != record.epoch:
         return Refusal(f"{record.scope} is not held under epoch {record.epoch}")
     state.assignments[record.worker] = Assignment(record.to_pool, offset)
+    state.moves += 1
     return None
 
 
--- a/packages/core/src/fescuecrank_core/ledger_state.py
+++ b/packages/core/src/fescuecrank_core/ledger_state.py
@@ -109,5 +109,6 @@
     waves: dict[str, Wave] = attrs.field(factory=dict)
     maintained_wall_ms: dict[str, int] = attrs.field(factory=dict)
     drains: dict[str, str] = attrs.field(factory=dict)
+    moves: int = 0
     verdicts: dict[str, FoldVerdict] = attrs.field(factory=dict)
     snapshot_through: int = -1
--- a/packages/core/src/fescuecrank_core/reducer.py
+++ b/packages/core/src/fescuecrank_core/reducer.py
@@ -7,6 +7,7 @@
 from fescuecrank_core.effects import Effect, SendPeer
 from fescuecrank_core.events import Event, PeerMessage
 from fescuecrank_core.messages import Message
+from fescuecrank_core.metrics import Sample
 
 EventHandler = Callable[[Event, Instant], list[Effect]]
 MessageHandler = Callable[[str, Message, Instant], list[Effect]]
@@ -20,7 +21,7 @@
         name: str,
         event_handlers: dict[type[Event], tuple[EventHandler, ...]],
         message_handlers: dict[type[Message], MessageHandler],
-        metrics: Callable[[], dict[str, float]],
+        metrics: Callable[[Instant], list[Sample]],
         is_ready: Callable[[Instant], bool],
     ) -> None:
         self._name = name
@@ -55,9 +56,9 @@
                 outward.append(effect)
         return outward
 
-    def metrics(self) -> dict[str, float]:
-        """Return gauges and counters of the state, by name."""
-        return self._metrics()
+    def metrics(self, now: Instant) -> list[Sample]:
+        """Return the figures of the state."""
+        return self._metrics(now)
 
     def is_ready(self, now: Instant) -> bool:
         """Return whether the load balancer should send callers here."""
--- a/packages/core/src/fescuecrank_core/sharing.py
+++ b/packages/core/src/fescuecrank_core/sharing.py
@@ -102,6 +102,10 @@
         caller can throttle first and checkpoint a task that stays listed.
         """
 
+    def gaps(self) -> dict[str, float]:
+        """Return entitled less held dominant share of each team with waiting work."""
+        return {}
+
     @abstractmethod
     def __len__(self) -> int: ...
 
@@ -293,6 +297,10 @@
                 task.listed = key in chosen
         return list(chosen)
 
+    def gaps(self) -> dict[str, float]:
+        """Return entitled less held dominant share of each team with waiting work."""
+        return {t.name: t.entitled - t.held for t in self._teams.values() if t.waits}
+
     # Accounting
 
     def _team(self, name: str) -> _Team:
--- a/packages/core/tests/test_faults.py
+++ b/packages/core/tests/test_faults.py
@@ -14,6 +14,7 @@
 from fescuecrank_core import codec
 from fescuecrank_core.declarations import Team
 from fescuecrank_core.effects import ReplyFailure, Verdict
+from fescuecrank_core.entry_config import CURRENCY_MS
 from fescuecrank_core.events import (
     InstanceState,
     PeerMessage,
@@ -542,3 +543,34 @@
     req = request(request_id=uuid7(now.wall_ms, 1))
     record = RequestRecord(req, RequestState.REPLICATING, (claim.epoch << 32) + 999)
     assert backup.on_replicate("e1", Replicate("r1/hoist", claim.epoch, record), now) == []
+
+
+def test_nothing_is_dispatched_without_a_listed_backup():
+    """Guards against a task of which a later holder, with complete copies, finds no record."""
+    dep = Deployment()
+    dep.set_run_ms(20_000)
+    holder = dep.holder()
+    backups = dep.net.live()[0].ledger.claim("r1/hoist").backups
+    gateway = dep.other_than(holder, *backups)
+    dep.net.cut = {frozenset((holder, name)) for name in backups}
+    token = dep.send(gateway)
+    dep.net.run(800)
+    assert not dep.net.runs
+    dep.net.kill(holder)
+    dep.net.cut.clear()
+    dep.net.run(40_000)
+    assert dep.outcome(token) is Outcome.DONE
+    assert set(dep.net.runs.values()) == {1}
+
+
+def test_takeover_from_a_silent_holder_waits():
+    """Guards against a new holder that acts while the old one may still be current."""
+    dep = Deployment()
+    old = dep.holder()
+    dep.net.kill(old)
+    dep.net.run_until(lambda: dep.holder() != old)
+    new = dep.net.nodes[dep.holder()].entry
+    epoch = new.ledger.claim("r1/hoist").epoch
+    dep.net.run_until(lambda: new.membership.is_accepted(epoch))
+    waited_ms = dep.net.run_until(lambda: new.claims.is_usable("r1/hoist", dep.net.now()))
+    assert waited_ms >= CURRENCY_MS
--- a/packages/daemon/src/fescuecrank_daemon/compose.py
+++ b/packages/daemon/src/fescuecrank_daemon/compose.py
@@ -14,6 +14,7 @@
 from fescuecrank_core.entry import EntryConfig, build_entry
 from fescuecrank_core.events import Event, PeerMessage, ShutdownAsked
 from fescuecrank_core.messages import Message
+from fescuecrank_core.metrics import Sample
 from fescuecrank_core.records import KeyGranted
 from tornado.netutil import bind_sockets
 
@@ -48,8 +49,8 @@
     def step(self, event: Event, now: Instant) -> list[Effect]:
         """Handle one event and return what to do."""
 
-    def metrics(self) -> dict[str, float]:
-        """Return figures by name."""
+    def metrics(self, now: Instant) -> list[Sample]:
+        """Return the figures of the state."""
 
     def is_ready(self, now: Instant) -> bool:
         """Return whether the load balancer should send callers here."""
@@ -180,7 +181,7 @@
             self._tracing,
             self._metrics,
             self.log,
-            self.reducer.metrics,
+            lambda: self.reducer.metrics(self._clock.now()),
             self._is_ready,
         )
 
--- a/packages/daemon/src/fescuecrank_daemon/effect_runner.py
+++ b/packages/daemon/src/fescuecrank_daemon/effect_runner.py
@@ -16,6 +16,7 @@
     Exit,
     ListInstances,
     Notice,
+    Observe,
     PollWorker,
     QueryTask,
     ReadLog,
@@ -190,6 +191,9 @@
         }
         self._log.info(effect.name, **fields)
 
+    def _observe(self, effect: Observe) -> None:
+        self._metrics.observed(effect.name, effect.seconds, effect.labels)
+
     def _exit(self, _: Exit) -> None:
         self._exited()
 
@@ -212,5 +216,6 @@
     PollWorker: EffectRunner._poll_worker,
     ControlWorker: EffectRunner._control_worker,
     Notice: EffectRunner._notice,
+    Observe: EffectRunner._observe,
     Exit: EffectRunner._exit,
 }
--- a/packages/daemon/src/fescuecrank_daemon/http_base.py
+++ b/packages/daemon/src/fescuecrank_daemon/http_base.py
@@ -7,6 +7,7 @@
 from fescuecrank_core.clock import Clock
 from fescuecrank_core.effects import ReplyFailure
 from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_core.metrics import Sample
 from fescuecrank_core.requests import Outcome
 from structlog.typing import FilteringBoundLogger
 from tornado.web import RequestHandler, stream_request_body
@@ -37,7 +38,7 @@
     tracing: Tracing
     metrics: ShellMetrics
     log: FilteringBoundLogger
-    core_metrics: Callable[[], dict[str, float]]
+    core_metrics: Callable[[], list[Sample]]
     ready: Callable[[], bool]
 
 
--- a/packages/daemon/src/fescuecrank_daemon/metrics.py
+++ b/packages/daemon/src/fescuecrank_daemon/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of one entry, rendered in the Prometheus exposition format."""
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from fescuecrank_core.metrics import DESCRIPTIONS, Sample
 
 PREFIX = "fescuecrank_"
 
@@ -15,6 +16,7 @@
     def __init__(self) -> None:
         self._registry = Registry()
         self._core: dict[str, Counter | Gauge] = {}
+        self._observed: dict[str, Histogram] = {}
         self._decisions = self._histogram(
             "decision_seconds", "Time of one reducer step by event.", DECISION_BUCKETS
         )
@@ -66,20 +68,30 @@
         """Count a reply without a waiting caller."""
         self._orphans.inc({})
 
-    def render(self, core: dict[str, float], pending: int, accept: str) -> tuple[bytes, dict]:
+    def observed(self, name: str, seconds: float, labels: dict[str, str]) -> None:
+        """Add one observation of the reducer to its histogram."""
+        if name not in self._observed:
+            doc = "Durations that the reducer observes."
+            self._observed[name] = self._histogram(name, doc, CALL_BUCKETS)
+        self._observed[name].observe(labels, seconds)
+
+    def render(self, core: list[Sample], pending: int, accept: str) -> tuple[bytes, dict]:
         """Return body and headers of the exposition, with the reducer's figures included.
 
-        Figures of the reducer whose names end in `_total` are counters, all others gauges.
+        Figures of the reducer whose names end in `_total` are counters, all others gauges. Series
+        of cells that this entry no longer holds are dropped.
         """
         self._pending.set({}, pending)
-        for name, value in core.items():
-            self._core_metric(name).set({}, value)
+        for metric in self._core.values():
+            metric.values.clear()
+        for sample in core:
+            self._core_metric(sample.name).set(sample.labels, sample.value)
         return render(self._registry, [accept or "text/plain"])
 
     def _core_metric(self, name: str) -> Counter | Gauge:
         if name not in self._core:
             make = self._counter if name.endswith("_total") else self._gauge
-            self._core[name] = make(name, "Figure of the reducer.")
+            self._core[name] = make(name, DESCRIPTIONS[name])
         return self._core[name]
 
     def _counter(self, name: str, doc: str) -> Counter:
