--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SEED ?= 1
 STEPS ?= 20000
 
-.PHONY: test lint format demo model soak bench slopes docs
+.PHONY: test lint format demo model soak bench slopes
 
 $(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
