Hand cells over at once on a planned stop, and repeat cancellations

Cause: a stopping entry refused requests of its cells for up to 15 s while their tasks ran out; a cancellation that reached an entry without the claim was lost; two processes under one name would have joined in turn for ever. Change: claims are released at once, gateways repeat what the old holder no longer takes in, and the process stays until its calls to endpoints have ended; cancellations are repeated until noted; a process that sees a later incarnation of its name ends.

--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -176,6 +176,10 @@
         """Return the slots that tasks of a team may be using."""
         return sum(r.slots for r in self._running.values() if r.task.key.team == team)
 
+    def started_tasks(self) -> set[str]:
+        """Return the ids of the tasks whose start command may have been sent."""
+        return {r.task.task_id for r in self._running.values() if r.started}
+
     def unfinished(self) -> int:
         """Return the number of tasks that may be running."""
         return len(self._running)
@@ -227,8 +231,6 @@
         return ""
 
     def _refusal(self, request: Request) -> str:
-        if self.is_stopping:
-            return "the scheduler of this cell is stopping"
         service = self._ledger.fleet.services.get(request.service)
         if service is None or service.pool != self.pool:
             return "the service does not belong to this cell"
@@ -345,11 +347,13 @@
 
         Without backups of its own epoch, a later holder could not find what was started here.
         """
+        if self.is_stopping:
+            return False
         return self._claims.may_act(self.scope, now) and self._ledger.claim(self.scope).prepared
 
     def _dispatch(self, now: Instant) -> list[Effect]:
         """Place what may start now; nothing is sent before its record is on a backup."""
-        if self.is_stopping or not self.may_dispatch(now):
+        if not self.may_dispatch(now):
             return []
         effects: list[Effect] = []
         at_limit: set[str] = set()
--- a/packages/core/src/fescuecrank_core/cells.py
+++ b/packages/core/src/fescuecrank_core/cells.py
@@ -20,6 +20,7 @@
 from fescuecrank_core.ledger_state import Claim
 from fescuecrank_core.membership import Membership
 from fescuecrank_core.messages import (
+    CancelNoted,
     CancelRequest,
     EscrowGrant,
     Forward,
@@ -103,6 +104,7 @@
         self._backup_records: dict[str, BackupsChanged] = {}
         self._listed: dict[str, Instance] = {}
         self._refused: dict[str, Refused] = {}
+        self._calls_open: set[str] = set()
         self.cells: dict[str, Cell] = {}
 
     def cell(self, scope: str) -> Cell | None:
@@ -129,6 +131,7 @@
 
     def _drop(self, scope: str) -> list[Effect]:
         cell = self.cells.pop(scope)
+        self._calls_open |= cell.started_tasks()
         self._backups.adopt(scope, cell.epoch, cell.table)
         return [Notice("cell_lost", {"scope": scope, "epoch": cell.epoch})]
 
@@ -293,9 +296,10 @@
     def on_cancel(self, sender: str, message: CancelRequest, now: Instant) -> list[Effect]:
         """Note a cancellation."""
         cell = self._active_cell(message.service, now)
-        if cell is not None:
-            cell.cancel(message.key)
-        return []
+        if cell is None:
+            return []
+        cell.cancel(message.key)
+        return [SendPeer(sender, CancelNoted(message.key))]
 
     def on_result_request(self, sender: str, message: ResultRequest, now: Instant) -> list[Effect]:
         """Tell what is known of a request."""
@@ -328,8 +332,13 @@
         for cell in self.cells.values():
             if cell.owns_task(event.task_id):
                 return cell.on_task(event, now)
+        self._calls_open.discard(event.task_id)
         return []
 
+    def open_calls(self) -> int:
+        """Return the calls to endpoints that are open for tasks of cells handed over."""
+        return len(self._calls_open)
+
     def on_polled(self, event: WorkerPolled, now: Instant) -> list[Effect]:
         """Pass a poll's answer to the cells that know the worker."""
         effects: list[Effect] = []
--- a/packages/core/src/fescuecrank_core/claims.py
+++ b/packages/core/src/fescuecrank_core/claims.py
@@ -3,7 +3,7 @@
 import attrs
 
 from fescuecrank_core.clock import Instant
-from fescuecrank_core.effects import Effect, Notice
+from fescuecrank_core.effects import Effect, Exit, Notice
 from fescuecrank_core.entry_config import REMOVE_MS, TAKEOVER_WAIT_MS, EntryConfig
 from fescuecrank_core.ids import IdSource
 from fescuecrank_core.ledger import NO_VERSION, Ledger
@@ -60,6 +60,7 @@
         self._held: dict[str, HeldClaim] = {}
         self._in_flight: dict[str, str] = {}
         self._next_check_ms = 0
+        self._was_member = False
 
     def scopes(self) -> list[str]:
         """Return the scopes that an entry of this region may hold."""
@@ -97,6 +98,7 @@
             return []
         if not self._is_member():
             return self._join(now)
+        self._was_member = True
         effects = self._remove_dead_members(now)
         for scope in self.scopes():
             effects.extend(self._take_if_vacant(scope, now))
@@ -129,9 +131,13 @@
     def _join(self, now: Instant) -> list[Effect]:
         if self._membership.draining:
             return []
-        if self.was_removed():
+        known = self._ledger.state.incarnations.get(self._cfg.name, 0)
+        if self._was_member and known > self._cfg.incarnation:
+            # Two processes under one name would take each other's claims for ever.
+            return [Notice("name_taken", {"incarnation": known}), Exit()]
+        if known >= self._cfg.incarnation:
             # The same process goes on under a new incarnation; its old claims stay lost.
-            self._cfg.incarnation = self._ledger.state.incarnations[self._cfg.name] + 1
+            self._cfg.incarnation = known + 1
         record = MemberJoined(
             self._ids.next("join"),
             self._cfg.name,
--- a/packages/core/src/fescuecrank_core/entry.py
+++ b/packages/core/src/fescuecrank_core/entry.py
@@ -164,6 +164,7 @@
         messages.Forward: cells.on_forward,
         messages.ForwardAnswer: gateway.on_answer,
         messages.CancelRequest: cells.on_cancel,
+        messages.CancelNoted: gateway.on_cancel_noted,
         messages.ResultRequest: cells.on_result_request,
         messages.ResultReply: gateway.on_result_reply,
         messages.Replicate: backups.on_replicate,
--- a/packages/core/src/fescuecrank_core/gateway.py
+++ b/packages/core/src/fescuecrank_core/gateway.py
@@ -19,6 +19,7 @@
 from fescuecrank_core.ledger import Ledger
 from fescuecrank_core.membership import Membership
 from fescuecrank_core.messages import (
+    CancelNoted,
     CancelRequest,
     Forward,
     ForwardAnswer,
@@ -34,6 +35,8 @@
 ANSWER_TIMEOUT_MS = 60_000
 NO_HOLDER_TIMEOUT_MS = 10_000
 QUERY_TIMEOUT_MS = 5_000
+# Outlasts a takeover of the cell.
+CANCEL_TIMEOUT_MS = 15_000
 MAX_WAITING = 20_000
 CANCELS_PER_STEP = 64
 
@@ -75,6 +78,15 @@
     next_send_ms: int = 0
 
 
+@attrs.define
+class PendingCancel:
+    """A cancellation that no holder has noted yet."""
+
+    service: str
+    since_ms: int
+    next_send_ms: int = 0
+
+
 class Gateway:
     """Callers' side of the entry."""
 
@@ -87,7 +99,7 @@
         self._ids = ids
         self._pending: dict[RequestKey, PendingRequest] = {}
         self._queries: dict[str, PendingQuery] = {}
-        self._cancels: dict[RequestKey, str] = {}
+        self._cancels: dict[RequestKey, PendingCancel] = {}
         self.closed = False
         self.counts: dict[str, int] = {}
 
@@ -222,7 +234,7 @@
         effects: list[Effect] = []
         for pending in list(self._pending.values()):
             effects.extend(self._follow(pending, now))
-        effects.extend(self._send_cancels())
+        effects.extend(self._send_cancels(now))
         for query_id in list(self._queries):
             effects.extend(self._follow_query(query_id, now))
         return effects
@@ -285,21 +297,30 @@
         key = self._authorized_key(event.secret, event.service, event.request_id, now)
         if isinstance(key, Failure):
             return [ReplyFailure(event.reply_to, key)]
-        self._cancels[key] = event.service
+        self._cancels[key] = PendingCancel(event.service, now.mono_ms)
         return [
             ReplyAccepted(event.reply_to, "cancelling", "ask for the result to see the outcome")
         ]
 
-    def _send_cancels(self) -> list[Effect]:
+    def _send_cancels(self, now: Instant) -> list[Effect]:
         effects: list[Effect] = []
-        for key, service in list(self._cancels.items())[:CANCELS_PER_STEP]:
-            holder = self._holder_of(service)
-            if holder is None:
+        for key, cancel in list(self._cancels.items()):
+            if len(effects) >= CANCELS_PER_STEP:
+                break
+            if now.mono_ms - cancel.since_ms > CANCEL_TIMEOUT_MS:
+                del self._cancels[key]
                 continue
-            del self._cancels[key]
-            effects.append(SendPeer(holder, CancelRequest(key, service)))
+            holder = self._holder_of(cancel.service)
+            if holder is not None and now.mono_ms >= cancel.next_send_ms:
+                cancel.next_send_ms = now.mono_ms + FORWARD_REPEAT_MS
+                effects.append(SendPeer(holder, CancelRequest(key, cancel.service)))
         return effects
 
+    def on_cancel_noted(self, sender: str, message: CancelNoted, now: Instant) -> list[Effect]:
+        """Stop repeating a cancellation."""
+        self._cancels.pop(message.key, None)
+        return []
+
     def on_result_asked(self, event: ResultAsked, now: Instant) -> list[Effect]:
         """Ask the holder what became of a request."""
         key = self._authorized_key(event.secret, event.service, event.request_id, now)
--- a/packages/core/src/fescuecrank_core/messages.py
+++ b/packages/core/src/fescuecrank_core/messages.py
@@ -92,12 +92,19 @@
 
 @attrs.frozen
 class CancelRequest(Message):
-    """A caller's wish to cancel; answered by the request's final answer."""
+    """A caller's wish to cancel; repeated until `CancelNoted`."""
 
     key: RequestKey
     service: str
 
 
+@attrs.frozen
+class CancelNoted(Message):
+    """The holder has noted a cancellation and carries it out."""
+
+    key: RequestKey
+
+
 @attrs.frozen
 class ResultRequest(Message):
     """Asks for the state of a request by key; answered by `ResultReply`."""
--- a/packages/core/src/fescuecrank_core/shutdown.py
+++ b/packages/core/src/fescuecrank_core/shutdown.py
@@ -48,26 +48,21 @@
         if late:
             effects.extend(self._gateway.end_all())
         idle = self._gateway.closed and not self._gateway.pending_count()
-        if late or (idle and not self._holds_anything()):
+        if late or (idle and not self._scopes() and not self._cells.open_calls()):
             effects.extend(self._leave(now))
         return effects
 
     def _scopes(self) -> list[str]:
         return [scope for scope in self._claims.scopes() if self._claims.held_claim(scope)]
 
-    def _holds_anything(self) -> bool:
-        return bool(self._scopes()) or any(c.unfinished() for c in self._cells.cells.values())
-
     def _hand_over(self, now: Instant) -> list[Effect]:
         effects: list[Effect] = []
         for scope in self._scopes():
             cell = self._cells.cell(scope)
             if cell is not None:
+                # Gateways repeat what is not taken in here until the successor answers. Tasks go on
+                # under their leases, and the successor asks the workers for them.
                 cell.is_stopping = True
-                late = now.mono_ms - self._asked_ms > DEADLINE_MS // 2
-                if cell.unfinished() and not late:
-                    # Tasks that end soon are answered over their own connections.
-                    continue
             successors = self._claims.candidates_for(scope, now)
             if successors or scope == LIMITS_SCOPE:
                 successor = successors[0] if successors else ""
--- a/packages/core/tests/test_faults.py
+++ b/packages/core/tests/test_faults.py
@@ -28,6 +28,7 @@
     ConfigPublished,
     DrainRequested,
     KeyWithdrawn,
+    MemberJoined,
     MemberLeft,
     WaveStarted,
 )
@@ -574,3 +575,13 @@
     dep.net.run_until(lambda: new.membership.is_accepted(epoch))
     waited_ms = dep.net.run_until(lambda: new.claims.is_usable("r1/hoist", dep.net.now()))
     assert waited_ms >= CURRENCY_MS
+
+
+def test_second_process_under_one_name_ends_the_first():
+    """Guards against two processes under one name that take each other's claims for ever."""
+    dep = Deployment()
+    name = dep.other_than(dep.holder())
+    incarnation = dep.net.nodes[name].entry.cfg.incarnation
+    dep.net.log.append(MemberJoined("join", name, incarnation + 1, "r1", "dc1", name))
+    dep.net.run(2_000)
+    assert dep.net.exited == [name]
