--- a/packages/core/tests/test_faults.py
+++ b/packages/core/tests/test_faults.py
@@ -585,3 +585,22 @@
     dep.net.log.append(MemberJoined("join", name, incarnation + 1, "r1", "dc1", name))
     dep.net.run(2_000)
     assert dep.net.exited == [name]
+
+
+def test_units_of_tasks_that_outlive_their_holder_stay_counted():
+    """Guards against a limit that another cell can use again while the first tasks still run."""
+    dep = Deployment(pools=("hoist", "truss"), teams=(("north", 1.0, 3),))
+    dep.set_run_ms(25_000)
+    holder = dep.holder()
+    gateway = dep.other_than(holder, dep.holder("r1/truss"), dep.holder("limits"))
+    for _ in range(3):
+        dep.send(gateway)
+    dep.net.run(2_000)
+    assert sum(dep.net.runs.values()) == 3
+    dep.net.kill(holder)
+    for _ in range(3):
+        dep.send(gateway, service="truss")
+    dep.net.run(20_000)
+    assert sum(dep.net.runs.values()) == 3
+    dep.net.run(60_000)
+    dep.checker.check_all_answered()
