--- a/packages/core/tests/test_faults.py
+++ b/packages/core/tests/test_faults.py
@@ -608,3 +608,32 @@
     assert sum(dep.net.runs.values()) == 3
     dep.net.run(60_000)
     dep.checker.check_all_answered()
+
+
+def test_lost_data_centre():
+    """Guards against a wave that goes on, or work that stops, when a data centre is lost."""
+    dep = Deployment(pools=("hoist", "truss"), workers_each=6, max_out=3, failure_reserve=1)
+    dep.set_run_ms(300)
+    assert dep.verdict("e2", WaveStarted("start", "wave1", ())) is Verdict.ACCEPTED
+    dep.net.run(1_000)
+    lost = [name for index, name in enumerate(NAMES) if index % 3 == 0]
+    for name in lost:
+        dep.net.kill(name)
+    for item in dep.net.listed:
+        dep.net.workers[item.name].dead = item.data_centre == "dc0"
+    boots_before = sum(worker.boots for worker in dep.net.workers.values())
+    for _ in range(40):
+        dep.send("e2", service="hoist", idempotent=True)
+        dep.send("e3", service="truss")
+        dep.net.run(500)
+    dep.finish()
+    last = [token for token in dep.checker.asked][-4:]
+    assert {dep.outcome(token) for token in last} == {Outcome.DONE}
+    boots = sum(worker.boots for worker in dep.net.workers.values())
+    assert boots - boots_before <= 2 * (3 - 1), "the wave went on while a data centre was out"
+    for name in lost:
+        dep.net.start(name)
+    for worker in dep.net.workers.values():
+        worker.dead = False
+    dep.net.run(120_000)
+    assert len(dep.net.live()[0].ledger.state.waves["wave1"].done) == 12
