Dial a peer that was first heard of by its own heartbeat

A heartbeat from an unknown peer, or from a later incarnation at a new address, made the peer known without a ConnectPeer effect, so nothing was ever sent to it and entries without seeds never reached a majority.

--- a/packages/core/src/fescuecrank_core/membership.py
+++ b/packages/core/src/fescuecrank_core/membership.py
@@ -180,16 +180,17 @@
 
     def on_heartbeat(self, sender: str, beat: Heartbeat, now: Instant) -> list[Effect]:
         """Take in a heartbeat."""
-        peer = self._peers.get(sender)
-        if peer is None:
-            peer = self._peers[sender] = Peer(sender, beat.peer_address)
-        if beat.incarnation < peer.incarnation:
+        known = self._peers.get(sender)
+        if known is not None and beat.incarnation < known.incarnation:
             return []
-        if beat.incarnation > peer.incarnation:
-            self._peers[sender] = peer = Peer(sender, beat.peer_address, beat.incarnation)
+        # Nothing can be sent to a peer before it is dialled, so one that was first heard of by its
+        # own heartbeat, or that came back elsewhere, is dialled as well.
+        moved = known is None or known.address != beat.peer_address
+        if known is None or beat.incarnation > known.incarnation:
+            self._peers[sender] = Peer(sender, beat.peer_address, beat.incarnation)
+        peer = self._peers[sender]
         if beat.stamp_ms < peer.stamp_ms:
             return []
-        moved = peer.address != beat.peer_address
         peer.address = beat.peer_address
         peer.region, peer.data_centre = beat.region, beat.data_centre
         peer.stamp_ms = beat.stamp_ms
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -1,7 +1,9 @@
 """The currency rule: what proves that an entry may act, and for how long."""
 
+import attrs
 from builders import config_record, fleet
 from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import ConnectPeer
 from fescuecrank_core.entry_config import CURRENCY_MS, EntryConfig
 from fescuecrank_core.ledger import Ledger
 from fescuecrank_core.membership import Membership
@@ -104,3 +106,19 @@
     assert not membership.is_accepted(4)
     membership.on_heartbeat("e3", beat("e3", 1, 1_100, applied=5), at(1_101))
     assert membership.is_accepted(4)
+
+
+def test_peer_first_heard_of_by_its_heartbeat_is_dialled():
+    """Guards against an entry that counts a peer as known and never sends to it."""
+    _, membership = membership_of_three()
+    effects = membership.on_heartbeat("e2", beat("e2", 1, 0), at(10))
+    assert effects == [ConnectPeer("e2", "e2")]
+    assert membership.on_heartbeat("e2", beat("e2", 2, 0), at(11)) == []
+
+
+def test_peer_that_started_again_elsewhere_is_dialled_there():
+    """Guards against sending to the address of an earlier process for good."""
+    _, membership = membership_of_three()
+    membership.on_heartbeat("e2", beat("e2", 1, 0), at(10))
+    again = attrs.evolve(beat("e2", 1, 0), incarnation=2, peer_address="elsewhere")
+    assert membership.on_heartbeat("e2", again, at(20)) == [ConnectPeer("e2", "elsewhere")]
