--- a/packages/cli/src/fescuecrank_cli/client.py
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -134,7 +134,7 @@
         return Err(failure or _no_entries(step))
 
     async def applied_offsets(self) -> dict[str, int | None]:
-        """Return the offset that each entry has applied, or None where it cannot be read."""
+        """Return the offset that each entry reads next, or None where it cannot be asked."""
         call = Call("config.read", "GET", "/v1/config")
         outcomes = await asyncio.gather(
             *(self._transport.exchange(entry, call) for entry in self.entries)
@@ -151,7 +151,8 @@
         deadline = _now_ms() + wait_ms
         while True:
             offsets = await self.applied_offsets()
-            late = [entry for entry, at in offsets.items() if at is None or at < offset]
+            # An entry states the offset that it reads next.
+            late = [entry for entry, at in offsets.items() if at is None or at <= offset]
             progress(len(offsets) - len(late))
             if not late or _now_ms() >= deadline:
                 return late
--- a/packages/cli/src/fescuecrank_cli/transport.py
+++ b/packages/cli/src/fescuecrank_cli/transport.py
@@ -19,6 +19,11 @@
 # than the longest wait that the client asks for within one call.
 REQUEST_TIMEOUT_MS = 15_000
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Calls in flight; most of them wait for an answer.
+MAX_CALLS = 1_000
+
+# Time-outs of tornado's client that end a call before its first byte is written.
+NOT_SENT_TEXTS = ("while connecting", "in request queue")
 
 JSON_TYPE = "application/json"
 
@@ -73,6 +78,7 @@
         self._tls = tls or TlsOptions()
         self._http = AsyncHTTPClient(
             force_instance=True,
+            max_clients=MAX_CALLS,
             defaults={"user_agent": "fescuecrank"},
             max_body_size=MAX_BODY_BYTES,
         )
@@ -113,7 +119,7 @@
 
 def _kind(exc: Exception) -> FailureKind:
     not_sent = (ConnectionRefusedError, socket.gaierror, ssl.SSLCertVerificationError)
-    if isinstance(exc, not_sent) or "while connecting" in str(exc):
+    if isinstance(exc, not_sent) or any(text in str(exc) for text in NOT_SENT_TEXTS):
         return FailureKind.UNAVAILABLE
     return FailureKind.UNKNOWN
 
--- a/packages/daemon/src/fescuecrank_daemon/compose.py
+++ b/packages/daemon/src/fescuecrank_daemon/compose.py
@@ -226,12 +226,23 @@
         await self.close()
         return self._exit_code or EXIT_OK
 
+    async def abort(self) -> None:
+        """End as a killed process does: connections close and nothing more is sent or answered."""
+        self._stopping = True
+        self.engine.stop()
+        self._tasks.cancel()
+        await self._http.close()
+        await self._close_rest()
+
     async def close(self) -> None:
         """Stop at once: waiting callers learn that their outcome is unknown."""
         self._stopping = True
         self.engine.stop()
         await self.exchange.close(LAST_ANSWERS_MS)
         await self._http.close()
+        await self._close_rest()
+
+    async def _close_rest(self) -> None:
         await self.peers.close()
         await self._tasks.close()
         # The last export makes blocking calls, and other entries may share this loop.
--- a/packages/daemon/src/fescuecrank_daemon/tasks.py
+++ b/packages/daemon/src/fescuecrank_daemon/tasks.py
@@ -19,11 +19,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._done)
 
+    def cancel(self) -> None:
+        """Cancel all tasks."""
+        for task in list(self._tasks):
+            task.cancel()
+
     async def close(self) -> None:
         """Cancel all tasks and wait for their end."""
         tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
+        self.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _done(self, task: asyncio.Task) -> None:
--- /dev/null
+++ b/packages/standin/src/fescuecrank_standin/deployment.py
@@ -0,0 +1,367 @@
+"""A whole deployment in one process on one loop, over TCP on loopback."""
+
+import asyncio
+import base64
+import contextlib
+import io
+import time
+from collections.abc import Callable, Iterable
+
+import attrs
+import orjson
+from fescuecrank_cli.answers import Publication, RequestReport, Verdict
+from fescuecrank_cli.client import EntryClient, Submission, new_record_id
+from fescuecrank_cli.ids import uuid7
+from fescuecrank_cli.key_material import NewKey, new_key
+from fescuecrank_core.clock import Clock
+from fescuecrank_core.declarations import Fleet, RequestClass
+from fescuecrank_core.errors import Failure
+from fescuecrank_core.events import InstanceState
+from fescuecrank_core.loader import load_fleet
+from fescuecrank_core.plan import plan_changes
+from fescuecrank_daemon.compose import EntryDaemon
+from fescuecrank_daemon.settings import (
+    HttpSettings,
+    InstanceSettings,
+    LoggingSettings,
+    LogSettings,
+    OperatorKey,
+    PeerSettings,
+    Settings,
+    TraceExporter,
+    TracingSettings,
+)
+from result import Result
+
+from fescuecrank_standin.instance_list import InstanceListStandIn
+from fescuecrank_standin.journal import Asked, Journal
+from fescuecrank_standin.log_service import LogStandIn
+from fescuecrank_standin.observed import ObservedWorker
+from fescuecrank_standin.server import LOOPBACK
+from fescuecrank_standin.sites import SITES, Site
+
+SHARED_KEY = "shared-key-of-an-embedded-deployment"
+FREE_PORT = f"{LOOPBACK}:0"
+POLL_MS = 50
+# Time-out of steps that end within seconds; only a hang reaches it.
+HANG_MS = 30_000
+
+
+class DeploymentError(Exception):
+    """A step of the deployment failed that the rest depends on."""
+
+
+@attrs.define
+class Member:
+    """One entry of the deployment with the task that waits for its end."""
+
+    daemon: EntryDaemon
+    ended: asyncio.Task
+    spans: io.StringIO
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers and operators."""
+        return f"http://{self.daemon.http_address}"
+
+
+class Deployment:
+    """Log, instance list, workers and entries, with a journal of what happens."""
+
+    def __init__(
+        self,
+        site: Site,
+        fleet: Fleet,
+        entries: int = 3,
+        reboot_ms: int = 500,
+        traced: bool = False,
+        clock: Clock | None = None,
+    ) -> None:
+        self.site = site
+        self.fleet = fleet
+        self.log = LogStandIn()
+        self.instances = InstanceListStandIn()
+        self.journal = Journal()
+        self.members: dict[str, Member] = {}
+        self.operator_key = new_key()
+        self.entry_log = io.StringIO()
+        self._names = [f"entry-{number + 1}" for number in range(entries)]
+        self._traced = traced
+        self._clock = clock
+        # Views of one entry are compared in the order of their calls.
+        self._watching = asyncio.Lock()
+        self._clients: dict[tuple[tuple[str, ...], str], EntryClient] = {}
+        names = [name for pool in fleet.pools.values() for name in pool.workers]
+        for name, place in site.places(names).items():
+            self.journal.workers[name] = ObservedWorker(
+                name, site, place, reboot_ms, self.journal.on_start, self.journal.on_reboot
+            )
+
+    @property
+    def workers(self) -> dict[str, ObservedWorker]:
+        """Workers by name."""
+        return self.journal.workers
+
+    # Life of the parts
+
+    async def start(self) -> None:
+        """Start all parts and wait until every entry is a live member."""
+        await self.log.start()
+        await self.instances.start()
+        for worker in self.workers.values():
+            await worker.start()
+        self.list_instances()
+        for name in self._names:
+            await self.start_entry(name)
+        await self.until_members(self._names)
+
+    async def close(self) -> None:
+        """Stop all parts at once."""
+        for client in self._clients.values():
+            client.close()
+        for name in list(self.members):
+            await self.kill_entry(name)
+        for part in (*self.workers.values(), self.instances, self.log):
+            await part.stop()
+
+    def list_instances(self, leaving: Iterable[str] = ()) -> None:
+        """Show all workers in the instance list, some of them as leaving."""
+        states = dict.fromkeys(leaving, InstanceState.LEAVING)
+        self.instances.replace(
+            tuple(
+                worker.listed(states.get(worker.name, InstanceState.LIVE))
+                for worker in self.workers.values()
+            )
+        )
+        shown_ms = _now_ms() + self.instances.lag_ms
+        self.journal.leaving = {name: self.journal.leaving.get(name, shown_ms) for name in states}
+
+    async def start_entry(self, name: str) -> Member:
+        """Start an entry on free ports; the peers that run are its seeds."""
+        spans = io.StringIO()
+        daemon = EntryDaemon(
+            self._settings(name), clock=self._clock, log_stream=self.entry_log, span_stream=spans
+        )
+        await daemon.start()
+        self.members[name] = Member(daemon, asyncio.create_task(daemon.wait()), spans)
+        return self.members[name]
+
+    def _settings(self, name: str) -> Settings:
+        key = self.operator_key
+        seeds = {peer: member.daemon.peer_address for peer, member in self.members.items()}
+        exporter = TraceExporter.JSON if self._traced else TraceExporter.NONE
+        return Settings(
+            name=name,
+            region=self.site.region,
+            data_centre=self.site.data_centre_of(self._names.index(name)),
+            http=HttpSettings(address=FREE_PORT),
+            peers=PeerSettings(address=FREE_PORT, shared_key=SHARED_KEY, seeds=seeds),
+            log=LogSettings(url=self.log.url),
+            instances=InstanceSettings(url=self.instances.url),
+            operator_keys=(OperatorKey(key.key_id, _base64(key.salt), _base64(key.digest)),),
+            logging=LoggingSettings(calls=False),
+            tracing=TracingSettings(exporter=exporter, sample_ratio=1.0),
+        )
+
+    async def kill_entry(self, name: str) -> None:
+        """End an entry at once; its callers and peers see closed connections."""
+        member = self.members.pop(name)
+        member.ended.cancel()
+        await member.daemon.abort()
+
+    async def stop_entry(self, name: str) -> int:
+        """Stop an entry as SIGTERM does, wait for its end and return its exit status."""
+        member = self.members[name]
+        member.daemon.shut_down()
+        status = await member.ended
+        del self.members[name]
+        return status
+
+    async def replace_entry(self, name: str) -> int:
+        """Stop an entry as planned, start another under its name, and wait until it has joined."""
+        status = await self.stop_entry(name)
+        await self.start_entry(name)
+        await self.until_members([name])
+        return status
+
+    def leave(self, worker: str) -> None:
+        """Show a worker as leaving in the instance list."""
+        self.list_instances([*self.journal.leaving, worker])
+
+    # Waiting
+
+    async def until(self, what: str, condition: Callable[[], object]) -> None:
+        """Wait until `condition()` holds."""
+        deadline = _now_ms() + HANG_MS
+        while not condition():
+            if _now_ms() > deadline:
+                raise DeploymentError(f"{what}: not within {HANG_MS} ms")
+            await asyncio.sleep(POLL_MS / 1_000)
+
+    async def until_members(self, names: Iterable[str]) -> None:
+        """Wait until every running entry is ready and sees these entries as live members."""
+        wanted = set(names)
+        await self.until_status(
+            f"members {sorted(wanted)}",
+            lambda status: wanted <= {item["name"] for item in status["members"] if item["live"]},
+        )
+
+    async def until_cells(self) -> None:
+        """Wait until every cell runs with all of its workers in service."""
+        deadline = _now_ms() + HANG_MS
+        sizes = {f"{self.site.region}/{p.name}": len(p.workers) for p in self.fleet.pools.values()}
+        while True:
+            statuses = await self.statuses()
+            serving = {
+                cell["scope"]: cell["in_service"]
+                for status in statuses.values()
+                for cell in status["cells"]
+            }
+            if all(serving.get(scope) == size for scope, size in sizes.items()):
+                return
+            if _now_ms() > deadline:
+                raise DeploymentError(f"cells in service: {serving} of {sizes}")
+            await asyncio.sleep(POLL_MS / 1_000)
+
+    async def until_status(self, what: str, condition: Callable[[dict], bool]) -> None:
+        """Wait until `condition` holds for what every running entry says of the state."""
+        deadline = _now_ms() + HANG_MS
+        while True:
+            statuses = await self.statuses()
+            if len(statuses) == len(self.members) and all(map(condition, statuses.values())):
+                return
+            if _now_ms() > deadline:
+                raise DeploymentError(f"{what}: not within {HANG_MS} ms")
+            await asyncio.sleep(POLL_MS / 1_000)
+
+    async def statuses(self) -> dict[str, dict]:
+        """Return the view of each entry that answers, and check P2 and P10 on them."""
+        async with self._watching:
+            return await self._statuses()
+
+    async def _statuses(self) -> dict[str, dict]:
+        names = list(self.members)
+        asked = await asyncio.gather(*(self.operator(name).status() for name in names))
+        views = {
+            name: view.ok_value for name, view in zip(names, asked, strict=True) if view.is_ok()
+        }
+        for name, view in views.items():
+            self.journal.note_applied(f"{name}/{view['incarnation']}", view["applied"])
+            self.journal.note_pools(name, view["pools"])
+        return views
+
+    # Clients
+
+    def client(self, key: str = "", entries: Iterable[str] = ()) -> EntryClient:
+        """Return a client that tries some entries in turn, by default all that run."""
+        names = list(entries) or list(self.members)
+        urls = tuple(self.members[name].url for name in names)
+        made = self._clients.get((urls, key))
+        if made is None:
+            made = self._clients[(urls, key)] = EntryClient(urls, key)
+        return made
+
+    def operator(self, *entries: str) -> EntryClient:
+        """Return a client with the operator's key."""
+        return self.client(self.operator_key.secret, entries)
+
+    def client_from(self, first: str, key: str) -> EntryClient:
+        """Return a client that tries one entry first and the others after it."""
+        names = list(self.members)
+        at = names.index(first)
+        return self.client(key, [*names[at:], *names[:at]])
+
+    async def apply(self, fleet: Fleet | None = None) -> Publication:
+        """Publish declarations, by default those of the site, and return the accepted record."""
+        wanted = fleet or self.fleet
+        in_force = (await self.operator().config()).unwrap()
+        changes = plan_changes(in_force.sections, wanted)
+        # Callers' limits are judged by the new declarations from the first task that uses them.
+        self.journal.fleet = wanted
+        done = await self.operator().publish_changes(changes, wanted, "operator", new_record_id())
+        return _accepted("apply", done)
+
+    async def grant(self, team: str) -> NewKey:
+        """Grant a key to a team."""
+        key = new_key()
+        record_id = new_record_id()
+        _accepted("grant", await self.operator().grant_key(key, "team", team, record_id))
+        return key
+
+    async def withdraw(self, key: NewKey) -> Publication:
+        """Withdraw a key."""
+        done = await self.operator().withdraw_key(key.key_id, new_record_id())
+        return _accepted("withdraw", done)
+
+    async def in_force_ms(self, publication: Publication) -> int:
+        """Wait until all entries have applied a record; return the time since the log stored it."""
+        urls = {member.url: name for name, member in self.members.items()}
+        client = self.operator()
+        late = await client.wait_in_force(publication.offset, HANG_MS, lambda _: None)
+        if late:
+            raise DeploymentError(f"not in force on {[urls[url] for url in late]}")
+        return _now_ms() - self.log.stored_ms(publication.offset)
+
+    async def submit(self, asked: Asked, client: EntryClient, **more: object) -> RequestReport:
+        """Send a request, ask again until it has an outcome, and note what the caller was told."""
+        self.journal.note_asked(asked)
+        submission = Submission(
+            asked.service,
+            asked.request_id,
+            asked.body,
+            idempotent=asked.idempotent,
+            slots=asked.slots,
+            **more,
+        )
+        sent = await client.submit(submission, HANG_MS)
+        report = sent.ok_value if sent.is_ok() else None
+        self.journal.note_report(asked.request_id, report)
+        return report
+
+    def asked(self, team: str, service: str, body: bytes, **more: object) -> Asked:
+        """Return a new request with an id of its own."""
+        return Asked(uuid7(), team, service, body, **more)
+
+    def spans(self) -> list[dict]:
+        """Return the spans that the running entries have exported."""
+        lines = [line for m in self.members.values() for line in m.spans.getvalue().splitlines()]
+        return [orjson.loads(line) for line in lines]
+
+
+def _accepted(step: str, done: Result[Publication, Failure]) -> Publication:
+    if done.is_err() or done.ok_value.verdict is not Verdict.ACCEPTED:
+        raise DeploymentError(f"{step}: {done.err() or done.ok()}")
+    return done.ok_value
+
+
+def deployment_of(name: str, **options: object) -> Deployment:
+    """Return a deployment with the declarations in `examples/<name>/fleet`."""
+    site = SITES[name]
+    loaded = load_fleet(site.fleet_folder)
+    if loaded.is_err():
+        raise DeploymentError("\n".join(map(str, loaded.err_value)))
+    return Deployment(site, loaded.ok_value, **options)
+
+
+@contextlib.asynccontextmanager
+async def running(deployment: Deployment, serving: bool = True):
+    """Run a deployment, by default with its declarations in force, and stop it at the end."""
+    try:
+        await deployment.start()
+        if serving:
+            await deployment.apply()
+            await deployment.until_cells()
+        yield deployment
+    finally:
+        await deployment.close()
+
+
+def _base64(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+__all__ = ["Asked", "Deployment", "DeploymentError", "RequestClass", "deployment_of", "running"]
--- a/packages/standin/src/fescuecrank_standin/log_service.py
+++ b/packages/standin/src/fescuecrank_standin/log_service.py
@@ -66,6 +66,10 @@
         self._grown = asyncio.Event()
         return offset
 
+    def stored_ms(self, offset: int) -> int:
+        """Return the monotonic time at which a record that is still kept was stored."""
+        return self._records[offset - self.first].stored_ms
+
     def expire(self) -> None:
         """Drop the records that are past retention."""
         if self.retain_records is not None:
--- /dev/null
+++ b/packages/standin/src/fescuecrank_standin/observed.py
@@ -0,0 +1,120 @@
+"""Workers that report each start and reboot, and an endpoint whose answers can be checked."""
+
+import asyncio
+import hashlib
+import time
+from collections.abc import Callable
+
+import attrs
+from fescuecrank_core.declarations import Resources
+from fescuecrank_core.events import Instance, InstanceState
+
+from fescuecrank_standin.sites import Place, Site
+from fescuecrank_standin.worker import WorkerStandIn
+from fescuecrank_standin.worker_tasks import RunResult, WorkerTask
+
+RUN_MS_PREFIX = b"run-ms="
+
+
+def work_body(run_ms: int, text: str = "") -> bytes:
+    """Return a body that makes the endpoint run for `run_ms`."""
+    return RUN_MS_PREFIX + f"{run_ms}\n{text}".encode()
+
+
+def expected_answer(service: str, body: bytes) -> bytes:
+    """Return what the endpoint of a service answers to `body`."""
+    return service.encode() + b" " + hashlib.sha256(body).hexdigest().encode() + b"\n" + body
+
+
+def _run_ms(body: bytes) -> int:
+    line = body.partition(b"\n")[0]
+    return int(line[len(RUN_MS_PREFIX) :]) if line.startswith(RUN_MS_PREFIX) else 0
+
+
+async def checked_endpoint(task: WorkerTask) -> RunResult:
+    """Run for as long as the body says and answer with its digest."""
+    left_ms = _run_ms(task.run.body)
+    while left_ms > 0:
+        slice_ms = min(left_ms, 50)
+        await asyncio.sleep(slice_ms / 1_000)
+        left_ms -= slice_ms // 2 if task.throttled and slice_ms > 1 else slice_ms
+    return RunResult(200, expected_answer(task.run.service, task.run.body))
+
+
+@attrs.frozen
+class Started:
+    """One start of a task on a worker."""
+
+    worker: str
+    request_id: str
+    service: str
+    at_ms: int
+
+
+class ObservedWorker(WorkerStandIn):
+    """A worker that tells its observer of starts and of reboots before they happen."""
+
+    def __init__(
+        self,
+        name: str,
+        site: Site,
+        place: Place,
+        reboot_ms: int,
+        on_start: Callable[["ObservedWorker", WorkerTask], None],
+        on_reboot: Callable[["ObservedWorker"], None],
+    ) -> None:
+        super().__init__(
+            name, site.capacity.slots, site.connections, checked_endpoint, reboot_ms=reboot_ms
+        )
+        self.place = place
+        self.is_up = True
+        self.starts: list[Started] = []
+        self._site = site
+        self._on_start = on_start
+        self._on_reboot = on_reboot
+
+    async def _run(self, task: WorkerTask) -> RunResult:
+        now_ms = time.monotonic_ns() // 1_000_000
+        run = task.run
+        self.starts.append(Started(self.name, run.request_id, run.service, now_ms))
+        self._on_start(self, task)
+        return await super()._run(task)
+
+    def reboot(self) -> None:
+        """Reboot as a maintenance wave asks for it."""
+        self.is_up = False
+        self._on_reboot(self)
+        super().reboot()
+        if not self.reboot_ms:
+            self.is_up = True
+
+    async def _restart(self) -> None:
+        await super()._restart()
+        self.is_up = True
+
+    async def die(self) -> None:
+        """Lose all tasks and stop answering, as a machine without power does."""
+        self.is_up = False
+        self.tasks.reboot()
+        await self.stop()
+
+    async def revive(self) -> None:
+        """Answer again on the same address."""
+        await self.start()
+        self.is_up = True
+
+    def listed(self, state: InstanceState = InstanceState.LIVE) -> Instance:
+        """Return the worker's item of the instance list."""
+        place, site = self.place, self._site
+        item = self.instance(site.region, place.data_centre, place.rack, self.capacity)
+        return attrs.evolve(item, state=state)
+
+    @property
+    def capacity(self) -> Resources:
+        """Return what the worker has."""
+        return self._site.capacity
+
+    @property
+    def is_out(self) -> bool:
+        """Return whether the worker takes no tasks, as seen from outside."""
+        return not self.is_up or self.tasks.draining
