Command tasks of an earlier holder under the fence of the present epoch

After a takeover the new holder asked for adopted tasks under the fence that they were started with. A worker that had seen a command of the new epoch refuses that, so the task was asked for without end while its lease was renewed, and its caller got no outcome. The simulated workers now refuse stale fences of every command, as docs/platform.md states; test_holder_dies_after_dispatch fails with them before this change.

--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -291,7 +291,11 @@
         running.stop_asked = running.stop_asked or action is TaskAction.STOP
         address = self.workers.address(running.task.worker)
         until_ms = self._membership.current_until_ms(now)
-        return [ControlTask(running.task, address, action, until_ms)]
+        return [ControlTask(self._commanded(running.task), address, action, until_ms)]
+
+    def _commanded(self, task: Task) -> Task:
+        """Return a task under the fence of this epoch; workers refuse that of an earlier holder."""
+        return attrs.evolve(task, fence=self.workers.fence(task.worker))
 
     def query(self, sender: str, query_id: str, key: RequestKey) -> list[Effect]:
         """Tell what is known of a request."""
@@ -513,7 +517,7 @@
     def _ask(self, running: Running, now: Instant) -> list[Effect]:
         running.next_query_ms = now.mono_ms + QUERY_INTERVAL_MS
         address = self.workers.address(running.task.worker)
-        return [QueryTask(running.task, address, forbid=True)]
+        return [QueryTask(self._commanded(running.task), address, forbid=True)]
 
     def _on_running(
         self, running: Running, record: RequestRecord, event: TaskReported, now: Instant
--- a/packages/core/tests/network.py
+++ b/packages/core/tests/network.py
@@ -82,6 +82,11 @@
     def is_up(self, now_ms: int) -> bool:
         return not self.dead and now_ms >= self.up_again_ms
 
+    def admits(self, fence: int) -> bool:
+        """Remember the highest fence; every command with a lower one is refused."""
+        self.fence = max(self.fence, fence)
+        return fence == self.fence
+
     def running(self) -> list[str]:
         return [task_id for task_id, task in self.tasks.items() if task.state == "running"]
 
@@ -349,7 +354,7 @@
     def _do_QueryTask(self, name, generation, effect) -> None:  # noqa: N802
         worker = self.workers[effect.task.worker]
         task_id = effect.task.task_id
-        if not worker.is_up(self.now_ms):
+        if not worker.is_up(self.now_ms) or not worker.admits(effect.task.fence):
             event = events.TaskReported(task_id, worker.name, TaskEnd.LOST)
         else:
             if task_id not in worker.tasks and effect.forbid:
@@ -361,14 +366,15 @@
         worker = self.workers[effect.task.worker]
         task = worker.tasks.get(effect.task.task_id)
         stops = effect.action is not effects.TaskAction.THROTTLE
-        if worker.is_up(self.now_ms) and stops and task is not None and task.state == "running":
+        obeys = worker.is_up(self.now_ms) and worker.admits(effect.task.fence)
+        if obeys and stops and task is not None and task.state == "running":
             task.state = "stopped"
             event = self._status_event(worker, effect.task.task_id)
             self._give_later(1, name, generation, event)
 
     def _do_PollWorker(self, name, generation, effect) -> None:  # noqa: N802
         worker = self.workers[effect.worker]
-        if not worker.is_up(self.now_ms):
+        if not worker.is_up(self.now_ms) or not worker.admits(effect.fence):
             event = events.WorkerPolled(worker.name, False)
         else:
             for task_id in effect.tasks:
