--- a/packages/standin/src/fescuecrank_standin/deployment.py
+++ b/packages/standin/src/fescuecrank_standin/deployment.py
@@ -318,6 +318,14 @@
         self.journal.note_report(asked.request_id, report)
         return report
 
+    async def ask_again(self, request_id: str, key: str) -> RequestReport | None:
+        """Ask all entries for the outcome of a request and note what they tell."""
+        service = self.journal.asked[request_id].service
+        told = await self.client(key).result(service, request_id, HANG_MS)
+        report = told.ok_value if told.is_ok() else self.journal.reports.get(request_id)
+        self.journal.note_report(request_id, report)
+        return report
+
     def asked(self, team: str, service: str, body: bytes, **more: object) -> Asked:
         """Return a new request with an id of its own."""
         return Asked(uuid7(), team, service, body, **more)
--- a/packages/standin/src/fescuecrank_standin/journal.py
+++ b/packages/standin/src/fescuecrank_standin/journal.py
@@ -86,7 +86,7 @@
         self._check_leaving(worker)
 
     def running_slots(self) -> Counter[str]:
-        """Return the slots in use on all workers by team; requests of other callers are left out."""
+        """Return the slots in use on all workers by team, without requests of unknown callers."""
         running: Counter[str] = Counter()
         for worker in self.workers.values():
             for task in worker.tasks.running():
