Let a stopping holder queue requests for its successor

A cell that was being handed over refused new requests until its last task had ended, for 6 s in the demo. Its queue is handed over with the table, so it takes them in like those that wait.

--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -213,8 +213,6 @@
         return ""
 
     def _refusal(self, request: Request) -> str:
-        if self.is_stopping:
-            return "the scheduler of this cell is stopping"
         service = self._ledger.fleet.services.get(request.service)
         if service is None or service.pool != self.pool:
             return "the service does not belong to this cell"
--- a/packages/core/tests/test_faults.py
+++ b/packages/core/tests/test_faults.py
@@ -383,6 +383,21 @@
     dep.checker.check_all_answered()
 
 
+def test_requests_that_arrive_during_a_hand_over_wait_for_the_successor():
+    """Guards against refusals for as long as the last task of a stopping holder runs."""
+    dep = Deployment()
+    dep.set_run_ms(2_000)
+    holder = dep.holder()
+    gateway = dep.other_than(holder)
+    before = dep.send(gateway)
+    dep.net.run(300)
+    dep.net.give(holder, ShutdownAsked())
+    dep.net.run(500)
+    during = dep.send(gateway)
+    dep.finish()
+    assert [dep.outcome(token) for token in (before, during)] == [Outcome.DONE] * 2
+
+
 def test_wave_under_load_keeps_the_budget():
     """Guards against a wave that breaks its budget or interrupts tasks."""
     dep = Deployment(pools=("hoist", "truss"), workers_each=4, failure_reserve=0)
