--- /dev/null
+++ b/packages/bench/src/fescuecrank_bench/slopes_cell.py
@@ -0,0 +1,168 @@
+"""Slopes of the roles around a cell: holder with its workers and requests, and backup."""
+
+import itertools
+
+import attrs
+from fescuecrank_core import codec, messages
+from fescuecrank_core.backups import BackupKeeper
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.ledger import Ledger
+from fescuecrank_core.requests import Answer, Outcome, RequestRecord, RequestState
+
+from fescuecrank_bench.slopes_builders import (
+    BODY,
+    TARGET_TEAMS,
+    WALL_START_MS,
+    fleet,
+    request,
+    team_name,
+)
+from fescuecrank_bench.slopes_driver import ANSWER, ANSWER_DIGEST, Driver
+from fescuecrank_bench.slopes_fit import MICROSECONDS, Slope, memory_bytes, processor_us
+
+HOLDER = "holder of a cell"
+OWNER = "owner of workers' state"
+BACKUP = "backup"
+WORKERS = (30, 300, 3_000, 27_000)
+# Tracing allocations takes long, so the state is measured at smaller sizes.
+TRACED_WORKERS = (30, 300, 1_000, 3_000)
+RATES = (0, 100, 200, 400)
+RUNNING = (0, 400, 800, 1_600)
+BACKUP_RECORDS = (100, 1_000, 4_000, 16_000)
+# One lease interval, so that each worker is polled once.
+WINDOW_MS = 2_500
+STEP_MS = 250
+
+
+def holder_slopes() -> list[Slope]:
+    """Measure the holder of one cell without requests, by the number of its workers."""
+    cpu, load, body = [], [], []
+    for count in WORKERS:
+        driver = Driver(fleet(count), members=4)
+        driver.meter.clear()
+        driver.run(WINDOW_MS)
+        seconds, meter = WINDOW_MS / 1_000, driver.meter
+        cpu.append((count, meter.cpu_us() / seconds))
+        load.append((count, meter.bytes["out CellLoad"] / seconds))
+        polled = meter.bytes["out poll body"] + meter.bytes["in poll body"]
+        body.append((count, polled / seconds))
+    return [
+        Slope(HOLDER, "processor time a second", MICROSECONDS, "worker", tuple(cpu)),
+        Slope(HOLDER, "load reports a second", "B", "worker", tuple(load)),
+        Slope(HOLDER, "bodies of polls a second", "B", "worker", tuple(body)),
+    ]
+
+
+def owner_slopes() -> list[Slope]:
+    """Measure what the state of the workers takes at the cell's holder."""
+    points = []
+    for count in TRACED_WORKERS:
+        points.append((count, memory_bytes(lambda c=count: _cell_state(c))))
+    return [Slope(OWNER, "state", "B", "worker", tuple(points))]
+
+
+def _cell_state(count: int) -> object:
+    driver = Driver(fleet(count), members=3)
+    cell = driver.entry.cells.cells[driver.scope()]
+    # The ledger and the list are measured in roles of their own.
+    return (cell.workers._views, cell.index, cell.workers._poll_queue)
+
+
+def request_slopes() -> list[Slope]:
+    """Measure the holder by the requests that it gets a second, with 300 workers."""
+    cpu, sent, size = [], [], []
+    numbers = itertools.count(1)
+    for rate in RATES:
+        driver = Driver(fleet(300), members=4, run_ms=500)
+        _submit(driver, rate, numbers, 1_000)
+        driver.meter.clear()
+        _submit(driver, rate, numbers, 2_000)
+        _check_served(driver)
+        seconds, meter = 2.0, driver.meter
+        cpu.append((rate, meter.cpu_us() / seconds))
+        kinds = ("Forward", "Replicate", "ReplicateAck", "ForwardAnswer")
+        keys = [f"{way} {kind}" for way in ("in", "out") for kind in kinds]
+        sent.append((rate, sum(meter.messages[key] for key in keys) / seconds))
+        size.append((rate, sum(meter.bytes[key] for key in keys) / seconds))
+    return [
+        Slope(HOLDER, "processor time a second", MICROSECONDS, "request a second", tuple(cpu)),
+        Slope(HOLDER, "peer messages a second", "messages", "request a second", tuple(sent)),
+        Slope(HOLDER, "peer bytes a second", "B", "request a second", tuple(size)),
+    ]
+
+
+def _submit(driver: Driver, rate: int, numbers: itertools.count, duration_ms: int) -> None:
+    for _ in range(duration_ms // STEP_MS):
+        for _ in range(rate * STEP_MS // 1_000):
+            number = next(numbers)
+            team = team_name(number % TARGET_TEAMS)
+            driver.receive("entry-001", messages.Forward(request(number, team=team)))
+        driver.run(STEP_MS)
+
+
+def _check_served(driver: Driver) -> None:
+    cell = driver.entry.cells.cells[driver.scope()]
+    unended = sum(record.state is not RequestState.ENDED for record in cell.table)
+    if unended > len(cell.table) // 2 and len(cell.table) > 0:
+        raise RuntimeError(f"{unended} of {len(cell.table)} requests were not served")
+
+
+def running_slopes() -> list[Slope]:
+    """Measure the holder by the tasks that run, with 300 workers and no new requests."""
+    cpu, polls = [], []
+    numbers = itertools.count(1)
+    for count in RUNNING:
+        driver = Driver(fleet(300), members=4, run_ms=3_600_000)
+        _submit(driver, count, numbers, 1_000)
+        driver.run(1_000)
+        running = driver.entry.cells.cells[driver.scope()].unfinished()
+        if running != count:
+            raise RuntimeError(f"{running} tasks run instead of {count}")
+        driver.meter.clear()
+        driver.run(WINDOW_MS)
+        seconds, meter = WINDOW_MS / 1_000, driver.meter
+        cpu.append((count, meter.cpu_us() / seconds))
+        polled = meter.bytes["out poll body"] + meter.bytes["in poll body"]
+        polls.append((count, polled / seconds))
+    return [
+        Slope(HOLDER, "processor time a second", MICROSECONDS, "running task", tuple(cpu)),
+        Slope(HOLDER, "leases and usage a second", "B", "running task", tuple(polls)),
+    ]
+
+
+def ended_record(number: int) -> RequestRecord:
+    """Return the record of a request that has its answer."""
+    req = request(number, team=team_name(number % TARGET_TEAMS))
+    answer = Answer(req.key, Outcome.DONE, "", 200, ANSWER, ANSWER_DIGEST, 1)
+    record = RequestRecord(req, RequestState.ENDED, number, 1, None, answer, WALL_START_MS)
+    return attrs.evolve(record, request=attrs.evolve(req, body=bytes(bytearray(BODY))))
+
+
+def backup_slopes() -> list[Slope]:
+    """Measure a backup by the records that it keeps."""
+    cpu, state, sent = [], [], []
+    for count in BACKUP_RECORDS:
+        cpu.append((count, processor_us(lambda c=count: _store(c), 3) - _building_us(count)))
+        state.append((count, memory_bytes(lambda c=count: _store(c))))
+        keeper = _store(count)
+        offers = keeper.on_table_request("e2", messages.TableRequest("r1/p", 9), Instant(0, 0))
+        size = sum(len(codec.encode(effect.message)) for effect in offers)
+        sent.append((count, size))
+    return [
+        Slope(BACKUP, "processor time", MICROSECONDS, "record", tuple(cpu)),
+        Slope(BACKUP, "state", "B", "record", tuple(state)),
+        Slope(BACKUP, "copy at a takeover", "B", "record", tuple(sent)),
+    ]
+
+
+def _building_us(count: int) -> float:
+    return processor_us(lambda: [ended_record(number) for number in range(count)], 3)
+
+
+def _store(count: int) -> BackupKeeper:
+    keeper, now = BackupKeeper(Ledger()), Instant(0, WALL_START_MS)
+    keeper.on_table_offer("e1", messages.TableOffer("r1/p", 1, 0, 0, 1, ()), now)
+    for number in range(count):
+        keeper.on_replicate("e1", messages.Replicate("r1/p", 1, ended_record(number)), now)
+    return keeper
+
--- a/packages/bench/src/fescuecrank_bench/slopes_driver.py
+++ b/packages/bench/src/fescuecrank_bench/slopes_driver.py
@@ -103,6 +103,7 @@
         self._inbox: deque[events.Event] = deque()
         self._later: list[tuple[int, int, events.Event]] = []
         self._order = itertools.count()
+        self._granted: Counter[str] = Counter()
         self._start(holds_cell, holds_limits)
 
     def _start(self, holds_cell: bool, holds_limits: bool) -> None:
@@ -242,10 +243,11 @@
     def _grant(
         self, cell: str, epoch: int, minter_epoch: int, returned: dict[str, int]
     ) -> messages.EscrowGrant:
-        granted = {team: 500_000 for team in self.declared.teams}
+        granted = dict(self._granted)
         return messages.EscrowGrant(cell, epoch, minter_epoch, granted, returned, {})
 
     def _meet_demand(self, peer: str, demand: messages.EscrowDemand) -> messages.Message:
+        self._granted.update(demand.want)
         return self._grant(demand.cell, demand.epoch, demand.minter_epoch, dict(demand.returned))
 
     def _poll(self, effect: effects.PollWorker) -> None:
