--- a/packages/daemon/src/fescuecrank_daemon/effect_runner.py
+++ b/packages/daemon/src/fescuecrank_daemon/effect_runner.py
@@ -16,6 +16,7 @@
     Exit,
     ListInstances,
     Notice,
+    Observe,
     PollWorker,
     QueryTask,
     ReadLog,
@@ -129,7 +130,8 @@
             "peer.forward", request.traceparent, peer=peer, request_id=request.key.request_id
         )
         hop.end()
-        return Forward(attrs.evolve(request, traceparent=hop.traceparent))
+        traced = attrs.evolve(request, traceparent=hop.traceparent)
+        return attrs.evolve(message, request=traced)
 
     def _connect_peer(self, effect: ConnectPeer) -> None:
         self._peers.connect(effect.peer, effect.address)
@@ -189,6 +191,9 @@
         }
         self._log.info(effect.name, **fields)
 
+    def _observe(self, effect: Observe) -> None:
+        self._metrics.observed(effect.name, effect.seconds, effect.labels)
+
     def _exit(self, _: Exit) -> None:
         self._exited()
 
@@ -211,5 +216,6 @@
     PollWorker: EffectRunner._poll_worker,
     ControlWorker: EffectRunner._control_worker,
     Notice: EffectRunner._notice,
+    Observe: EffectRunner._observe,
     Exit: EffectRunner._exit,
 }
--- a/packages/daemon/tests/daemon_builders.py
+++ b/packages/daemon/tests/daemon_builders.py
@@ -37,6 +37,7 @@
     Tick,
 )
 from fescuecrank_core.messages import Forward, ForwardAnswer
+from fescuecrank_core.metrics import Sample
 from fescuecrank_core.requests import Answer, Outcome, Request, RequestKey, Task
 from fescuecrank_daemon.compose import EntryDaemon, Identity
 from fescuecrank_daemon.settings import (
@@ -120,8 +121,8 @@
     def is_ready(self, now: Instant) -> bool:
         return True
 
-    def metrics(self) -> dict[str, float]:
-        return {"ready": 1, "steps_total": len(self.events)}
+    def metrics(self, now: Instant) -> list[Sample]:
+        return [Sample("members", len(self.events))]
 
     def seen(self, cls: type) -> list:
         return [event for event in self.events if isinstance(event, cls)]
@@ -154,7 +155,7 @@
         if not self.answers:
             return [accepted]
         if self.holder:
-            return [accepted, SendPeer(self.holder, Forward(req))]
+            return [accepted, SendPeer(self.holder, Forward(req, req.key.request_id))]
         return [accepted, self.start(req)]
 
     def on_PeerMessage(self, event: PeerMessage) -> list[Effect]:  # noqa: N802
