--- a/packages/bench/src/fescuecrank_bench/sharing_bench.py
+++ b/packages/bench/src/fescuecrank_bench/sharing_bench.py
@@ -1,5 +1,356 @@
 """Measures of shares, waits and placement in virtual time."""
 
-from fescuecrank_bench.measures import Measure
+import statistics
+import time
+from collections.abc import Callable
 
-MEASURES: tuple[type[Measure], ...] = ()
+import attrs
+from fescuecrank_core.declarations import Resources
+from fescuecrank_core.placement import WorkerIndex
+from fescuecrank_core.requests import RequestKey
+from fescuecrank_core.sharing import DominantShareQueue, ShareQueue, Waiting
+
+from fescuecrank_bench.baselines import BASELINES
+from fescuecrank_bench.cell_run import STEP_MS, CellRun, Faults, Result, Sample
+from fescuecrank_bench.demand import (
+    ARCHIVAL,
+    BURST_MS,
+    CYCLE_MS,
+    DEPLOYMENTS,
+    MEAN_FACTOR,
+    MEDIAN_RUN_MS,
+    QUICK,
+    URGENT,
+    Arrival,
+    DemandSource,
+    Deployment,
+)
+from fescuecrank_bench.measures import Measure, Row
+
+WINDOW_MS = 10_000
+SEEDS = (1, 2, 3, 4)
+CYCLES = 2
+CLOSENESS_BOUND = 0.05
+WAIT_BOUND = 2.0
+URGENT_BOUND_MS = 2_300
+COST_RATIO_BOUND = 2.0
+
+
+def entitled_slots(sample: Sample, deployment: Deployment) -> dict[str, float]:
+    """Return the slots each team is entitled to at one instant.
+
+    Backlogged teams divide the pool by weight up to their limits; other teams need no more than
+    they hold. This is computed apart from the policy, in slots.
+    """
+    caps = {
+        team: deployment.limits[team] if team in sample.backlogged else sample.held[team]
+        for team in deployment.shares
+    }
+    entitled: dict[str, float] = {}
+    left = float(deployment.slots)
+    open_teams = set(caps)
+    while open_teams:
+        total = sum(deployment.shares[team] for team in open_teams)
+        level = left / total
+        capped = {t for t in open_teams if caps[t] <= level * deployment.shares[t]}
+        if not capped:
+            entitled |= {t: level * deployment.shares[t] for t in open_teams}
+            break
+        for team in capped:
+            entitled[team] = float(caps[team])
+            left -= caps[team]
+        open_teams -= capped
+    return entitled
+
+
+def window_gaps(result: Result, deployment: Deployment) -> list[float]:
+    """Return the relative gap of every team over every window in which it is backlogged.
+
+    The pool is full while a team that is not at its limit waits, since a policy starts whatever it
+    can at once. A window counts for a team that waits in all of it.
+    """
+    length = WINDOW_MS // STEP_MS
+    gaps = []
+    entitled = [entitled_slots(sample, deployment) for sample in result.samples]
+    for team, limit in deployment.limits.items():
+        held_sum = due_sum = 0.0
+        run = 0
+        history: list[tuple[float, float]] = []
+        for sample, due in zip(result.samples, entitled, strict=True):
+            if team not in sample.backlogged or sample.held[team] >= limit:
+                run, held_sum, due_sum, history = 0, 0.0, 0.0, []
+                continue
+            history.append((sample.held[team], due[team]))
+            held_sum, due_sum, run = held_sum + sample.held[team], due_sum + due[team], run + 1
+            if run > length:
+                old_held, old_due = history[run - length - 1]
+                held_sum, due_sum = held_sum - old_held, due_sum - old_due
+            if run >= length:
+                gaps.append(abs(held_sum - due_sum) / due_sum)
+    return gaps
+
+
+@attrs.frozen
+class Closeness:
+    """Worst and 99th percentile gap over all windows of all seeds, with counts."""
+
+    worst: float
+    p99: float
+    windows: int
+    over_limit: int
+    checkpoints: int
+    failures_on_broken: int
+    cancelled: int
+
+
+def measure_closeness(
+    deployment: Deployment, make: Callable[[], ShareQueue], faults: Faults | None = None
+) -> Closeness:
+    """Run bursts of every seed and compare holdings with entitlements."""
+    gaps: list[float] = []
+    results = []
+    for seed in SEEDS:
+        arrivals = DemandSource(deployment, seed).turns(CYCLES, BURST_MS)
+        result = CellRun(deployment, make(), arrivals, faults).run(CYCLES * CYCLE_MS)
+        gaps += window_gaps(result, deployment)
+        results.append(result)
+    gaps.sort()
+    return Closeness(
+        gaps[-1] if gaps else 0.0,
+        quantile(gaps, 0.99),
+        len(gaps),
+        sum(r.over_limit for r in results),
+        sum(r.checkpoints for r in results),
+        sum(r.failures_on_broken for r in results),
+        sum(r.cancelled for r in results),
+    )
+
+
+def quantile(ordered: list, fraction: float) -> float:
+    """Return the value at a fraction of an ordered list, or 0 for an empty one."""
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))] if ordered else 0.0
+
+
+class ShareCloseness(Measure):
+    """Gap between held and entitled slot-seconds of backlogged teams."""
+
+    name = "share closeness"
+    target = "at most 5 % over any 10 s while full, and at most a fifth of the best baseline"
+
+    def run(self) -> list[Row]:
+        """Measure bursts without further faults, with a broken worker and with cancellations."""
+        rows = []
+        for deployment in DEPLOYMENTS:
+            ours = measure_closeness(deployment, DominantShareQueue)
+            best, name = min(
+                (measure_closeness(deployment, b.queue).worst, b.name) for b in BASELINES
+            )
+            bound = min(CLOSENESS_BOUND, best / 5)
+            note = (
+                f"best baseline: {name}; p99 {ours.p99:.3f} of {ours.windows} windows, "
+                f"{ours.checkpoints} checkpoints"
+            )
+            rows.append(Row(self.name, deployment.name, "", ours.worst, bound, best, 0.0, note))
+            rows.append(
+                Row("limit violations", deployment.name, "starts", ours.over_limit, 0, None, 0.0)
+            )
+            rows += self._faulty(deployment)
+        return rows
+
+    def _faulty(self, deployment: Deployment) -> list[Row]:
+        broken = measure_closeness(deployment, DominantShareQueue, Faults(broken=frozenset({"w2"})))
+        cancel_at = BURST_MS + BURST_MS // 2
+        wave = measure_closeness(
+            deployment, DominantShareQueue, Faults(cancel_at_ms=cancel_at, cancel_team="team-2")
+        )
+        per_run = broken.failures_on_broken / len(SEEDS)
+        return [
+            Row(
+                "share closeness, broken worker",
+                deployment.name,
+                "",
+                broken.worst,
+                note=f"worker w2 fails all; p99 {broken.p99:.3f}; entitlement counts w2's slots",
+            ),
+            Row(
+                "tasks failed on a broken worker",
+                deployment.name,
+                "tasks",
+                per_run,
+                note=f"mean of {len(SEEDS)} runs of {CYCLES * CYCLE_MS // 1000} s",
+            ),
+            Row(
+                "share closeness, cancellations",
+                deployment.name,
+                "",
+                wave.worst,
+                CLOSENESS_BOUND,
+                note=f"{wave.cancelled} requests of one team cancelled; p99 {wave.p99:.3f}",
+            ),
+        ]
+
+
+FLOOD_MS = 40_000
+# Part of the pool that the minority asks for: half of the archival floor.
+TRICKLE = 0.05
+FLOOD = 2.0
+
+
+def flood(deployment: Deployment, seed: int, majority, minority) -> list[Arrival]:
+    """Return a flood of one class and a trickle of another, divided by the teams' shares."""
+    source = DemandSource(deployment, seed)
+    total = sum(deployment.shares.values())
+    parts = {team: share / total for team, share in deployment.shares.items()}
+    arrivals = source.stream(0, FLOOD_MS, FLOOD, parts, {majority: 1.0})
+    arrivals += source.stream(5_000, FLOOD_MS, TRICKLE, parts, {minority: 1.0})
+    return sorted(arrivals, key=lambda a: a.at_ms)
+
+
+class ClassWaits(Measure):
+    """Waits of one class while the other floods the pool."""
+
+    name = "waiting time"
+    target = "at most 2 service times of the waiting work"
+
+    def run(self) -> list[Row]:
+        """Measure quick work under archival work and the reverse."""
+        rows = []
+        for deployment in DEPLOYMENTS:
+            rows.append(self._row(deployment, "p99 wait of quick checks", ARCHIVAL, QUICK, 0.99))
+            rows.append(self._row(deployment, "longest wait of archival", QUICK, ARCHIVAL, 1.0))
+        return rows
+
+    def _row(self, deployment: Deployment, label: str, majority, minority, part: float) -> Row:
+        ours = self._wait(deployment, DominantShareQueue, majority, minority, part)
+        best, name = min(
+            (self._wait(deployment, b.queue, majority, minority, part), b.name) for b in BASELINES
+        )
+        note = f"best baseline: {name}; {majority.value} floods {FLOOD:g} times the pool"
+        return Row(label, deployment.name, "service times", ours, WAIT_BOUND, best, 0.0, note)
+
+    @staticmethod
+    def _wait(deployment: Deployment, make, majority, minority, part: float) -> float:
+        waits = []
+        for seed in SEEDS:
+            arrivals = flood(deployment, seed, majority, minority)
+            result = CellRun(deployment, make(), arrivals).run(FLOOD_MS)
+            waits += result.waits(minority, FLOOD_MS)
+        return quantile(sorted(waits), part) / (MEDIAN_RUN_MS[minority] * MEAN_FACTOR)
+
+
+class UrgentStart(Measure):
+    """Longest wait of urgent work while long archival tasks hold every slot they may have."""
+
+    name = "urgent start"
+    target = "urgent work starts within 2.3 s"
+
+    def run(self) -> list[Row]:
+        """Measure with archival work that may be stopped, and with none that may."""
+        rows = []
+        for deployment in DEPLOYMENTS:
+            for label, idempotent in (("80 % stoppable", None), ("none stoppable", False)):
+                ours = self._longest(deployment, DominantShareQueue, idempotent)
+                best, name = min(
+                    (self._longest(deployment, b.queue, idempotent), b.name) for b in BASELINES
+                )
+                note = f"best baseline: {name}; archival tasks of 120 s, {label}"
+                rows.append(
+                    Row(self.name, deployment.name, "ms", ours, URGENT_BOUND_MS, best, 0.0, note)
+                )
+        return rows
+
+    @staticmethod
+    def _longest(deployment: Deployment, make, idempotent: bool | None) -> float:
+        longest = 0
+        for seed in SEEDS:
+            source = DemandSource(deployment, seed)
+            arrivals = []
+            for team in deployment.shares:
+                for _ in range(deployment.slots):
+                    task = source.arrival(0, team, ARCHIVAL, 120_000)
+                    if idempotent is not None:
+                        task = attrs.evolve(task, idempotent=idempotent)
+                    arrivals.append(task)
+                for at in range(3_000, 30_000, 3_000):
+                    arrivals.append(source.arrival(at, team, URGENT))
+            arrivals.sort(key=lambda a: a.at_ms)
+            result = CellRun(deployment, make(), arrivals).run(60_000)
+            longest = max([longest, *result.waits(URGENT, 60_000)])
+        return float(longest)
+
+
+class DecisionCost(Measure):
+    """Wall time of one decision in a large and in a small fleet that are nearly full."""
+
+    name = "decision cost"
+    target = "at 27,000 workers at most 2 times the cost at 30 workers"
+
+    SMALL, LARGE = 30, 27_000
+    DECISIONS, REPEATS = 2_000, 9
+
+    def run(self) -> list[Row]:
+        """Measure the ratio of medians."""
+        small = self._median_us(self.SMALL)
+        large = self._median_us(self.LARGE)
+        note = f"{large:.1f} us against {small:.1f} us, median of {self.REPEATS} repeats"
+        return [Row(self.name, "both", "times", large / small, COST_RATIO_BOUND, note=note)]
+
+    def _median_us(self, workers: int) -> float:
+        index, queue, running = self._filled(workers)
+        times = []
+        for repeat in range(self.REPEATS):
+            started = time.perf_counter()
+            for i in range(self.DECISIONS):
+                self._decide(index, queue, running, repeat * self.DECISIONS + i)
+            times.append((time.perf_counter() - started) / self.DECISIONS * 1e6)
+        return statistics.median(times)
+
+    @staticmethod
+    def _decide(index: WorkerIndex, queue: ShareQueue, running: list, number: int) -> None:
+        """End one task and start the next request."""
+        place = number * 7919 % len(running)
+        old, worker = running[place]
+        index.give_back(worker, old.need)
+        queue.finish(old.key, number)
+        queue.push(attrs.evolve(old, key=RequestKey(old.team, f"n{number}"), queued_ms=number))
+        new = queue.next(number, ())
+        name = index.choose(new.need)
+        if name is None:
+            raise AssertionError("the freed slot must fit a request of the same size")
+        index.take(name, new.need)
+        queue.start(new.key, number)
+        running[place] = (new, name)
+
+    @staticmethod
+    def _filled(workers: int) -> tuple[WorkerIndex, ShareQueue, list]:
+        deployment = DEPLOYMENTS[0]
+        index, queue = WorkerIndex(), DominantShareQueue()
+        capacity = Resources(slots=0)
+        for i in range(workers):
+            size = Resources(16_000, 32_000, 0, 8) if i % 3 else Resources(32_000, 128_000, 4, 16)
+            capacity = capacity + size
+            index.put(f"w{i}", size, 64, f"rack-{i // 4}", f"dc-{i % 16}")
+        queue.configure(deployment.shares, capacity, deployment.profile)
+        teams = list(deployment.shares)
+        number = 0
+        running: list = []
+        while True:
+            team = teams[number % len(teams)]
+            need = Resources(500 + number % 1_500, 500 + number % 3_000)
+            waiting = Waiting(RequestKey(team, f"s{number}"), team, QUICK, need, 300, 0)
+            number += 1
+            queue.push(waiting)
+            name = index.choose(need)
+            if name is None:
+                break
+            index.take(name, need)
+            queue.start(waiting.key, 0)
+            running.append((waiting, name))
+        for team in teams:
+            for i in range(100):
+                key = RequestKey(team, f"b{i}")
+                queue.push(Waiting(key, team, QUICK, Resources(500, 500), 300, 0))
+        return index, queue, running
+
+
+MEASURES: tuple[type[Measure], ...] = (ShareCloseness, ClassWaits, UrgentStart, DecisionCost)
--- a/packages/core/src/fescuecrank_core/learning.py
+++ b/packages/core/src/fescuecrank_core/learning.py
@@ -13,9 +13,15 @@
 MAX_PAIRS = 4_096
 # Finished tasks after which the declared values no longer count.
 TRUSTED_AFTER = 12
-# Sizes use a high quantile with a margin, since too small a size overloads the worker.
-SIZE_QUANTILE = 0.95
-SIZE_MARGIN = 1.1
+# Too little memory kills tasks, so its size is a high quantile with a margin. Too little processor
+# time only slows them down, and the peaks of the tasks of one worker rarely coincide.
+MEMORY_QUANTILE, MEMORY_MARGIN = 0.95, 1.1
+PROCESSOR_QUANTILE = 0.75
+# How far a declared value may exceed what the other teams of the service use, while the team itself
+# has too few reports.
+EARLY_FACTOR = 2
+# History of all teams of a service.
+ALL_TEAMS = ""
 
 
 @attrs.frozen
@@ -40,8 +46,9 @@
 class Estimator:
     """Estimates that start from the declared values and converge to the observed ones.
 
-    Until `TRUSTED_AFTER` tasks have finished, a size is the larger of declared and observed. Slots
-    and accelerators are allocated whole, so their declared amounts stand.
+    Until `TRUSTED_AFTER` tasks of a team have finished, a size is the larger of declared and
+    observed, and a declared value counts up to `EARLY_FACTOR` times what the whole service uses.
+    Slots and accelerators are allocated whole, so their declared amounts stand.
     """
 
     def __init__(self) -> None:
@@ -49,24 +56,39 @@
 
     def expect(self, service: str, team: str, need: Resources, run_ms: int) -> Estimate:
         """Return the expected size and run time in place of the declared ones."""
+        whole = self._pairs.get((service, ALL_TEAMS))
+        prior = self._early_prior(whole, need, run_ms)
         history = self._pairs.get((service, team))
-        if history is None or not (history.cpu_millis or history.still_running_ms):
-            return Estimate(need, run_ms, 0)
+        if history is None:
+            return prior
         cpu, memory, run = self._learned(history)
         samples = len(history.run_ms)
         if samples < TRUSTED_AFTER:
-            cpu, memory = max(cpu, need.cpu_millis), max(memory, need.memory_mb)
-            # The declared run time counts as the missing samples.
-            run = (run * samples + run_ms * (TRUSTED_AFTER - samples)) // TRUSTED_AFTER
+            cpu, memory = max(cpu, prior.need.cpu_millis), max(memory, prior.need.memory_mb)
+            # The prior run time counts as the missing samples.
+            run = (run * samples + prior.run_ms * (TRUSTED_AFTER - samples)) // TRUSTED_AFTER
             run = max(run, history.still_running_ms)
         learned = attrs.evolve(need, cpu_millis=cpu, memory_mb=memory)
         return Estimate(learned, max(1, run), samples)
 
+    def _early_prior(self, whole: _History | None, need: Resources, run_ms: int) -> Estimate:
+        if whole is None or len(whole.run_ms) < TRUSTED_AFTER:
+            return Estimate(need, run_ms, 0)
+        cpu, memory, run = self._learned(whole)
+        cpu = min(EARLY_FACTOR * cpu, max(cpu, need.cpu_millis))
+        memory = min(EARLY_FACTOR * memory, max(memory, need.memory_mb))
+        run = min(EARLY_FACTOR * run, max(run // EARLY_FACTOR, run_ms))
+        return Estimate(attrs.evolve(need, cpu_millis=cpu, memory_mb=memory), run, 0)
+
     def observe(
         self, service: str, team: str, used: Resources, run_ms: int, finished: bool
     ) -> None:
         """Add one report; the run time of an unfinished task is only a lower bound."""
-        history = self._history((service, team))
+        for name in (team, ALL_TEAMS):
+            self._add(self._history((service, name)), used, run_ms, finished)
+
+    @staticmethod
+    def _add(history: _History, used: Resources, run_ms: int, finished: bool) -> None:
         history.estimate = None
         if not finished:
             history.still_running_ms = max(history.still_running_ms, run_ms)
@@ -90,8 +112,8 @@
     def _learned(history: _History) -> tuple[int, int, int]:
         if history.estimate is None:
             history.estimate = (
-                int(_quantile(history.cpu_millis, SIZE_QUANTILE) * SIZE_MARGIN),
-                int(_quantile(history.memory_mb, SIZE_QUANTILE) * SIZE_MARGIN),
+                _quantile(history.cpu_millis, PROCESSOR_QUANTILE),
+                int(_quantile(history.memory_mb, MEMORY_QUANTILE) * MEMORY_MARGIN),
                 _quantile(history.run_ms, 0.5),
             )
         return history.estimate
--- a/packages/core/src/fescuecrank_core/sharing.py
+++ b/packages/core/src/fescuecrank_core/sharing.py
@@ -11,6 +11,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Container
+from itertools import islice
 
 import attrs
 
@@ -33,6 +34,8 @@
 LEAST_PATIENCE_MS = 50
 MOST_PATIENCE_MS = 400
 URGENT_PATIENCE_MS = 100
+# Requests of one team and class that are considered when the first ones fit no worker.
+LOOK_AHEAD = 16
 # Part of the slots closed to archival tasks that cannot be stopped, with equal weights.
 RESERVE_FRACTION = 0.03
 LEAST_RESERVE_FRACTION = 0.02
@@ -74,12 +77,12 @@
 
     @abstractmethod
     def next(
-        self, now_ms: int, blocked: Container[str], unfit: Container[str] = ()
+        self, now_ms: int, blocked: Container[str], unfit: Container[RequestKey] = ()
     ) -> Waiting | None:
         """Return the request to start next; it stays queued until `start`.
 
         `blocked` names teams at their upper limit, which have no claim to more. `unfit` names
-        teams whose last returned request fits no worker now; they are skipped and keep their claim.
+        requests that fit no worker now; a smaller one of the same team may go instead.
         """
 
     @abstractmethod
@@ -141,10 +144,14 @@
         if len(self._entries) > 64 and self.live < len(self._entries) // 4:
             self._entries = deque(e for e in self._entries if e.alive)
 
-    def head(self) -> Waiting | None:
+    def head(self, unfit: Container[RequestKey] = ()) -> Waiting | None:
+        """Return the first request that is not in `unfit`, among the first few."""
         while self._entries and not self._entries[0].alive:
             self._entries.popleft()
-        return self._entries[0].waiting if self._entries else None
+        for entry in islice(self._entries, LOOK_AHEAD):
+            if entry.alive and entry.waiting.key not in unfit:
+                return entry.waiting
+        return None
 
     def position(self, key: RequestKey) -> int:
         live = (e.waiting.key for e in self._entries if e.alive)
@@ -188,6 +195,17 @@
             self.used_by[cls] = self.used_by[cls] * keep + held * elapsed_ms
 
 
+@attrs.frozen
+class _Front:
+    """A team that may start work, with the first request of each class that fits."""
+
+    team: _Team
+    heads: dict[RequestClass, Waiting | None]
+
+    def head(self, cls: RequestClass) -> Waiting | None:
+        return self.heads.get(cls)
+
+
 class DominantShareQueue(ShareQueue):
     """Weighted dominant-resource shares with bounded lag.
 
@@ -206,6 +224,8 @@
         self._patience_ms = float(PATIENCE_MS)
         self._fixed = 0.0
         self._at_ms: int | None = None
+        # Whether entitlements must be computed again.
+        self._stale = True
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -216,6 +236,7 @@
         self._slot_share = 1.0 / max(1, capacity.slots)
         self._reserve = _reserve(profile, capacity.slots)
         self._patience_ms = _patience_ms(profile)
+        self._stale = True
         for name in weights:
             self._team(name)
         for team in self._teams.values():
@@ -225,6 +246,7 @@
     def push(self, waiting: Waiting) -> None:
         """Add a request at the place that its `queued_ms` gives it."""
         self.discard(waiting.key)
+        self._stale = True
         entry = _Entry(waiting)
         self._entries[waiting.key] = entry
         self._team(waiting.team).lanes[waiting.request_class].add(entry)
@@ -234,18 +256,25 @@
         entry = self._entries.pop(key, None)
         if entry is None:
             return False
+        self._stale = True
         waiting = entry.waiting
         self._teams[waiting.team].lanes[waiting.request_class].remove(entry)
         return True
 
     def next(
-        self, now_ms: int, blocked: Container[str], unfit: Container[str] = ()
+        self, now_ms: int, blocked: Container[str], unfit: Container[RequestKey] = ()
     ) -> Waiting | None:
         """Return the request to start next, or None."""
         self._advance(now_ms)
         self._refresh(blocked)
-        teams = [t for t in self._teams.values() if t.contends and t.name not in unfit]
-        return self._next_urgent(teams) or self._next_quick(teams, now_ms) or self._next_by(teams)
+        fronts = []
+        for team in self._teams.values():
+            if team.contends:
+                heads = {cls: lane.head(unfit) for cls, lane in team.lanes.items() if lane.live}
+                fronts.append(_Front(team, heads))
+        return (
+            self._next_urgent(fronts) or self._next_quick(fronts, now_ms) or self._next_by(fronts)
+        )
 
     def start(self, key: RequestKey, now_ms: int) -> None:
         """Charge the task to its team from now on."""
@@ -311,6 +340,7 @@
         )
 
     def _charge(self, team: _Team, task: _Running, sign: int) -> None:
+        self._stale = True
         cls = task.waiting.request_class
         team.held += sign * task.share
         team.held_by[cls] += sign * task.share
@@ -341,20 +371,26 @@
 
     def _refresh(self, blocked: Container[str]) -> None:
         for team in self._teams.values():
-            team.at_limit = team.name in blocked
+            at_limit = team.name in blocked
+            if at_limit != team.at_limit:
+                team.at_limit = at_limit
+                self._stale = True
         self._refresh_shares()
 
     def _refresh_shares(self) -> None:
+        if not self._stale:
+            return
+        self._stale = False
         for team in self._teams.values():
             team.contends = not team.at_limit and team.waits()
         set_entitlements(list(self._teams.values()))
 
     # Choice of the next request
 
-    def _next_urgent(self, teams: list[_Team]) -> Waiting | None:
+    def _next_urgent(self, fronts: list[_Front]) -> Waiting | None:
         heads = []
-        for team in teams:
-            head = team.lanes[RequestClass.URGENT].head()
+        for front in fronts:
+            team, head = front.team, front.head(RequestClass.URGENT)
             if head is not None and team.held_by[RequestClass.URGENT] < self._urgent_part(team):
                 heads.append(head)
         return min(heads, key=lambda head: head.queued_ms, default=None)
@@ -362,10 +398,10 @@
     def _urgent_part(self, team: _Team) -> float:
         return max(team.entitled, self._slot_share / 2)
 
-    def _next_quick(self, teams: list[_Team], now_ms: int) -> Waiting | None:
+    def _next_quick(self, fronts: list[_Front], now_ms: int) -> Waiting | None:
         best, best_slowdown = None, -1.0
-        for team in teams:
-            head = team.lanes[RequestClass.QUICK].head()
+        for front in fronts:
+            team, head = front.team, front.head(RequestClass.QUICK)
             if head is None or team.quick_held() >= self._profile.quick_floor * team.entitled:
                 continue
             if team.deficit() <= -QUICK_BORROW * self._slot_share:
@@ -375,10 +411,10 @@
                 best, best_slowdown = head, slowdown
         return best
 
-    def _next_by(self, teams: list[_Team]) -> Waiting | None:
+    def _next_by(self, fronts: list[_Front]) -> Waiting | None:
         best, best_gain = None, -math.inf
-        for team in teams:
-            head = self._head(team)
+        for front in fronts:
+            team, head = front.team, self._head(front)
             if head is None:
                 continue
             share = self._share(head.need)
@@ -388,18 +424,18 @@
                 best, best_gain = head, gain
         return best
 
-    def _head(self, team: _Team) -> Waiting | None:
+    def _head(self, front: _Front) -> Waiting | None:
         """Return the request of a team that goes first when its turn comes."""
-        urgent = team.lanes[RequestClass.URGENT].head()
+        urgent = front.head(RequestClass.URGENT)
         if urgent is not None:
             return urgent
-        quick = team.lanes[RequestClass.QUICK].head()
-        archival = team.lanes[RequestClass.ARCHIVAL].head()
+        quick = front.head(RequestClass.QUICK)
+        archival = front.head(RequestClass.ARCHIVAL)
         if archival is not None and self._reserve_keeps_out(archival):
             archival = None
         if quick is None or archival is None:
             return quick or archival
-        return archival if self._archival_first(team) else quick
+        return archival if self._archival_first(front.team) else quick
 
     def _archival_first(self, team: _Team) -> bool:
         """Return whether archival work goes before quick work while both wait."""
