Look ahead past removed requests

Cause: a run of removed entries behind an unfit head hid the rest of the queue, so a team with 21 waiting requests held nothing for 3 s (worst gap 48 %). Change: removed entries are dropped when looking ahead.

--- a/packages/core/src/fescuecrank_core/sharing.py
+++ b/packages/core/src/fescuecrank_core/sharing.py
@@ -148,11 +148,23 @@
         """Return the first request that is not in `unfit`, among the first few."""
         while self._entries and not self._entries[0].alive:
             self._entries.popleft()
+        if not self._entries or self._entries[0].waiting.key not in unfit:
+            return self._entries[0].waiting if self._entries else None
+        self._pack_front()
         for entry in islice(self._entries, LOOK_AHEAD):
-            if entry.alive and entry.waiting.key not in unfit:
+            if entry.waiting.key not in unfit:
                 return entry.waiting
         return None
 
+    def _pack_front(self) -> None:
+        """Drop removed entries among the first ones, so that looking ahead stays cheap."""
+        front = []
+        while self._entries and len(front) < LOOK_AHEAD:
+            entry = self._entries.popleft()
+            if entry.alive:
+                front.append(entry)
+        self._entries.extendleft(reversed(front))
+
     def position(self, key: RequestKey) -> int:
         live = (e.waiting.key for e in self._entries if e.alive)
         return next((i for i, other in enumerate(live, 1) if other == key), 0)
