Bound a team's entitlement by what it asks for, and warm up before floods

Cause: a team with one waiting request that fit nowhere counted as entitled to its whole part, so others looked over their share; the lag was repaid too slowly.

--- a/packages/core/src/fescuecrank_core/learning.py
+++ b/packages/core/src/fescuecrank_core/learning.py
@@ -19,7 +19,7 @@
 PROCESSOR_QUANTILE = 0.75
 # How far a declared value may exceed what the other teams of the service use, while the team itself
 # has too few reports.
-EARLY_FACTOR = 2
+EARLY_FACTOR = 1
 # History of all teams of a service.
 ALL_TEAMS = ""
 
--- a/packages/core/src/fescuecrank_core/sharing.py
+++ b/packages/core/src/fescuecrank_core/sharing.py
@@ -18,8 +18,8 @@
 from fescuecrank_core.declarations import Profile, RequestClass, Resources
 from fescuecrank_core.requests import RequestKey
 
-# Time in which a lag is made up: a lag of one slot-second counts like one slot too few.
-LAG_HORIZON_MS = 1_000
+# Time in which a lag is made up: a lag of a quarter of a slot-second counts like one slot too few.
+LAG_HORIZON_MS = 250
 # Lag is bounded to this much time at the entitled share, or to `LAG_SLOTS_MS` slots x ms if more.
 LAG_BOUND_MS = 300
 LAG_SLOTS_MS = 1_000
@@ -112,6 +112,7 @@
 @attrs.define(eq=False)
 class _Entry:
     waiting: Waiting
+    share: float
     alive: bool = True
 
 
@@ -181,6 +182,8 @@
         self.held = 0.0
         self.held_by = dict.fromkeys(RequestClass, 0.0)
         self.used_by = dict.fromkeys(RequestClass, 0.0)
+        # Shares of all waiting requests together.
+        self.wanted = 0.0
         self.entitled = 0.0
         self.lag = 0.0
         self.contends = False
@@ -189,6 +192,9 @@
     def waits(self) -> bool:
         return any(lane.live for lane in self.lanes.values())
 
+    def demand(self) -> float:
+        return self.held + (self.wanted if self.contends else 0.0)
+
     def quick_held(self) -> float:
         return self.held_by[RequestClass.QUICK] + self.held_by[RequestClass.URGENT]
 
@@ -253,15 +259,21 @@
             self._team(name)
         for team in self._teams.values():
             team.weight = weights.get(team.name, 0.0)
+            team.wanted = 0.0
             self._recount(team)
+        for entry in self._entries.values():
+            entry.share = self._share(entry.waiting.need)
+            self._teams[entry.waiting.team].wanted += entry.share
 
     def push(self, waiting: Waiting) -> None:
         """Add a request at the place that its `queued_ms` gives it."""
         self.discard(waiting.key)
         self._stale = True
-        entry = _Entry(waiting)
+        entry = _Entry(waiting, self._share(waiting.need))
         self._entries[waiting.key] = entry
-        self._team(waiting.team).lanes[waiting.request_class].add(entry)
+        team = self._team(waiting.team)
+        team.lanes[waiting.request_class].add(entry)
+        team.wanted += entry.share
 
     def discard(self, key: RequestKey) -> bool:
         """Remove a waiting request; the cost does not depend on the length of the queue."""
@@ -269,8 +281,12 @@
         if entry is None:
             return False
         self._stale = True
-        waiting = entry.waiting
-        self._teams[waiting.team].lanes[waiting.request_class].remove(entry)
+        team = self._teams[entry.waiting.team]
+        team.lanes[entry.waiting.request_class].remove(entry)
+        team.wanted -= entry.share
+        if not team.waits():
+            # Clears rounding errors of the sum.
+            team.wanted = 0.0
         return True
 
     def next(
@@ -545,12 +561,12 @@
 
 
 def set_entitlements(teams: list[_Team]) -> None:
-    """Divide what is held among teams by weight; who needs less than its part leaves the rest."""
+    """Divide what is held by weight; a team that asks for less than its part leaves the rest."""
     left = sum(team.held for team in teams)
     open_teams = []
     for team in teams:
         team.entitled = 0.0
-        if team.contends or team.held > 0:
+        if team.demand() > 0:
             open_teams.append(team)
     while open_teams:
         total = sum(team.weight for team in open_teams)
@@ -559,16 +575,14 @@
             for team in open_teams:
                 team.entitled = left / len(open_teams)
             return
-        satisfied = [
-            t for t in open_teams if not t.contends and t.held <= left * t.weight / total + 1e-12
-        ]
+        satisfied = [t for t in open_teams if t.demand() <= left * t.weight / total + 1e-12]
         if not satisfied:
             for team in open_teams:
                 team.entitled = left * team.weight / total
             return
         for team in satisfied:
-            team.entitled = team.held
-            left -= team.held
+            team.entitled = team.demand()
+            left -= team.entitled
         open_teams = [team for team in open_teams if team not in satisfied]
 
 
