--- a/packages/core/src/fescuecrank_core/quarantine.py
+++ b/packages/core/src/fescuecrank_core/quarantine.py
@@ -73,6 +73,7 @@
 
     def __init__(self) -> None:
         self._workers: dict[str, _Worker] = {}
+        self._confined: dict[str, _Worker] = {}
         self._teams: dict[str, _Rate] = {}
         self._own: OrderedDict[tuple[str, str], _Rate] = OrderedDict()
         self._failed: OrderedDict[RequestKey, dict[str, float]] = OrderedDict()
@@ -89,7 +90,7 @@
         else:
             self._blame(worker, state, key, rate)
         if state.score >= THRESHOLD and state.since_ms is None:
-            self._confine(state, now_ms)
+            self._confine(worker, state, now_ms)
 
     def quarantined(self, now_ms: int, allowed: int) -> frozenset[str]:
         """Return at most `allowed` workers that get no work, the worst first.
@@ -99,11 +100,9 @@
         """
         self._now_ms = max(self._now_ms, now_ms)
         confined = []
-        for name, state in self._workers.items():
-            if state.since_ms is None:
-                continue
+        for name, state in list(self._confined.items()):
             if now_ms >= state.until_ms:
-                self._release(state)
+                self._release(name, state)
                 continue
             confined.append((-state.score, state.since_ms, name))
         return frozenset(name for _, _, name in sorted(confined)[: max(0, allowed)])
@@ -153,14 +152,14 @@
             return False
         return self._now_ms - state.last_ok_ms <= HEALTHY_FOR_MS
 
-    @staticmethod
-    def _confine(state: _Worker, now_ms: int) -> None:
+    def _confine(self, name: str, state: _Worker, now_ms: int) -> None:
+        self._confined[name] = state
         length = min(LONGEST_QUARANTINE_MS, FIRST_QUARANTINE_MS << min(state.times, 10))
         state.since_ms, state.until_ms = now_ms, now_ms + length
         state.times += 1
 
-    @staticmethod
-    def _release(state: _Worker) -> None:
+    def _release(self, name: str, state: _Worker) -> None:
+        del self._confined[name]
         state.since_ms = None
         state.score = THRESHOLD - 1.0
 
--- a/packages/core/src/fescuecrank_core/sharing.py
+++ b/packages/core/src/fescuecrank_core/sharing.py
@@ -237,6 +237,7 @@
     def __init__(self) -> None:
         self._teams: dict[str, _Team] = {}
         self._entries: dict[RequestKey, _Entry] = {}
+        self._owners: dict[RequestKey, _Team] = {}
         self._capacity = Resources(slots=1)
         self._profile = Profile("default")
         self._slot_share = 1.0
@@ -311,9 +312,11 @@
         entry = self._entries.get(key)
         if entry is None:
             return
+        # A stopped task may be queued again before its end is reported.
+        self.finish(key, now_ms)
         self._advance(now_ms)
         self.discard(key)
-        team = self._teams[entry.waiting.team]
+        team = self._owners[key] = self._teams[entry.waiting.team]
         task = _Running(entry.waiting, self._share(entry.waiting.need))
         team.running[key] = task
         self._charge(team, task, 1)
@@ -321,8 +324,8 @@
 
     def finish(self, key: RequestKey, now_ms: int) -> None:
         """Stop charging the task."""
-        team = self._teams.get(key.team)
-        if team is None or key not in team.running:
+        team = self._owners.pop(key, None)
+        if team is None:
             return
         self._advance(now_ms)
         self._charge(team, team.running.pop(key), -1)
@@ -330,12 +333,10 @@
 
     def explain(self, key: RequestKey) -> str:
         """Name the limit, share, reserve or position that a request waits for."""
-        team = self._teams.get(key.team)
-        if team is not None and key in team.running:
-            return "running"
         entry = self._entries.get(key)
         if entry is None:
-            return "not waiting in this cell"
+            return "running" if key in self._owners else "not waiting in this cell"
+        team = self._teams[entry.waiting.team]
         cls = entry.waiting.request_class
         lane = team.lanes[cls]
         place = f"position {lane.position(key)} of {lane.live} in {cls.value} work of {team.name}"
--- a/packages/core/tests/test_sharing.py
+++ b/packages/core/tests/test_sharing.py
@@ -189,6 +189,16 @@
     assert queue.next(0, (), {make_key("a", 0)}).key == make_key("a", 30)
 
 
+def test_a_task_queued_again_before_its_end_is_charged_once():
+    """Guards against a team that seems to hold more with every checkpoint."""
+    queue = make_queue({"a": 1.0, "b": 1.0}, slots=2)
+    for _ in range(3):
+        queue.push(make_waiting("a", 0, ARCHIVAL))
+        queue.start(make_key("a", 0), 0)
+    queue.push(make_waiting("a", 1))
+    assert "holds 50.0% of" in queue.explain(make_key("a", 1))
+
+
 def test_a_wave_of_cancellations_is_cheap():
     """Guards against removals that search the queue: 20,000 of them would take minutes."""
     queue = make_queue({"a": 1.0})
