Keep quick work below its floor from shutting out archival work

Cause: with quick_floor 0.75 archival work under a flood of quick checks did not start at all for teams of two slots (longest wait 10.1 and 10.2 service times). Change: quick work goes first only while archival work is not further behind.

--- a/packages/core/src/fescuecrank_core/sharing.py
+++ b/packages/core/src/fescuecrank_core/sharing.py
@@ -439,6 +439,9 @@
                 continue
             if team.deficit() <= -QUICK_BORROW * self._slot_share:
                 continue
+            if front.head(RequestClass.ARCHIVAL) is not None and self._archival_first(team):
+                # Archival work is below its own floor too and has had less.
+                continue
             slowdown = (now_ms - head.queued_ms) / max(1, head.expected_ms)
             if slowdown > best_slowdown:
                 best, best_slowdown = head, slowdown
--- a/packages/core/tests/test_sharing.py
+++ b/packages/core/tests/test_sharing.py
@@ -165,6 +165,25 @@
     assert max(waits) <= 2 * run_ms[minority]
 
 
+def test_a_high_quick_floor_of_a_small_team_leaves_time_for_archival_work():
+    """Guards against a floor that, at two slots, gives every slot to quick work for good."""
+    queue = make_queue({"a": 1.0, "b": 23.0}, quick_floor=0.75)
+    for team in "ab":
+        for i in range(5_000):
+            queue.push(make_waiting(team, i))
+    cell = FullCell(queue)
+    rng = random.Random(3)
+    for step in range(160):
+        if step == 20:
+            queue.push(make_waiting("a", 9_999, ARCHIVAL, expected_ms=2_500, queued_ms=cell.now))
+        started = cell.fill(lambda w: rng.randrange(50, 600))
+        if any(w.request_class is ARCHIVAL for w in started):
+            assert cell.now - 20 * 50 <= 2 * 2_500
+            return
+        cell.step(50)
+    pytest.fail("the archival request never started")
+
+
 def test_a_team_at_its_limit_has_no_claim_on_the_others():
     """Guards against reclaiming the slots of others for a team that may not use them."""
     queue = make_queue({"a": 1.0, "b": 1.0})
