--- a/packages/core/src/fescuecrank_core/waves.py
+++ b/packages/core/src/fescuecrank_core/waves.py
@@ -1,7 +1,7 @@
 """Order, size and progress of a maintenance wave over the instances of one pool."""
 
 import math
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import attrs
@@ -14,14 +14,14 @@
 MAINTENANCE_PERIOD_MS = MAINTENANCE_DAYS * DAY_MS
 
 # Demand comes in bursts of seconds while an instance is out for minutes, so the load that counts
-# is the mean over about the time that one instance is out.
-LOAD_WINDOW_MS = 120_000
+# is a mean; over less than ten bursts its noise holds waves up.
+LOAD_WINDOW_MS = 600_000
+# Waiting work counts as load only if it did not clear in this time; a burst leaves it for seconds.
+BACKLOG_WINDOW_MS = 120_000
 # Capacity kept free on top of the load, for a profile that weighs only share closeness.
-LOAD_MARGIN = 0.2
+LOAD_MARGIN = 0.05
 # Longest time that load alone holds a wave up, for a profile with equal weights.
 STALL_MS = 600_000
-# Longest wait for a worker to become idle, for a profile that weighs only buffer cost.
-IDLE_WAIT_MS = 30_000
 # A drain is abandoned after this multiple of the expected time, but not before the minimum.
 DRAIN_PATIENCE = 3
 MIN_DRAIN_PATIENCE_MS = 120_000
@@ -73,22 +73,58 @@
     return [member.name for member in oldest[: max(late, daily_pace(len(oldest), closed_days))]]
 
 
+class LastingLoad:
+    """Load of a pool without the short backlogs that bursts leave.
+
+    `value` is the mean part of all slots in use, plus the least backlog of the last two minutes.
+    """
+
+    def __init__(self) -> None:
+        self._busy: float | None = None
+        self._first_ms = 0
+        self._now_ms = 0
+        self._backlogs: deque[tuple[int, float]] = deque()
+
+    @property
+    def value(self) -> float:
+        """Return the load as a part of the slots of all members."""
+        if self._busy is None:
+            return 0.0
+        return self._busy + (self._backlogs[0][1] if self._backlogs else 0.0)
+
+    def observe(self, load: float, left: float, now_ms: int) -> None:
+        """Take in the slots used or waited for; `left` is the part of the slots in service."""
+        busy = min(load, left)
+        if self._busy is None:
+            self._busy = busy
+            self._first_ms = self._now_ms = now_ms
+        # A plain mean at first, so that the first sample has no lasting influence.
+        window_ms = max(1, min(LOAD_WINDOW_MS, now_ms - self._first_ms))
+        self._busy += (busy - self._busy) * min(1.0, (now_ms - self._now_ms) / window_ms)
+        self._now_ms = now_ms
+        # Kept ascending, so that the first one is the least of the window.
+        while self._backlogs and self._backlogs[-1][1] >= load - busy:
+            self._backlogs.pop()
+        self._backlogs.append((now_ms, load - busy))
+        while self._backlogs[0][0] <= now_ms - BACKLOG_WINDOW_MS:
+            self._backlogs.popleft()
+
+
 class WavePlanner:
     """Decides which instances a wave takes out next; one planner for each cell.
 
-    The profile's weights decide how long load may hold the wave up, how early workers with long
-    tasks are started, and whether to wait for an idle worker.
+    The profile's weights decide how long and how early load holds the wave up, and how early
+    workers with long tasks are started.
     """
 
     def __init__(self) -> None:
         self._paused = False
-        self._load: float | None = None
-        self._load_ms = 0
+        self._load = LastingLoad()
         self._out_ms = float(DEFAULT_OUT_MS)
         self._trips: dict[str, _Trip] = {}
         self._given_back: set[str] = set()
+        self._upcoming: set[str] = set()
         self._load_blocked_ms: int | None = None
-        self._idle_wait_ms: int | None = None
 
     def pause(self) -> None:
         """Take no further instance out; those that are out finish their maintenance."""
@@ -98,7 +134,6 @@
         """Continue a paused wave; waiting times start anew."""
         self._paused = False
         self._load_blocked_ms = None
-        self._idle_wait_ms = None
 
     def next_out(
         self,
@@ -111,8 +146,9 @@
         """Return the instances to drain now, best first.
 
         `load` is the number of slots that are used or waited for, divided by the slots of all
-        members, whether out or not. The caller must call at least every few seconds and must count
-        the returned instances as out from then on.
+        members, whether out or not. The caller must count the returned instances as out from then
+        on. It calls about once a second, also with all members done while no wave runs, so that
+        the planner knows the load before the next wave.
         """
         self._learn(now_ms, members, out, load)
         waiting = [member for member in members if _can_start(member, out)]
@@ -125,14 +161,11 @@
             adds = member.name not in out
             if adds and step.counts.total >= limit:
                 break
-            if self._waits_for_idle(now_ms, member, budget.profile.weights):
-                break
             step.take(member)
             self._trips[member.name] = _Trip(now_ms, member.drain_ms)
             chosen.append(member.name)
         if chosen:
             self._load_blocked_ms = None
-            self._idle_wait_ms = None
         return chosen
 
     def give_back(
@@ -160,6 +193,27 @@
             del self._trips[name]
         return late
 
+    def upcoming(
+        self, members: Sequence[WaveMember], out: Mapping[str, OutReason], budget: Budget
+    ) -> frozenset[str]:
+        """Return the instances that go out next, which placement should avoid while others fit.
+
+        They stay in service and count against no budget. Their tasks end while the instances
+        before them are maintained, which takes the drain out of the time of the wave.
+        """
+        waiting = [m for m in members if _can_start(m, out) and m.name not in self._given_back]
+        names = {member.name for member in waiting}
+        self._upcoming = {name for name in self._upcoming if name in names}
+        rest = [member for member in waiting if member.name not in self._upcoming]
+        step = _Step(members, {}, budget, rest, self._given_back, self._out_ms)
+        for member in waiting:
+            if member.name in self._upcoming:
+                step.counts.add(member.domain, OutReason.PLANNED)
+        while not self._paused and (member := step.pick()) is not None:
+            step.take(member)
+            self._upcoming.add(member.name)
+        return frozenset(self._upcoming)
+
     def _learn(
         self,
         now_ms: int,
@@ -167,11 +221,8 @@
         out: Mapping[str, OutReason],
         load: float,
     ) -> None:
-        if self._load is None:
-            self._load = load
-        part = 1 - math.exp(-(now_ms - self._load_ms) / LOAD_WINDOW_MS)
-        self._load += (load - self._load) * part
-        self._load_ms = now_ms
+        left = 1 - len(out) / max(1, len(members))
+        self._load.observe(load, left, now_ms)
         for member in members:
             if member.done and member.name in self._trips and member.name not in out:
                 trip = self._trips.pop(member.name)
@@ -181,7 +232,7 @@
 
     def _limit_by_load(self, now_ms: int, count: int, total_out: int, weights: Weights) -> int:
         margin = LOAD_MARGIN * _ratio(weights.share_closeness, weights.roll_out_time)
-        limit = math.floor(count * (1 - self._load * (1 + margin)) + 1e-9)
+        limit = math.floor(count * (1 - self._load.value * (1 + margin)) + 1e-9)
         if total_out < limit:
             self._load_blocked_ms = None
             return limit
@@ -191,15 +242,6 @@
         stalled = now_ms - self._load_blocked_ms >= patience_ms
         return total_out + 1 if stalled and not self._trips else limit
 
-    def _waits_for_idle(self, now_ms: int, member: WaveMember, weights: Weights) -> bool:
-        if member.running == 0:
-            return False
-        preference = max(0.0, 2 * _ratio(weights.buffer_cost, weights.roll_out_time) - 1)
-        patience_ms = min(member.drain_ms, IDLE_WAIT_MS) * preference
-        if self._idle_wait_ms is None:
-            self._idle_wait_ms = now_ms
-        return now_ms - self._idle_wait_ms < patience_ms
-
 
 class _Step:
     """Choice of instances in one call, with the budget's counts kept up to date.
