Let placement keep long tasks off the instances that go out next

Cause: drains took a tenth of a wave, and a worker that was back but whose record lagged was taken out a second time. Change: WavePlanner.upcoming names the next instances, on which placement starts no task over 10 s; a worker that came back is not taken again for 60 s; a gap in the samples no longer replaces the mean load; workers with long drains no longer start early, which made them drain 1,654 s.

--- a/packages/bench/src/fescuecrank_bench/registry.py
+++ b/packages/bench/src/fescuecrank_bench/registry.py
@@ -5,7 +5,7 @@
 from fescuecrank_bench.measures import Measure
 
 # Modules with a `MEASURES` tuple of `Measure` subclasses.
-MODULES = ("sharing_bench",)
+MODULES = ("sharing_bench", "waves_bench", "capacity_bench")
 
 
 def load_measures() -> list[Measure]:
--- a/packages/bench/src/fescuecrank_bench/waves_bench.py
+++ b/packages/bench/src/fescuecrank_bench/waves_bench.py
@@ -2,9 +2,9 @@
 
 One pool runs in virtual time with steps of 1 s: tasks arrive in bursts, run on free slots and end;
 the real `WavePlanner` and `Budget` decide which instances go out. The lower bound knows every
-reboot time, needs no drain and ignores the load: it is the shortest schedule that keeps the planned
-part of the budget in total, in each data centre and in each rack. While a fault lets no step
-start, the bound still finishes what could be under way.
+reboot time and needs no drain: it is the shortest schedule that keeps the planned part of the
+budget in total, in each data centre and in each rack, and takes no more out than the mean load
+leaves. While a fault lets no step start, the bound still finishes what could be under way.
 """
 
 import itertools
@@ -28,13 +28,15 @@
 QUICK_RUN_S = 2.0
 ARCHIVAL_RUN_S = 30.0
 ARCHIVAL_PART = 0.5  # of the slot time
-LAGGARD_RUN_S = 900.0
+LAGGARD_RUN_S = 900
 REBOOT_S = (240, 360)
 # The planner watches the load before the wave starts at second 0.
 WARM_UP_S = 600
 FAULT_FROM_S = 200
 FAULT_S = 600
 REPORT_LAG_S = 10
+AVOID_RUN_S = 10.0
+SEARCHABLE = 8  # workers, for the exact makespan
 MAX_RUN_S = 20_000
 SEEDS = range(1, 9)
 TARGET_RATIO = 1.10
@@ -98,7 +100,7 @@
 
     deployment: Deployment
     seed: int
-    load: float = 0.5
+    load: float = 0.6
     fault: str = ""
     laggards: int = 0
     estimate_error: float = 1.0
@@ -111,11 +113,12 @@
     name: str
     domain: Domain
     reboot_s: int
-    ends: list[float] = attrs.field(factory=list)
+    ends: list[int] = attrs.field(factory=list)
     laggard: bool = False
+    long_until_s: int = -1_000
     done: bool = False
+    maintained: bool = False
     back_s: int | None = None
-    seen_done_s: int = 0
 
 
 @attrs.define
@@ -173,7 +176,7 @@
         self._domains = {worker.name: worker.domain for worker in self.workers}
         self._budget = Budget(scenario.deployment.profile)
         self._out: dict[str, OutReason] = {}
-        self._queue: deque[float] = deque()
+        self._queue: deque[int] = deque()
         self._avoid: frozenset[str] = frozenset()
         self._seen: deque[list[WaveMember]] = deque()
         self._outcome = Outcome()
@@ -210,38 +213,50 @@
         slots *= BURST_FACTOR if burst else LULL_FACTOR
         for run_s, part in ((QUICK_RUN_S, 1 - ARCHIVAL_PART), (ARCHIVAL_RUN_S, ARCHIVAL_PART)):
             for _ in range(_poisson(self._random, slots * part / run_s)):
-                self._queue.append(self._random.expovariate(1 / run_s))
+                self._queue.append(_run_time(self._random, run_s))
 
     def _finish(self, now_s: int) -> None:
         for worker in self.workers:
+            # The record of the maintenance needs the log; the worker serves without it.
+            worker.done = worker.done or (worker.maintained and not self._log_is_down(now_s))
             worker.ends = [end for end in worker.ends if end > now_s]
             if self._out.get(worker.name) is not OutReason.PLANNED:
-                if worker.laggard and not worker.ends and worker.name not in self._out:
-                    worker.ends.append(now_s + LAGGARD_RUN_S)
+                self._hold_up(worker, now_s)
                 continue
             if worker.back_s is None and not worker.ends:
                 worker.back_s = now_s + worker.reboot_s
             elif worker.back_s is None:
                 self._outcome.drain_s += 1
-            elif now_s >= worker.back_s and not self._log_is_down(now_s):
-                worker.done = True
+            elif now_s >= worker.back_s:
+                worker.maintained = True
                 del self._out[worker.name]
 
+    def _hold_up(self, worker: _Worker, now_s: int) -> None:
+        """Give a laggard its next long task, unless placement avoids the worker."""
+        free = worker.name not in self._out and worker.name not in self._avoid
+        if worker.laggard and free and worker.long_until_s <= now_s:
+            worker.long_until_s = now_s + LAGGARD_RUN_S
+            worker.ends.append(worker.long_until_s)
+
     def _place(self, now_s: int) -> None:
         if now_s >= 0:
             self._outcome.waiting_s += len(self._queue)
         usable = [worker for worker in self.workers if worker.name not in self._out]
-        preferred = [worker for worker in usable if worker.name not in self._avoid]
-        for group in (preferred, usable):
-            free = {w.name: SLOTS - len(w.ends) for w in group if len(w.ends) < SLOTS}
-            ring = itertools.cycle([w for w in group if w.name in free])
-            left = sum(free.values())
-            while self._queue and left:
-                worker = next(ring)
-                if free[worker.name] > 0:
-                    free[worker.name] -= 1
-                    left -= 1
-                    worker.ends.append(now_s + max(1.0, self._queue.popleft()))
+        avoided = {w.name for w in usable if w.name in self._avoid}
+        left: deque[int] = deque()
+        while self._queue:
+            run_s = self._queue.popleft()
+            free = [w for w in usable if len(w.ends) < SLOTS]
+            if run_s > AVOID_RUN_S:
+                free = [w for w in free if w.name not in avoided]
+            if not free:
+                left.append(run_s)
+                if all(len(w.ends) >= SLOTS for w in usable):
+                    break
+                continue
+            worker = min(free, key=lambda w: (w.name in avoided, len(w.ends)))
+            worker.ends.append(now_s + run_s)
+        self._queue.extendleft(reversed(left))
 
     def _decide(self, now_s: int) -> None:
         self._seen.append([self._view(worker, now_s) for worker in self.workers])
@@ -285,7 +300,8 @@
     """Return the length of the shortest schedule that the budget and the fault allow."""
     workers = _build_workers(scenario, random.Random(scenario.seed + 1_000))
     profile = scenario.deployment.profile
-    limit = profile.max_out - profile.failure_reserve
+    left_by_load = math.floor(len(workers) * (1 - scenario.load) + 1e-9)
+    limit = max(1, min(profile.max_out - profile.failure_reserve, left_by_load))
     reboots = [worker.reboot_s for worker in workers]
     bound = max(sum(reboots) / limit, _shortest(reboots, limit))
     for key, domain_limit in (
@@ -299,8 +315,13 @@
     if not _stops_wave(scenario, workers):
         return bound
     # Nothing starts during the fault; at best everything under way at its start has just begun.
-    blocked_s = FAULT_S - max(reboots)
-    return bound + blocked_s if bound > FAULT_FROM_S + max(reboots) else bound
+    if bound > FAULT_FROM_S + max(reboots):
+        bound += FAULT_S - max(reboots)
+    if len(reboots) > SEARCHABLE:
+        return bound
+    # No reboot ends before the fault starts, so only `limit` workers start before its end.
+    rests = itertools.combinations(reboots, len(reboots) - limit)
+    return max(bound, FAULT_FROM_S + FAULT_S + min(_shortest(list(r), limit) for r in rests))
 
 
 def _stops_wave(scenario: Scenario, workers: list[_Worker]) -> bool:
@@ -313,7 +334,7 @@
 
 def _shortest(reboots: list[int], machines: int) -> float:
     """Return the exact makespan for small waves, 0 for those too large to search."""
-    if len(reboots) > 8:
+    if len(reboots) > SEARCHABLE:
         return 0.0
     assignments = itertools.product(range(machines), repeat=len(reboots))
     return min(
@@ -337,6 +358,11 @@
     return workers
 
 
+def _run_time(chance: random.Random, mean_s: float) -> int:
+    """Return a geometric run time in whole steps with the given mean."""
+    return math.ceil(math.log(1 - chance.random()) / math.log(1 - 1 / mean_s) + 1e-9)
+
+
 def _poisson(chance: random.Random, mean: float) -> int:
     """Return a Poisson sample; large means use the normal approximation."""
     if mean > 50:
@@ -380,7 +406,9 @@
                 rows += self._rows(Scenario(deployment, 0, fault=fault), seeds, fault or "no fault")
             if deployment.workers < 100:
                 laggard = Scenario(deployment, 0, laggards=1)
-                rows += self._rows(laggard, seeds, "one worker always has a task of 900 s")
+                rows += self._rows(laggard, seeds, "one worker has tasks of 900 s")
+                heavy = Scenario(deployment, 0, load=0.7)
+                rows += self._rows(heavy, seeds, "load 0.7, which leaves one worker out at a time")
             wrong = Scenario(deployment, 0, estimate_error=0.1)
             rows += self._rows(wrong, seeds, "run times underestimated 10 times")
         return rows
--- a/packages/core/src/fescuecrank_core/waves.py
+++ b/packages/core/src/fescuecrank_core/waves.py
@@ -16,8 +16,11 @@
 # Demand comes in bursts of seconds while an instance is out for minutes, so the load that counts
 # is a mean; over less than ten bursts its noise holds waves up.
 LOAD_WINDOW_MS = 600_000
-# Waiting work counts as load only if it did not clear in this time; a burst leaves it for seconds.
-BACKLOG_WINDOW_MS = 120_000
+# Longest sample, so that the first one after a gap does not replace the mean.
+MAX_SAMPLE_MS = 5_000
+# Waiting work counts as load only if it did not clear in this time, for a profile that weighs only
+# roll-out time; a burst leaves it for less than a minute.
+BACKLOG_WINDOW_MS = 600_000
 # Capacity kept free on top of the load, for a profile that weighs only share closeness.
 LOAD_MARGIN = 0.05
 # Longest time that load alone holds a wave up, for a profile with equal weights.
@@ -25,8 +28,8 @@
 # A drain is abandoned after this multiple of the expected time, but not before the minimum.
 DRAIN_PATIENCE = 3
 MIN_DRAIN_PATIENCE_MS = 120_000
-# Time that an instance is out before the first one of the wave has come back.
-DEFAULT_OUT_MS = 300_000
+# A worker that came back is not taken out again before the record of its maintenance can be here.
+RECORD_LAG_MS = 60_000
 
 
 @attrs.frozen
@@ -45,12 +48,13 @@
     maintained_wall_ms: int = 0
 
 
-@attrs.frozen
+@attrs.define
 class _Trip:
-    """A worker that the planner took out."""
+    """A worker that the planner took out; `back_ms` is when it was first seen in service again."""
 
     since_ms: int
     expected_drain_ms: int
+    back_ms: int | None = None
 
 
 def daily_pace(count: int, closed_days: int = 0) -> int:
@@ -76,7 +80,7 @@
 class LastingLoad:
     """Load of a pool without the short backlogs that bursts leave.
 
-    `value` is the mean part of all slots in use, plus the least backlog of the last two minutes.
+    `value` is the mean part of all slots in use, plus the least backlog of the last minutes.
     """
 
     def __init__(self) -> None:
@@ -92,7 +96,7 @@
             return 0.0
         return self._busy + (self._backlogs[0][1] if self._backlogs else 0.0)
 
-    def observe(self, load: float, left: float, now_ms: int) -> None:
+    def observe(self, load: float, left: float, now_ms: int, backlog_window_ms: float) -> None:
         """Take in the slots used or waited for; `left` is the part of the slots in service."""
         busy = min(load, left)
         if self._busy is None:
@@ -100,27 +104,27 @@
             self._first_ms = self._now_ms = now_ms
         # A plain mean at first, so that the first sample has no lasting influence.
         window_ms = max(1, min(LOAD_WINDOW_MS, now_ms - self._first_ms))
-        self._busy += (busy - self._busy) * min(1.0, (now_ms - self._now_ms) / window_ms)
+        sample_ms = min(now_ms - self._now_ms, MAX_SAMPLE_MS)
+        self._busy += (busy - self._busy) * min(1.0, sample_ms / window_ms)
         self._now_ms = now_ms
         # Kept ascending, so that the first one is the least of the window.
         while self._backlogs and self._backlogs[-1][1] >= load - busy:
             self._backlogs.pop()
         self._backlogs.append((now_ms, load - busy))
-        while self._backlogs[0][0] <= now_ms - BACKLOG_WINDOW_MS:
+        while self._backlogs[0][0] < now_ms - backlog_window_ms:
             self._backlogs.popleft()
 
 
 class WavePlanner:
     """Decides which instances a wave takes out next; one planner for each cell.
 
-    The profile's weights decide how long and how early load holds the wave up, and how early
-    workers with long tasks are started.
+    The profile's weights of roll-out time and share closeness decide how early and for how long
+    load holds the wave up.
     """
 
     def __init__(self) -> None:
         self._paused = False
         self._load = LastingLoad()
-        self._out_ms = float(DEFAULT_OUT_MS)
         self._trips: dict[str, _Trip] = {}
         self._given_back: set[str] = set()
         self._upcoming: set[str] = set()
@@ -150,11 +154,11 @@
         on. It calls about once a second, also with all members done while no wave runs, so that
         the planner knows the load before the next wave.
         """
-        self._learn(now_ms, members, out, load)
-        waiting = [member for member in members if _can_start(member, out)]
+        self._learn(now_ms, members, out, load, budget.profile.weights)
+        waiting = self._waiting(members, out)
         if self._paused or not waiting:
             return []
-        step = _Step(members, out, budget, waiting, self._given_back, self._out_ms)
+        step = _Step(members, out, budget, waiting, self._given_back)
         limit = self._limit_by_load(now_ms, len(members), step.counts.total, budget.profile.weights)
         chosen = []
         while (member := step.pick()) is not None:
@@ -177,7 +181,7 @@
         budget idle. It is given back once and tried again after the others; the second drain lasts
         as long as its tasks do.
         """
-        others = any(_can_start(member, out) and member.running == 0 for member in members)
+        others = any(member.running == 0 for member in self._waiting(members, out))
         if not others:
             return []
         late = []
@@ -201,11 +205,12 @@
         They stay in service and count against no budget. Their tasks end while the instances
         before them are maintained, which takes the drain out of the time of the wave.
         """
-        waiting = [m for m in members if _can_start(m, out) and m.name not in self._given_back]
+        waiting = self._waiting(members, out)
+        waiting = [member for member in waiting if member.name not in self._given_back]
         names = {member.name for member in waiting}
         self._upcoming = {name for name in self._upcoming if name in names}
         rest = [member for member in waiting if member.name not in self._upcoming]
-        step = _Step(members, {}, budget, rest, self._given_back, self._out_ms)
+        step = _Step(members, {}, budget, rest, self._given_back)
         for member in waiting:
             if member.name in self._upcoming:
                 step.counts.add(member.domain, OutReason.PLANNED)
@@ -220,16 +225,41 @@
         members: Sequence[WaveMember],
         out: Mapping[str, OutReason],
         load: float,
+        weights: Weights,
     ) -> None:
         left = 1 - len(out) / max(1, len(members))
-        self._load.observe(load, left, now_ms)
+        part = _ratio(weights.roll_out_time, weights.share_closeness)
+        self._load.observe(load, left, now_ms, BACKLOG_WINDOW_MS * part)
         for member in members:
-            if member.done and member.name in self._trips and member.name not in out:
-                trip = self._trips.pop(member.name)
-                self._out_ms += (now_ms - trip.since_ms - self._out_ms) / 4
+            trip = self._trips.get(member.name)
+            if trip is None:
+                continue
+            if member.name in out:
+                trip.back_ms = None
+            elif trip.back_ms is None:
+                trip.back_ms = now_ms
+            late = trip.back_ms is not None and now_ms - trip.back_ms >= RECORD_LAG_MS
+            if member.name not in out and (member.done or late):
+                del self._trips[member.name]
         if all(member.done for member in members):
             self._given_back.clear()
 
+    def _waiting(
+        self, members: Sequence[WaveMember], out: Mapping[str, OutReason]
+    ) -> list[WaveMember]:
+        """Return those whose maintenance can begin.
+
+        A quarantined worker is reachable and out anyway, so its maintenance costs no capacity.
+        """
+        allowed = (None, OutReason.QUARANTINED)
+        return [
+            member
+            for member in members
+            if not member.done
+            and out.get(member.name) in allowed
+            and member.name not in self._trips
+        ]
+
     def _limit_by_load(self, now_ms: int, count: int, total_out: int, weights: Weights) -> int:
         margin = LOAD_MARGIN * _ratio(weights.share_closeness, weights.roll_out_time)
         limit = math.floor(count * (1 - self._load.value * (1 + margin)) + 1e-9)
@@ -257,12 +287,10 @@
         budget: Budget,
         waiting: Sequence[WaveMember],
         given_back: Collection[str],
-        out_ms: float,
     ) -> None:
         self._out = out
         self._given_back = given_back
         self._budget = budget
-        self._out_ms = out_ms
         self.counts = OutCounts({member.name: member.domain for member in members}, out)
         self._queues: dict[tuple[str, str], list[WaveMember]] = {}
         for member in sorted(waiting, key=self._drain_order, reverse=True):
@@ -278,9 +306,6 @@
         ]
         if not open_queues:
             return None
-        laggard = self._laggard(open_queues)
-        if laggard is not None:
-            return laggard
         return min(open_queues, key=self._rank)[-1]
 
     def take(self, member: WaveMember) -> None:
@@ -333,23 +358,6 @@
         in_data_centre = self._left_in_data_centre[domain.data_centre]
         return max(in_rack, in_data_centre / max(1, profile.max_out_per_data_centre))
 
-    def _laggard(self, queues: list[list[WaveMember]]) -> WaveMember | None:
-        """Return the slowest instance if its drain alone lasts as long as the rest of the wave."""
-        slowest = max((queue[0] for queue in queues), key=lambda member: member.drain_ms)
-        weights = self._budget.profile.weights
-        early = 2 * _ratio(weights.roll_out_time, weights.buffer_cost)
-        rounds = (self._left - 1) / max(1, self._budget.planned_limit)
-        if slowest.name in self._given_back or slowest.name in self._out:
-            return None
-        if slowest.drain_ms * early <= rounds * self._out_ms:
-            return None
-        return slowest
-
-
-def _can_start(member: WaveMember, out: Mapping[str, OutReason]) -> bool:
-    """Return whether maintenance can begin; a quarantined worker is reachable and out anyway."""
-    return not member.done and out.get(member.name) in (None, OutReason.QUARANTINED)
-
 
 def _ratio(weight: float, other: float) -> float:
     """Return the part of `weight` in both, or a half if both are 0."""
