Add the capacity benchmark

Six weeks of three school calendars with bursts, a lower bound of the buffer cost, the fewest moves within 1.25 times that cost, and faults.

--- /dev/null
+++ b/packages/bench/src/fescuecrank_bench/capacity_bench.py
@@ -0,0 +1,435 @@
+"""Buffer cost and moves over six weeks of school calendars, against lower bounds and baselines.
+
+Four service pools borrow instances from a spare pool. Each queue in turn asks for five times its
+mean for 10 s, and for a twentieth of it in between; the mean follows the calendar and differs a
+little from day to day. The real `CapacityPlanner` sees the loads every 10 s.
+
+Buffer cost is the idle time of borrowed instances: instances of a pool beyond its home instances
+and beyond its lasting demand. The lower bound knows the demand of every hour and borrows only as
+many as serve it with `failure_reserve` instances lost. The bound of moves is the fewest moves of
+any schedule that does the same with at most 1.25 times that buffer cost; it is exact for each pool
+and leaves the limits of the spare pool out. Shortfall is the instance time that lasting demand
+lacks; the bounds have none.
+"""
+
+import math
+import random
+from datetime import date, timedelta
+
+import attrs
+from fescuecrank_core.calendars import DAY_MS, demand_factor
+from fescuecrank_core.capacity import CapacityPlanner, PoolLoad
+from fescuecrank_core.declarations import Calendar, Fleet, Period, Pool, Profile, Weights
+
+from fescuecrank_bench.measures import Measure, Row
+
+STEP_S = 10
+STEPS_PER_HOUR = 3_600 // STEP_S
+DAYS = 42
+HOURS = DAYS * 24
+PLAN_STEPS = 6
+SLOTS = 8
+HOME = 6
+QUEUES = 5
+BURST_FACTOR = 5.0
+LULL_FACTOR = 0.05
+MOVE_S = 300
+FIRST_DAY = date(2026, 11, 30)
+START_MS = (FIRST_DAY - date(1970, 1, 1)).days * DAY_MS
+SPARE_DEMAND = 5.0
+SERVICE_DEMAND = 30.0
+DAILY_NOISE = 0.03
+OUTAGE_HOURS = range(14 * 24, 16 * 24)  # around the start of the second exam weeks
+BUFFER_TARGET = 1.25
+MOVES_TARGET = 1.25
+BASELINE_MOVES_PART = 0.1
+
+
+@attrs.frozen
+class Deployment:
+    """Names and weights of one deployment."""
+
+    name: str
+    pools: tuple[str, ...]
+    spare: str
+    weights: Weights
+
+
+HOANG_LONG = Deployment(
+    "hoang-long",
+    ("hoist-inspection", "truss-review", "anchor-testing", "certificates"),
+    "administration",
+    Weights(share_closeness=4, roll_out_time=4, buffer_cost=1, moves=1),
+)
+HALVORSEN = Deployment(
+    "halvorsen",
+    ("quoting", "kiln-planning", "lot-tracking", "billing"),
+    "yard-tools",
+    Weights(share_closeness=1, roll_out_time=1, buffer_cost=4, moves=4),
+)
+
+
+@attrs.frozen
+class Scenario:
+    """Conditions of one run."""
+
+    deployment: Deployment
+    seed: int
+    fault: str = ""
+
+
+def _day(offset: int) -> str:
+    return (FIRST_DAY + timedelta(days=offset)).isoformat()
+
+
+def _period(name: str, first: int, last: int, factor: float) -> Period:
+    return Period(name, _day(first), _day(last), factor, maintenance=factor <= 1)
+
+
+# Three countries: an ordinary term, exam weeks one after another, holidays and single days off.
+CALENDARS = {
+    "a": Calendar(
+        "a",
+        "A",
+        0,
+        (
+            _period("term", 0, 29, 1.0),
+            _period("exam weeks", 7, 13, 2.0),
+            _period("day off", 18, 18, 0.4),
+            _period("holidays", 30, 41, 0.3),
+        ),
+    ),
+    "b": Calendar(
+        "b",
+        "B",
+        60,
+        (
+            _period("exam weeks", 15, 24, 1.7),
+            _period("day off", 20, 20, 0.4),
+            _period("holidays", 28, 36, 0.3),
+        ),
+    ),
+    "c": Calendar(
+        "c",
+        "C",
+        420,
+        (_period("holidays", 0, 5, 0.3), _period("exam weeks", 27, 38, 1.8)),
+    ),
+}
+POOL_CALENDARS = ("a", "b", "c", "")
+
+
+def build_fleet(deployment: Deployment, calendars: dict[str, Calendar]) -> Fleet:
+    """Return the declarations of a deployment: 30 workers in 5 pools."""
+    profile = Profile(name="service", max_out=3, failure_reserve=1, weights=deployment.weights)
+    pools = {}
+    for i, name in enumerate((*deployment.pools, deployment.spare)):
+        spare = name == deployment.spare
+        pools[name] = Pool(
+            name,
+            "service",
+            tuple(f"{name}-{n}" for n in range(1, HOME + 1)),
+            spare=spare,
+            min_workers=2 if spare else 4,
+            calendar="" if spare else POOL_CALENDARS[i],
+        )
+    return Fleet({"service": profile}, pools, {}, {}, calendars)
+
+
+def believed_calendars(fault: str) -> dict[str, Calendar]:
+    """Return the calendars as declared; one exam period is missing or did not take place."""
+    if fault == "exam weeks missing in the calendar":
+        kept = tuple(p for p in CALENDARS["a"].periods if p.name != "exam weeks")
+        return CALENDARS | {"a": attrs.evolve(CALENDARS["a"], periods=kept)}
+    if fault == "declared exam weeks do not take place":
+        false = _period("moved exam weeks", 20, 26, 2.0)
+        periods = (*CALENDARS["a"].periods, false)
+        return CALENDARS | {"a": attrs.evolve(CALENDARS["a"], periods=periods)}
+    return CALENDARS
+
+
+def true_demand(scenario: Scenario) -> dict[str, list[float]]:
+    """Return the lasting demand of each pool in slots, for each hour."""
+    chance = random.Random(scenario.seed)
+    demand = {}
+    for i, name in enumerate(scenario.deployment.pools):
+        calendar = CALENDARS.get(POOL_CALENDARS[i]) or Calendar("")
+        noise = [1 + chance.uniform(-DAILY_NOISE, DAILY_NOISE) for _ in range(DAYS)]
+        demand[name] = [
+            SERVICE_DEMAND * noise[hour // 24] * demand_factor(calendar, _wall_ms(hour))
+            for hour in range(HOURS)
+        ]
+    demand[scenario.deployment.spare] = [SPARE_DEMAND] * HOURS
+    return demand
+
+
+def _wall_ms(hour: int) -> int:
+    return START_MS + hour * 3_600_000
+
+
+@attrs.define
+class Outcome:
+    """Figures of one run; times are in instance-seconds."""
+
+    buffer_s: float = 0.0
+    moves: int = 0
+    shortfall_s: float = 0.0
+    broken: int = 0
+
+
+class Policy:
+    """Follows the demand: every minute, each pool has what it asks for at that moment."""
+
+    def observe(self, load: PoolLoad, now_ms: int) -> None:
+        """Remember the newest load."""
+        self._loads = getattr(self, "_loads", {}) | {load.pool: load}
+
+    def plan(self, fleet: Fleet, now_ms: int, wall_ms: int) -> list[tuple[str, str, int]]:
+        """Return moves as from, to and count."""
+        spare = next(pool for pool in fleet.pools.values() if pool.spare)
+        left = len(self._loads[spare.name].usable) - spare.min_workers
+        moves = []
+        for name, load in self._loads.items():
+            if name == spare.name:
+                continue
+            wanted = max(HOME, math.ceil(load.offered / SLOTS) + 1) - len(load.usable)
+            if wanted > 0 and left > 0:
+                count = min(wanted, left, 2)
+                moves.append((spare.name, name, count))
+                left -= count
+            if wanted < 0:
+                moves.append((name, spare.name, min(-wanted, 2)))
+        return moves
+
+
+class PlannerPolicy(Policy):
+    """The daemon's planner."""
+
+    def __init__(self) -> None:
+        self._planner = CapacityPlanner()
+
+    def observe(self, load: PoolLoad, now_ms: int) -> None:
+        """Pass the load on."""
+        self._planner.observe(load, now_ms)
+
+    def plan(self, fleet: Fleet, now_ms: int, wall_ms: int) -> list[tuple[str, str, int]]:
+        """Return the planner's moves."""
+        moves = self._planner.plan(fleet, now_ms, wall_ms)
+        return [(move.from_pool, move.to_pool, move.count) for move in moves]
+
+
+class FakeFleet:
+    """Pools, instances on the move, and demand."""
+
+    def __init__(self, scenario: Scenario, policy: Policy) -> None:
+        self._scenario = scenario
+        self._policy = policy
+        self._fleet = build_fleet(scenario.deployment, believed_calendars(scenario.fault))
+        self._profile = self._fleet.profiles["service"]
+        self._demand = true_demand(scenario)
+        self._members = {name: list(pool.workers) for name, pool in self._fleet.pools.items()}
+        self._moving: dict[str, tuple[str, str, int]] = {}
+        self._failed: set[str] = set()
+        self._outcome = Outcome()
+
+    def run(self) -> Outcome:
+        """Run all days."""
+        for step in range(HOURS * STEPS_PER_HOUR):
+            hour = step // STEPS_PER_HOUR
+            if step % STEPS_PER_HOUR == 0:
+                self._fail(hour)
+            self._finish_moves(step, hour)
+            self._observe(step, hour)
+            if step % PLAN_STEPS == 0:
+                self._count(hour)
+                self._plan(step, hour)
+        return self._outcome
+
+    def _fail(self, hour: int) -> None:
+        if self._scenario.fault != "rack lost for a day":
+            return
+        pool = self._members[self._scenario.deployment.pools[1]]
+        if hour == 18 * 24:
+            self._failed = set(pool[:2])
+        if hour == 19 * 24:
+            self._failed = set()
+
+    def _finish_moves(self, step: int, hour: int) -> None:
+        if self._log_is_down(hour):
+            return
+        for worker, (donor, to, end) in list(self._moving.items()):
+            if step >= end:
+                del self._moving[worker]
+                self._members[donor].remove(worker)
+                self._members[to].append(worker)
+
+    def _observe(self, step: int, hour: int) -> None:
+        for i, (name, members) in enumerate(self._members.items()):
+            usable = tuple(w for w in members if w not in self._moving and w not in self._failed)
+            burst = BURST_FACTOR if step % QUEUES == i else LULL_FACTOR
+            offered = self._demand[name][hour] * burst
+            slots = len(usable) * SLOTS
+            busy = min(slots, int(offered))
+            waiting = int(offered) - busy
+            out = len(members) - len(usable)
+            load = PoolLoad(name, usable, out, slots, busy, waiting, offered)
+            self._policy.observe(load, step * STEP_S * 1_000)
+
+    def _plan(self, step: int, hour: int) -> None:
+        wall_ms = START_MS + step * STEP_S * 1_000
+        for donor, to, count in self._policy.plan(self._fleet, step * STEP_S * 1_000, wall_ms):
+            self._start_move(donor, to, count, step)
+        names = [worker for members in self._members.values() for worker in members]
+        self._outcome.broken += len(names) != len(set(names))
+
+    def _start_move(self, donor: str, to: str, count: int, step: int) -> None:
+        members = self._members[donor]
+        free = [w for w in members if w not in self._moving and w not in self._failed]
+        guests = [w for w in free if w not in self._fleet.pools[donor].workers]
+        homeward = [w for w in free if w in self._fleet.pools[to].workers]
+        for worker in (homeward or guests or free)[:count]:
+            self._moving[worker] = (donor, to, step + MOVE_S // STEP_S)
+            self._outcome.moves += 1
+        out = sum(worker in self._moving or worker in self._failed for worker in members)
+        too_many = out > self._profile.max_out - self._profile.failure_reserve
+        too_few = len(members) - out < self._fleet.pools[donor].min_workers
+        self._outcome.broken += too_many or too_few
+
+    def _count(self, hour: int) -> None:
+        seconds = PLAN_STEPS * STEP_S
+        for name in self._scenario.deployment.pools:
+            members = self._members[name]
+            demand = self._demand[name][hour] / SLOTS
+            usable = sum(w not in self._moving and w not in self._failed for w in members)
+            self._outcome.buffer_s += max(0.0, len(members) - max(HOME, demand)) * seconds
+            self._outcome.shortfall_s += max(0.0, demand - usable) * seconds
+
+    def _log_is_down(self, hour: int) -> bool:
+        return self._scenario.fault == "log down for two days" and hour in OUTAGE_HOURS
+
+
+@attrs.frozen
+class Bound:
+    """Lower bounds of one scenario."""
+
+    buffer_s: float
+    moves: int
+    static_buffer_s: float
+
+
+def lower_bound(scenario: Scenario) -> Bound:
+    """Return the least buffer cost, and the fewest moves within 1.25 times that cost."""
+    demand = true_demand(scenario)
+    least, static, by_moves = 0.0, 0.0, [0.0]
+    for name in scenario.deployment.pools:
+        hours = demand[name]
+        need = [max(0, math.ceil(d / SLOTS - 1e-9) + 1 - HOME) for d in hours]
+        least += sum(_idle_s(d, n) for d, n in zip(hours, need, strict=True))
+        static += sum(_idle_s(d, max(need)) for d in hours)
+        by_moves = _combine(by_moves, _least_buffer_by_moves(hours, need))
+    fewest = next(i for i, cost in enumerate(by_moves) if cost <= BUFFER_TARGET * least + 1e-6)
+    return Bound(least, fewest, static)
+
+
+def _idle_s(demand: float, borrowed: int) -> float:
+    return max(0.0, HOME + borrowed - max(HOME, demand / SLOTS)) * 3_600
+
+
+def _least_buffer_by_moves(demand: list[float], need: list[int], limit: int = 24) -> list[float]:
+    """Return the least buffer cost of one pool for each number of moves."""
+    most = max(need)
+    best = {(0, 0): 0.0}
+    for d, n in zip(demand, need, strict=True):
+        following: dict[tuple[int, int], float] = {}
+        for (held, moves), cost in best.items():
+            for now in range(n, most + 1):
+                key = (now, moves + abs(now - held))
+                total = cost + _idle_s(d, now)
+                if key[1] <= limit and total < following.get(key, math.inf):
+                    following[key] = total
+        best = following
+    return [
+        min((cost for (_, moves), cost in best.items() if moves <= count), default=math.inf)
+        for count in range(limit + 1)
+    ]
+
+
+def _combine(first: list[float], second: list[float]) -> list[float]:
+    combined = [math.inf] * (len(first) + len(second) - 1)
+    for i, a in enumerate(first):
+        for j, b in enumerate(second):
+            combined[i + j] = min(combined[i + j], a + b)
+    return combined
+
+
+FAULTS = (
+    "",
+    "rack lost for a day",
+    "log down for two days",
+    "exam weeks missing in the calendar",
+    "declared exam weeks do not take place",
+)
+
+
+class BufferCostAndMoves(Measure):
+    """Buffer cost and moves over six weeks."""
+
+    name = "buffer cost and moves"
+    target = (
+        "Buffer cost at most 1.25 times the lower bound; moves at most 1.25 times the lower bound "
+        "and at most a tenth of the follow-the-demand baseline's"
+    )
+
+    def run(self) -> list[Row]:
+        """Run both deployments, with and without faults."""
+        rows = []
+        for deployment in (HOANG_LONG, HALVORSEN):
+            following = FakeFleet(Scenario(deployment, 1), Policy()).run()
+            for fault in FAULTS:
+                rows += self._rows(Scenario(deployment, 1, fault), following)
+        return rows
+
+    def _rows(self, scenario: Scenario, following: Outcome) -> list[Row]:
+        name = scenario.deployment.name
+        note = scenario.fault or "no fault"
+        bound = lower_bound(scenario)
+        ours = FakeFleet(scenario, PlannerPolicy()).run()
+        most_buffer = BUFFER_TARGET * bound.buffer_s
+        most_moves = min(MOVES_TARGET * bound.moves, BASELINE_MOVES_PART * following.moves)
+        hours = 1 / 3_600
+        return [
+            Row(
+                "buffer cost",
+                name,
+                "instance-h",
+                ours.buffer_s * hours,
+                most_buffer * hours,
+                bound.static_buffer_s * hours,
+                bound.buffer_s * hours,
+                f"{note}; baseline: static partition at the peak",
+            ),
+            Row(
+                "moves",
+                name,
+                "",
+                ours.moves,
+                most_moves,
+                following.moves,
+                bound.moves,
+                f"{note}; baseline: follow the demand",
+            ),
+            Row(
+                "shortfall",
+                name,
+                "instance-h",
+                ours.shortfall_s * hours,
+                None,
+                following.shortfall_s * hours,
+                0.0,
+                note,
+            ),
+            Row("broken budgets or double memberships", name, "", ours.broken, 0, note=note),
+        ]
+
+
+MEASURES = (BufferCostAndMoves,)
