--- a/packages/core/src/fescuecrank_core/capacity.py
+++ b/packages/core/src/fescuecrank_core/capacity.py
@@ -29,12 +29,12 @@
 # Earliest start before a change in the calendar, on top of the time that the moves take.
 LEAD_MS = 900_000
 # What one move is worth in idle instance time, for equal weights of moves and buffer cost.
-MOVE_PRICE_MS = 3_600_000
+MOVE_PRICE_MS = 24 * 3_600_000
 # Time for which a need must last before a move, for equal weights.
 UP_HOLD_MS = 300_000
 DOWN_HOLD_MS = 1_800_000
 # Capacity on top of the lasting demand, for a profile that weighs only share closeness.
-HEADROOM = 0.2
+HEADROOM = 0.05
 # A pool gives instances away only if it would need none of them at this much more demand.
 DEAD_BAND = 0.05
 # Advice that the log did not confirm by then is given again.
@@ -84,6 +84,7 @@
     load: PoolLoad
     first_ms: int
     slots_each: float = 0.0
+    seen: bool = False
     buckets: deque[_Bucket] = attrs.field(factory=deque)
     base: float | None = None
     base_ms: int = 0
@@ -101,9 +102,9 @@
 
 @attrs.frozen
 class _Need:
-    """Instances that one pool needs: to demand them, and to keep them."""
+    """Instances of one pool: those it must have, those it keeps, and why it must have them."""
 
-    up: int
+    must: int
     keep: int
     reason: str
 
@@ -132,10 +133,13 @@
         state = self._states.get(load.pool)
         if state is None:
             state = self._states[load.pool] = _PoolState(load, now_ms)
-        state.load = load
+        before, state.load = state.load.usable, load
         if load.usable and load.slots:
             state.slots_each = load.slots / len(load.usable)
         _add_sample(state.buckets, load.offered, now_ms)
+        if load.usable == before and state.seen:
+            return
+        state.seen = True
         for worker in load.usable:
             self._see(worker, load.pool)
 
@@ -187,9 +191,8 @@
         measured = self.lasting_demand(pool.name)
         self._update_base(state, measured, demand_factor(calendar, wall_ms), now_ms)
         demand, reason = self._demand(state, measured, calendar, wall_ms)
-        up = _instances(demand, state, pool, profile)
-        keep = _instances(demand * (1 + DEAD_BAND), state, pool, profile)
-        return _Need(up, max(up, keep), reason)
+        must = _must_have(demand, state, pool, profile)
+        return _Need(must, max(must, _keeps(demand, state, pool, profile)), reason)
 
     def _update_base(self, state: _PoolState, measured: float, factor: float, now_ms: int) -> None:
         if state.overridden and factor != state.overridden_factor:
@@ -237,8 +240,8 @@
         self, fleet: Fleet, needs: dict[str, _Need], homes: dict[str, str], now_ms: int
     ) -> list[Move]:
         moves: list[Move] = []
-        for name in sorted(needs, key=lambda pool: self._have(pool) - needs[pool].up):
-            missing = needs[name].up - self._have(name) - self._coming(name) + self._going(name)
+        for name in sorted(needs, key=lambda pool: self._have(pool) - needs[pool].must):
+            missing = needs[name].must - self._have(name) - self._coming(name) + self._going(name)
             hold_ms = UP_HOLD_MS * 2 * _part(_weights(fleet, name), "moves", "share_closeness")
             if not self._held("up_ms", name, missing > 0, hold_ms, now_ms):
                 continue
@@ -300,7 +303,7 @@
         state = self._states[name]
         profile = fleet.profiles[pool.profile]
         return peak <= demand_factor(calendar, wall_ms) or (
-            _instances(state.base * peak, state, pool, profile) < state.have
+            _keeps(state.base * peak, state, pool, profile) < state.have
         )
 
     def _guests(self, name: str, homes: dict[str, str]) -> Counter[str]:
@@ -322,9 +325,12 @@
         profile = fleet.profiles[pool.profile]
         going = self._going(donor)
         going += sum(move.count for move in moves if move.from_pool == donor)
-        # An instance that drains for a move may be in both figures, which errs on the safe side.
-        in_budget = profile.max_out - profile.failure_reserve - self._states[donor].load.out
-        return min(in_budget, self._have(donor) - pool.min_workers) - going
+        # An instance that drains for a move is in `out` and in `going`: an error on the safe side.
+        # `min_workers` counts usable instances, since advice in an outage of the log is forgotten
+        # before its instances have left.
+        load = self._states[donor].load
+        in_budget = profile.max_out - profile.failure_reserve - load.out
+        return min(in_budget, len(load.usable) - pool.min_workers) - going
 
     def _held(self, mark: str, name: str, wanted: bool, hold_ms: float, now_ms: int) -> bool:
         state = self._states[name]
@@ -346,9 +352,15 @@
         buckets.popleft()
 
 
-def _instances(demand: float, state: _PoolState, pool: Pool, profile: Profile) -> int:
-    """Return the instances that serve `demand` slots with the profile's buffer."""
-    headroom = HEADROOM * _part(profile.weights, "share_closeness", "buffer_cost")
+def _must_have(demand: float, state: _PoolState, pool: Pool, profile: Profile) -> int:
+    """Return the instances that serve `demand` slots with the reserve for failures out."""
+    serving = math.ceil(demand / state.slots_each - 1e-9)
+    return max(pool.min_workers, serving + profile.failure_reserve)
+
+
+def _keeps(demand: float, state: _PoolState, pool: Pool, profile: Profile) -> int:
+    """Return the instances that the pool does not give away, by the weights of its profile."""
+    headroom = DEAD_BAND + HEADROOM * _part(profile.weights, "share_closeness", "buffer_cost")
     serving = math.ceil(demand * (1 + headroom) / state.slots_each - 1e-9)
     return max(pool.min_workers, serving + _reserve(profile))
 
@@ -356,12 +368,12 @@
 def _reserve(profile: Profile) -> int:
     """Return the instances held back for those that are out.
 
-    The reserve for failures is always held back. The rest of the budget is, if a wave that need
-    not wait for low load is worth more than the idle instances.
+    The reserve for failures is always held back. Half of the rest of the budget is, if only the
+    time of waves counts and idle instances do not.
     """
     planned = max(0, profile.max_out - profile.failure_reserve)
     part = _part(profile.weights, "roll_out_time", "buffer_cost")
-    return profile.failure_reserve + math.floor(planned * max(0.0, 2 * part - 1))
+    return profile.failure_reserve + math.floor(planned * max(0.0, part - 0.5))
 
 
 def _weights(fleet: Fleet, pool: str) -> Weights:
--- a/packages/core/src/fescuecrank_core/waves.py
+++ b/packages/core/src/fescuecrank_core/waves.py
@@ -60,9 +60,10 @@
 def daily_pace(count: int, closed_days: int = 0) -> int:
     """Return how many of `count` instances a day get each one maintained once in 6 weeks.
 
+    One of the 42 days stays in reserve, because a day's instances take until its end.
     `closed_days` is the number of days in the 6 weeks on which the calendar forbids maintenance.
     """
-    return math.ceil(count / max(1, MAINTENANCE_DAYS - closed_days))
+    return math.ceil(count / max(1, MAINTENANCE_DAYS - 1 - closed_days))
 
 
 def due(members: Iterable[WaveMember], wall_ms: int, closed_days: int = 0) -> list[str]:
