--- a/packages/core/src/fescuecrank_core/capacity.py
+++ b/packages/core/src/fescuecrank_core/capacity.py
@@ -37,6 +37,8 @@
 HEADROOM = 0.05
 # A pool gives instances away only if it would need none of them at this much more demand.
 DEAD_BAND = 0.05
+# An instance that is out for this long is replaced; maintenance takes minutes.
+LOST_MS = 3_600_000
 # Advice that the log did not confirm by then is given again.
 PENDING_MS = 1_800_000
 
@@ -126,6 +128,7 @@
     def __init__(self) -> None:
         self._states: dict[str, _PoolState] = {}
         self._places: dict[str, str] = {}
+        self._missing: dict[str, int] = {}
         self._pending: dict[tuple[str, str], _Pending] = {}
 
     def observe(self, load: PoolLoad, now_ms: int) -> None:
@@ -140,7 +143,10 @@
         if load.usable == before and state.seen:
             return
         state.seen = True
+        for worker in set(before).difference(load.usable):
+            self._missing.setdefault(worker, now_ms)
         for worker in load.usable:
+            self._missing.pop(worker, None)
             self._see(worker, load.pool)
 
     def plan(self, fleet: Fleet, now_ms: int, wall_ms: int) -> list[Move]:
@@ -178,6 +184,14 @@
         if pending.count <= 0:
             del self._pending[(before, pool)]
 
+    def _lost(self, pool: str, now_ms: int) -> int:
+        """Return how many instances of the pool are out for longer than any maintenance takes."""
+        lost = sum(
+            now_ms - since_ms >= LOST_MS and self._places[worker] == pool
+            for worker, since_ms in self._missing.items()
+        )
+        return min(lost, self._states[pool].load.out)
+
     def _is_known(self, name: str, now_ms: int) -> bool:
         state = self._states.get(name)
         return (
@@ -191,7 +205,8 @@
         measured = self.lasting_demand(pool.name)
         self._update_base(state, measured, demand_factor(calendar, wall_ms), now_ms)
         demand, reason = self._demand(state, measured, calendar, wall_ms)
-        must = _must_have(demand, state, pool, profile)
+        reserve = max(profile.failure_reserve, self._lost(pool.name, now_ms))
+        must = _must_have(demand, state, pool, reserve)
         return _Need(must, max(must, _keeps(demand, state, pool, profile)), reason)
 
     def _update_base(self, state: _PoolState, measured: float, factor: float, now_ms: int) -> None:
@@ -352,10 +367,10 @@
         buckets.popleft()
 
 
-def _must_have(demand: float, state: _PoolState, pool: Pool, profile: Profile) -> int:
-    """Return the instances that serve `demand` slots with the reserve for failures out."""
+def _must_have(demand: float, state: _PoolState, pool: Pool, reserve: int) -> int:
+    """Return the instances that serve `demand` slots while `reserve` of them are out."""
     serving = math.ceil(demand / state.slots_each - 1e-9)
-    return max(pool.min_workers, serving + profile.failure_reserve)
+    return max(pool.min_workers, serving + reserve)
 
 
 def _keeps(demand: float, state: _PoolState, pool: Pool, profile: Profile) -> int:
--- a/packages/core/src/fescuecrank_core/waves.py
+++ b/packages/core/src/fescuecrank_core/waves.py
@@ -159,6 +159,8 @@
         waiting = self._waiting(members, out)
         if self._paused or not waiting:
             return []
+        if len(out) >= budget.planned_limit and not any(member.name in out for member in waiting):
+            return []
         step = _Step(members, out, budget, waiting, self._given_back)
         limit = self._limit_by_load(now_ms, len(members), step.counts.total, budget.profile.weights)
         chosen = []
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -147,6 +147,15 @@
     assert len(run.members["spare"]) == 2
 
 
+def test_lost_rack_is_replaced_after_an_hour():
+    """Guards against a pool that stays short for days, and against moves for each maintenance."""
+    run = Run(a_fleet())
+    run.go(HOUR_MS, 38.0)
+    run.failed = {"b0", "b1"}
+    assert run.go(30 * MINUTE_MS, 38.0) == []
+    assert run.go(2 * HOUR_MS, 38.0) == [("spare", "busy", 1)]
+
+
 @settings(max_examples=15, deadline=None)
 @given(
     st.lists(
