Bound the work of one call of the wave planner

Cause: the first call for a cell of 1,080 workers chose 54 instances at once, about 0.4 s. Change: one call chooses at most 8; the set of upcoming instances is computed anew only when it is incomplete.

--- a/packages/core/src/fescuecrank_core/waves.py
+++ b/packages/core/src/fescuecrank_core/waves.py
@@ -28,6 +28,8 @@
 # A drain is abandoned after this multiple of the expected time, but not before the minimum.
 DRAIN_PATIENCE = 3
 MIN_DRAIN_PATIENCE_MS = 120_000
+# Most instances that one call chooses; the next call, a second later, chooses further ones.
+MAX_CHOICES = 8
 # A worker that came back is not taken out again before the record of its maintenance can be here.
 RECORD_LAG_MS = 60_000
 
@@ -164,7 +166,7 @@
         step = _Step(members, out, budget, waiting, self._given_back)
         limit = self._limit_by_load(now_ms, len(members), step.counts.total, budget.profile.weights)
         chosen = []
-        while (member := step.pick()) is not None:
+        while len(chosen) < MAX_CHOICES and (member := step.pick()) is not None:
             adds = member.name not in out
             if adds and step.counts.total >= limit:
                 break
@@ -212,12 +214,17 @@
         waiting = [member for member in waiting if member.name not in self._given_back]
         names = {member.name for member in waiting}
         self._upcoming = {name for name in self._upcoming if name in names}
+        if self._paused or len(self._upcoming) >= min(budget.planned_limit, len(waiting)):
+            return frozenset(self._upcoming)
         rest = [member for member in waiting if member.name not in self._upcoming]
         step = _Step(members, {}, budget, rest, self._given_back)
         for member in waiting:
             if member.name in self._upcoming:
                 step.counts.add(member.domain, OutReason.PLANNED)
-        while not self._paused and (member := step.pick()) is not None:
+        for _ in range(MAX_CHOICES):
+            member = step.pick()
+            if member is None:
+                break
             step.take(member)
             self._upcoming.add(member.name)
         return frozenset(self._upcoming)
