--- a/packages/core/src/fescuecrank_core/capacity.py
+++ b/packages/core/src/fescuecrank_core/capacity.py
@@ -21,8 +21,10 @@
 # Time constant of the demand on an ordinary day while the calendar agrees with it, and while not.
 BASE_AGREED_MS = 6 * 3_600_000
 BASE_OVERRIDDEN_MS = 3 * 86_400_000
-# Measured demand contradicts the calendar when it is off by this part for this time.
-TOLERANCE = 0.25
+# Measured demand contradicts the calendar when it is off by more than the first part for this
+# time, and agrees with it again when it is off by less than the second.
+TOLERANCE = 0.15
+AGREEMENT = 0.03
 OVERRIDE_MS = 600_000
 # One move takes a drain and a reboot; a pool gives instances away one after another.
 MOVE_MS = 600_000
@@ -218,7 +220,7 @@
         ordinary = measured / factor
         if state.base is None:
             state.base = ordinary
-        elif abs(ordinary - state.base) <= TOLERANCE * max(ordinary, state.base):
+        elif _differ(ordinary, state.base) <= (AGREEMENT if state.overridden else TOLERANCE):
             state.contradicted_ms = None
             state.overridden = False
         elif state.contradicted_ms is None:
@@ -357,6 +359,11 @@
         return now_ms - getattr(state, mark) >= hold_ms
 
 
+def _differ(first: float, second: float) -> float:
+    """Return the difference as a part of the larger one."""
+    return abs(first - second) / max(first, second, 1e-9)
+
+
 def _add_sample(buckets: deque[_Bucket], offered: float, now_ms: int) -> None:
     since_ms = now_ms - now_ms % BUCKET_MS
     if not buckets or buckets[-1].since_ms != since_ms:
