--- a/packages/bench/src/fescuecrank_bench/slopes_cell.py
+++ b/packages/bench/src/fescuecrank_bench/slopes_cell.py
@@ -165,4 +165,3 @@
     for number in range(count):
         keeper.on_replicate("e1", messages.Replicate("r1/p", 1, ended_record(number)), now)
     return keeper
-
--- a/packages/bench/src/fescuecrank_bench/slopes_ledger.py
+++ b/packages/bench/src/fescuecrank_bench/slopes_ledger.py
@@ -156,7 +156,9 @@
         changes = range(number, number + count)
         number += count
         points.append((count, processor_us(lambda c=changes: _change_all(journal, c), 1)))
-    return [Slope(FOLD, "day of changes with their encoding", MICROSECONDS, "change", tuple(points))]
+    return [
+        Slope(FOLD, "day of changes with their encoding", MICROSECONDS, "change", tuple(points))
+    ]
 
 
 def _change_all(journal: Journal, numbers: range) -> None:
@@ -212,4 +214,3 @@
     for name in state.assignments:
         state.maintained_wall_ms[name] = WALL_START_MS
     return journal.ledger
-
--- a/packages/cli/src/fescuecrank_cli/client.py
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -237,7 +237,6 @@
             if outcome.is_err() and outcome.err_value.kind is FailureKind.UNAVAILABLE:
                 failure = _unreachable(outcome.err_value)
                 continue
-            call = _as_retry(call)
             if outcome.is_err():
                 return await self._look_up(record_id, str(outcome.err_value))
             publication = publication_of(outcome.ok_value, record_id)
@@ -314,6 +313,7 @@
             if outcome.is_err() and outcome.err_value.kind is FailureKind.UNAVAILABLE:
                 failure = _unreachable(outcome.err_value)
                 continue
+            call = _as_retry(call)
             report = report_or_lost(outcome, service, request_id)
             if report.outcome is Outcome.UNKNOWN:
                 doubt = report
@@ -367,6 +367,7 @@
                 if isinstance(failure, Unreachable):
                     failure = _unreachable(outcome.err_value)
                 continue
+            call = _as_retry(call)
             report = report_or_lost(outcome, service, request_id)
             if report.outcome is None or report.is_final:
                 return Ok(report)
