--- a/packages/core/src/fescuecrank_core/capacity.py
+++ b/packages/core/src/fescuecrank_core/capacity.py
@@ -50,7 +50,8 @@
     """Load of one pool over about one second.
 
     `usable` names the instances in service, `out` counts the others that belong to the pool.
-    `slots` is the total of the usable instances. `offered` is the mean number of slots asked for.
+    `slots` is the total of the usable instances. `offered` is the work that arrived, as slots times
+    expected run time over the elapsed time; work that already waits is not counted again.
     """
 
     pool: str
