Report arriving work to the capacity planner, and keep long tasks off workers that go out next

Change: CellLoad.offered is slots times expected run time of arrivals over the time elapsed; the cell passes expected drain times to the planner and avoids its upcoming workers for tasks over 10 s.

--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -65,6 +65,8 @@
 LOG_SILENCE_MS = 2_000
 # A throttled task may end or the need may pass; both are cheaper than a checkpoint.
 CHECKPOINT_AFTER_MS = 200
+# A task that lasts longer would hold up a worker that maintenance takes out next.
+LONG_TASK_MS = 10_000
 
 
 @attrs.define
@@ -123,6 +125,8 @@
         self._cancels: dict[RequestKey, None] = {}
         self._queued: dict[RequestKey, Waiting] = {}
         self._wanted: Counter[str] = Counter()
+        self._arrived_slot_ms = 0
+        self._load_sent_ms = now.mono_ms
         self._due = {"load": 0, "configure": 0, "expire": 0}
         self.queue = DominantShareQueue()
         self.index = WorkerIndex()
@@ -166,7 +170,13 @@
             running = Running(record.task, slots, lost_since_ms=now.mono_ms, started=True)
             self._remember(running)
             self.accounts.adopt_running(record.request.key.team, slots)
-            self.workers.add_task(record.task.worker, record.task.task_id, record.request.need, now)
+            self.workers.add_task(
+                record.task.worker,
+                record.task.task_id,
+                record.request.need,
+                record.request.expected_run_ms,
+                now,
+            )
 
     def _remember(self, running: Running) -> None:
         self._running[running.task.key] = running
@@ -258,6 +268,8 @@
             now.mono_ms if queued_ms is None else queued_ms,
             reclaimable=request.idempotent,
         )
+        if queued_ms is None:
+            self._arrived_slot_ms += need.slots * estimate.run_ms
         self._queued[request.key] = waiting
         self._wanted[team] += need.slots
         self.queue.push(waiting)
@@ -376,10 +388,11 @@
         return effects
 
     def _choose_worker(self, waiting: Waiting) -> str | None:
-        avoid = self._avoid.get(waiting.key)
-        if not avoid:
-            return self.index.choose(waiting.need)
-        return self.index.choose(waiting.need, frozenset(avoid)) or self.index.choose(waiting.need)
+        avoid = frozenset(self._avoid.get(waiting.key, ()))
+        if waiting.expected_ms > LONG_TASK_MS:
+            avoid |= self.workers.upcoming
+        worker = self.index.choose(waiting.need, avoid)
+        return worker or (self.index.choose(waiting.need) if avoid else None)
 
     def _place(self, waiting: Waiting, worker: str, now: Instant) -> list[Effect]:
         key = waiting.key
@@ -388,7 +401,7 @@
         self._unqueue(key)
         task = Task(self._ids.next("task"), key, worker, self.workers.fence(worker))
         self._remember(Running(task, waiting.need.slots, queued_ms=waiting.queued_ms))
-        self.workers.add_task(worker, task.task_id, waiting.need, now)
+        self.workers.add_task(worker, task.task_id, waiting.need, waiting.expected_ms, now)
         if record.attempts == 0:
             self.retries.note_first_attempt()
         record = attrs.evolve(record, state=RequestState.REPLICATING, task=task)
@@ -636,7 +649,7 @@
         self._state_needs()
         effects.extend(self._dispatch(now))
         if self._is_due("load", LOAD_INTERVAL_MS, now):
-            effects.extend(self._report_load())
+            effects.extend(self._report_load(now))
         return effects
 
     def _may_start_outage(self, now: Instant) -> bool:
@@ -708,7 +721,11 @@
         waiting = self._wanted.total()
         return (busy + waiting) / slots if slots else 1.0
 
-    def _report_load(self) -> list[Effect]:
+    def _report_load(self, now: Instant) -> list[Effect]:
+        elapsed_ms = max(1, now.mono_ms - self._load_sent_ms)
+        offered = self._arrived_slot_ms / elapsed_ms
+        self._arrived_slot_ms = 0
+        self._load_sent_ms = now.mono_ms
         holder = self._ledger.holder(LIMITS_SCOPE)
         if holder is None:
             return []
@@ -723,7 +740,7 @@
             self.workers.slots(),
             busy,
             waiting,
-            float(busy + waiting),
+            offered,
         )
         return [SendPeer(holder.name, load)]
 
--- a/packages/core/src/fescuecrank_core/messages.py
+++ b/packages/core/src/fescuecrank_core/messages.py
@@ -241,8 +241,8 @@
 class CellLoad(Message):
     """Load of one cell, sent once a second to the holder of the `limits` claim.
 
-    Slots and tasks are counts; `offered` is the mean number of slots asked for since the last
-    message, whether they were granted or not.
+    Slots and tasks are counts. `offered` is the work that arrived since the last message, as slots
+    times expected run time divided by the time elapsed; a queue counts only once in it.
     """
 
     cell: str
--- a/packages/core/src/fescuecrank_core/workers.py
+++ b/packages/core/src/fescuecrank_core/workers.py
@@ -74,6 +74,11 @@
     need: Resources
     started_ms: int
     lease_bound_ms: int
+    expected_ms: int = 0
+
+    def left_ms(self, now: Instant) -> int:
+        """Return the expected time until the task ends."""
+        return max(0, self.started_ms + self.expected_ms - now.mono_ms)
 
 
 @attrs.define
@@ -146,6 +151,8 @@
         self._maintained: dict[str, InstanceMaintained] = {}
         self._next_maintenance_ms = now.mono_ms
         self._in_service: set[str] = set()
+        # Workers that a wave takes out next; long tasks should not start there.
+        self.upcoming: frozenset[str] = frozenset()
 
     def views(self) -> dict[str, WorkerView]:
         """Return all workers of the cell."""
@@ -258,11 +265,13 @@
             return view.address
         return self._listed[name].address if name in self._listed else ""
 
-    def add_task(self, worker: str, task_id: str, need: Resources, now: Instant) -> None:
+    def add_task(
+        self, worker: str, task_id: str, need: Resources, expected_ms: int, now: Instant
+    ) -> None:
         """Count a task that may be running from now on."""
         view = self._find(worker) or self._departed.setdefault(worker, WorkerView(worker))
         bound = now.mono_ms + POLL_TIMEOUT_MS + LEASE_MS
-        view.tasks[task_id] = WorkerTask(task_id, need, now.mono_ms, bound)
+        view.tasks[task_id] = WorkerTask(task_id, need, now.mono_ms, bound, expected_ms)
         if worker in self._in_service:
             self._index.take(worker, need)
 
@@ -432,26 +441,27 @@
 
     def _start_wave(self, load: float, now: Instant) -> None:
         wave = self._wave(now)
-        if wave is None:
-            return
-        done = set(wave.done) | set(self._maintained)
-        members = [
-            WaveMember(
-                name=view.name,
-                domain=view.domain,
-                done=view.name in done,
-                running=len(view.tasks),
-                maintained_wall_ms=self._ledger.state.maintained_wall_ms.get(view.name, 0),
-            )
-            for view in self._views.values()
-            if view.domain is not None
-        ]
+        # Without a wave all count as done, and the planner only learns the load.
+        done = self._views if wave is None else set(wave.done) | set(self._maintained)
+        views = [view for view in self._views.values() if view.domain is not None]
+        members = [self._member(view, view.name in done, now) for view in views]
         budget = Budget(self.profile())
+        self.upcoming = self._planner.upcoming(members, self.out(), budget)
         for name in self._planner.give_back(now.mono_ms, members, self.out()):
             self._cancel(self._views[name])
         for name in self._planner.next_out(now.mono_ms, members, self.out(), budget, load):
             self._begin(self._views[name], TripKind.WAVE, wave.wave_id)
 
+    def _member(self, view: WorkerView, done: bool, now: Instant) -> WaveMember:
+        return WaveMember(
+            name=view.name,
+            domain=view.domain,
+            done=done,
+            running=len(view.tasks),
+            drain_ms=max((task.left_ms(now) for task in view.tasks.values()), default=0),
+            maintained_wall_ms=self._ledger.state.maintained_wall_ms.get(view.name, 0),
+        )
+
     def _cancel(self, view: WorkerView) -> None:
         if view.trip is not None and view.trip.step is TripStep.DRAINING:
             view.trip = None
