Specify configuration and count only joined incarnations for currency

Members were counted by name, so an entry that restarted without its state completed the majority of an isolated entry that had missed an accepted record. The specification counts heartbeats, and the entry itself, only in the incarnation that the ledger lists; without either rule the checker finds a current entry that does not know an accepted record.

--- a/packages/model/src/fescuecrank_model/registry.py
+++ b/packages/model/src/fescuecrank_model/registry.py
@@ -1,10 +1,18 @@
 """Every specification that `python -m fescuecrank_model` checks."""
 
 from fescuecrank_model.claims import Claims
+from fescuecrank_model.configuration import Configuration
 from fescuecrank_model.escrow import Escrow
 from fescuecrank_model.members import Members
 from fescuecrank_model.moves import Moves
 from fescuecrank_model.requests import Requests
 from fescuecrank_model.specification import Specification
 
-SPECIFICATIONS: tuple[type[Specification], ...] = (Claims, Members, Requests, Escrow, Moves)
+SPECIFICATIONS: tuple[type[Specification], ...] = (
+    Claims,
+    Members,
+    Configuration,
+    Requests,
+    Escrow,
+    Moves,
+)
