Count a member for currency only in the incarnation that the ledger lists

Change: rule 3 counts a member, this entry included, only in the incarnation in the ledger. While the log is down, a restarted entry counts for no majority.

--- a/packages/core/src/fescuecrank_core/membership.py
+++ b/packages/core/src/fescuecrank_core/membership.py
@@ -85,18 +85,13 @@
         return max(proofs, default=NEVER)
 
     def _majority_proof_ms(self, now: Instant) -> int:
-        names = self._ledger.state.members
-        if not names:
-            return NEVER
+        members = self._ledger.state.members.values()
         times = []
-        for name in names:
-            if name == self._cfg.name:
-                times.append(now.mono_ms)
-                continue
-            peer = self._peers.get(name)
-            if peer is not None and peer.applied <= self._ledger.applied:
-                times.append(peer.evidence_ms)
-        needed = len(names) // 2 + 1
+        for member in members:
+            proof_ms = self._member_proof_ms(member, now)
+            if proof_ms is not None:
+                times.append(proof_ms)
+        needed = len(members) // 2 + 1
         if len(times) < needed:
             return NEVER
         if self._is_behind_a_recent_peer(now):
@@ -104,6 +99,19 @@
         times.sort(reverse=True)
         return times[needed - 1]
 
+    def _member_proof_ms(self, member: Member, now: Instant) -> int | None:
+        """Return when a member is known to have known no more than this entry.
+
+        Only the incarnation in the ledger counts. One that started anew has lost what it reported
+        as applied, so it proves nothing until its own join has been folded.
+        """
+        if member.name == self._cfg.name:
+            return now.mono_ms if member.incarnation == self._cfg.incarnation else None
+        peer = self._peers.get(member.name)
+        if peer is None or peer.incarnation != member.incarnation:
+            return None
+        return peer.evidence_ms if peer.applied <= self._ledger.applied else None
+
     def _is_behind_a_recent_peer(self, now: Instant) -> bool:
         applied = self._ledger.applied
         return any(
--- a/packages/core/tests/properties.py
+++ b/packages/core/tests/properties.py
@@ -186,8 +186,8 @@
     def _recent_limit(self, team: str) -> int:
         """Return the highest limit declared so far; running work outlasts a lowered limit."""
         limits = [0]
-        for item in self.net.log.entries:
-            for change in getattr(item.record, "changes", ()):
+        for record in self.records.values():
+            for change in getattr(record, "changes", ()):
                 if change.section == "teams" and change.name == team and change.value:
                     limits.append(codec.cbor2.loads(change.value)[1]["limit"])
         return max(limits)
--- a/packages/core/tests/soak.py
+++ b/packages/core/tests/soak.py
@@ -149,6 +149,10 @@
         """Give the log back to all."""
         self.net.log.down_for.clear()
 
+    def expire_log(self) -> None:
+        """Let all but the newest records expire, whether a snapshot covers them or not."""
+        self.net.log.expire(keep=5)
+
     def lose_answers(self, lose: bool) -> None:
         """Lose the answers of appends that take effect."""
         self.net.log.lose_answers = lose
@@ -257,6 +261,7 @@
     (1, "log_down", 1),
     (2, "log_up", 0),
     (1, "lose_answers", 1),
+    (1, "expire_log", 0),
     (1, "disturb", 3),
     (1, "worker_fault", 2),
     (1, "leave", 2),
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -34,10 +34,11 @@
     applied: int = 3,
     read_age_ms: int = -1,
     echo_incarnation: int = 1,
+    incarnation: int = 1,
 ) -> Heartbeat:
     return Heartbeat(
         name=name,
-        incarnation=1,
+        incarnation=incarnation,
         region="r1",
         data_centre="dc1",
         peer_address=name,
@@ -122,3 +123,21 @@
     membership.on_heartbeat("e2", beat("e2", 1, 0), at(10))
     again = attrs.evolve(beat("e2", 1, 0), incarnation=2, peer_address="elsewhere")
     assert membership.on_heartbeat("e2", again, at(20)) == [ConnectPeer("e2", "elsewhere")]
+
+
+def test_restarted_member_proves_nothing_before_its_join_is_folded():
+    """Guards against a key that stays valid because a member forgot that it had applied its end."""
+    _, membership = membership_of_three()
+    membership.on_heartbeat("e2", beat("e2", 1, 1_000, incarnation=2), at(1_001))
+    assert not membership.is_current(at(1_001))
+
+
+def test_restarted_entry_does_not_count_itself_before_its_join_is_folded():
+    """Guards against the same fault at the entry that was restarted itself."""
+    ledger, _ = membership_of_three()
+    membership = Membership(EntryConfig("e1", "r1", "dc1", "e1", 2), ledger, at(0))
+    own = beat("e2", 1, 1_000, echo_incarnation=2)
+    membership.on_heartbeat("e2", own, at(1_001))
+    assert not membership.is_current(at(1_001))
+    membership.on_heartbeat("e3", beat("e3", 1, 1_000, echo_incarnation=2), at(1_001))
+    assert membership.is_current(at(1_001))
--- a/packages/core/tests/test_random_faults.py
+++ b/packages/core/tests/test_random_faults.py
@@ -51,6 +51,10 @@
         self.driver.heal_cuts()
         self.driver.log_up()
 
+    @rule()
+    def expire_log(self):
+        self.driver.expire_log()
+
     @rule(lose=st.booleans())
     def lose_answers(self, lose):
         self.driver.lose_answers(lose)
