--- a/packages/standin/src/fescuecrank_standin/demo.py
+++ b/packages/standin/src/fescuecrank_standin/demo.py
@@ -4,6 +4,7 @@
 import contextlib
 import sys
 import time
+from pathlib import Path
 from typing import Annotated
 
 import attrs
@@ -16,6 +17,8 @@
 from fescuecrank_core.errors import FailureKind
 from fescuecrank_core.loader import load_fleet
 from fescuecrank_core.requests import Outcome
+from fescuecrank_daemon.logs import make_logger, route_library_logs
+from fescuecrank_daemon.settings import LoggingSettings
 from rich.console import Console
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 from rich.table import Table
@@ -313,9 +316,22 @@
     return fleet
 
 
-async def run_demo(name: str, entries: int, seed: int, console: Console) -> bool:
+async def run_demo(
+    name: str, entries: int, seed: int, console: Console, log_file: Path | None = None
+) -> bool:
     """Run the demo and print its table; return whether every property held."""
     deployment = Deployment(SITES[name], demo_fleet(name), entries, REBOOT_MS)
+    # Calls that a killed entry leaves behind are logged by their library.
+    route_library_logs(make_logger(LoggingSettings(), deployment.entry_log, "demo"))
+    try:
+        return await _run_demo(deployment, seed, console)
+    finally:
+        if log_file is not None:
+            log_file.write_text(deployment.entry_log.getvalue())
+
+
+async def _run_demo(deployment: Deployment, seed: int, console: Console) -> bool:
+    name, entries = deployment.site.name, len(deployment.names)
     with Screen(console, deployment.journal) as screen:
         screen.say(f"{name} with {entries} entries and {len(deployment.workers)} workers")
         async with running(deployment, serving=False):
@@ -335,12 +351,15 @@
     ] = "hoang-long",
     entries: Annotated[int, typer.Option(min=3, max=9, help="Number of entries.")] = 8,
     seed: Annotated[int, typer.Option(help="Seed of the demand.")] = 1,
+    log_file: Annotated[
+        Path | None, typer.Option(help="File for the log lines of the entries.")
+    ] = None,
 ) -> None:
     """Run a whole deployment on loopback and print what it measured."""
     if deployment not in SITES:
         raise typer.BadParameter(f"unknown deployment {deployment!r}; known: {', '.join(SITES)}")
     with contextlib.suppress(KeyboardInterrupt):
-        held = asyncio.run(run_demo(deployment, entries, seed, Console()))
+        held = asyncio.run(run_demo(deployment, entries, seed, Console(), log_file))
         sys.exit(0 if held else EXIT_BROKEN)
 
 
--- a/packages/standin/src/fescuecrank_standin/deployment.py
+++ b/packages/standin/src/fescuecrank_standin/deployment.py
@@ -85,7 +85,7 @@
         self.members: dict[str, Member] = {}
         self.operator_key = new_key()
         self.entry_log = io.StringIO()
-        self._names = [f"entry-{number + 1}" for number in range(entries)]
+        self.names = [f"entry-{number + 1}" for number in range(entries)]
         self._traced = traced
         self._clock = clock
         # Views of one entry are compared in the order of their calls.
@@ -111,9 +111,9 @@
         for worker in self.workers.values():
             await worker.start()
         self.list_instances()
-        for name in self._names:
+        for name in self.names:
             await self.start_entry(name)
-        await self.until_members(self._names)
+        await self.until_members(self.names)
 
     async def close(self) -> None:
         """Stop all parts at once."""
@@ -153,7 +153,7 @@
         return Settings(
             name=name,
             region=self.site.region,
-            data_centre=self.site.data_centre_of(self._names.index(name)),
+            data_centre=self.site.data_centre_of(self.names.index(name)),
             http=HttpSettings(address=FREE_PORT),
             peers=PeerSettings(address=FREE_PORT, shared_key=SHARED_KEY, seeds=seeds),
             log=LogSettings(url=self.log.url),
--- a/packages/standin/src/fescuecrank_standin/worker_http.py
+++ b/packages/standin/src/fescuecrank_standin/worker_http.py
@@ -71,7 +71,12 @@
         worker, headers = self.worker, self.request.headers
         task_id = headers["Task-Id"]
         run = Execution(
-            task_id, headers.get("Request-Id", ""), service, self.request.body, self.fence()
+            task_id,
+            headers.get("Request-Id", ""),
+            service,
+            self.request.body,
+            self.fence(),
+            headers.get("traceparent", ""),
         )
         if hex_digest(headers.get("Repr-Digest", "")) != hex_digest(repr_digest(run.body)):
             self._refuse(task_id, "digest")
--- a/packages/standin/src/fescuecrank_standin/worker_tasks.py
+++ b/packages/standin/src/fescuecrank_standin/worker_tasks.py
@@ -33,6 +33,7 @@
     service: str
     body: bytes
     fence: int
+    traceparent: str = ""
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/standin/tests/test_deployment_entries.py
@@ -0,0 +1,103 @@
+"""Losses and planned stops of entries, keys and traces over real sockets."""
+
+import asyncio
+import time
+
+import pytest
+from deployment_builders import SERVICE, TEAM, holder_of, run, started, submit
+from fescuecrank_cli.client import Submission
+from fescuecrank_cli.ids import uuid7
+from fescuecrank_standin.journal import IN_FORCE_MS
+from fescuecrank_standin.observed import work_body
+
+
+async def victim(deployment, is_holder):
+    holder = await holder_of(deployment)
+    return holder if is_holder else next(name for name in deployment.members if name != holder)
+
+
+@pytest.mark.parametrize("is_holder", [True, False], ids=["holder", "gateway"])
+def test_caller_asks_again_elsewhere_after_its_entry_was_killed(is_holder):
+    """Guards against a second run, or a lost answer, when the entry dies that the caller uses."""
+
+    async def scenario(deployment, secret):
+        name = await victim(deployment, is_holder)
+        sent = asyncio.gather(*(submit(deployment, secret, name, 1_000) for _ in range(5)))
+        await started(deployment, 5)
+        await deployment.kill_entry(name)
+        assert await sent == ["done"] * 5
+
+    run(scenario, entries=4)
+
+
+@pytest.mark.parametrize("is_holder", [True, False], ids=["holder", "gateway"])
+def test_planned_stop_answers_all_requests_in_flight(is_holder):
+    """Guards against callers cut off, or refused, by the replacement of an entry."""
+
+    async def scenario(deployment, secret):
+        name = await victim(deployment, is_holder)
+        sent = asyncio.gather(*(submit(deployment, secret, name, 1_000) for _ in range(5)))
+        await started(deployment, 5)
+        stop = asyncio.create_task(deployment.stop_entry(name))
+        await asyncio.sleep(0.2)
+        other = next(entry for entry in deployment.members if entry != name)
+        assert await submit(deployment, secret, other, 20) == "done"
+        assert await sent == ["done"] * 5
+        assert await stop == 0
+        assert all(report.runs == 1 for report in deployment.journal.reports.values())
+
+    run(scenario, entries=4)
+
+
+def test_withdrawn_key_stops_working_on_every_entry():
+    """Guards against an entry that accepts a key past the bound after its withdrawal."""
+
+    async def use(deployment, secret, entry):
+        """Return whether one entry takes the key."""
+        submission = Submission(SERVICE, uuid7(), work_body(0), idempotent=True)
+        sent = await deployment.client(secret, [entry]).submit(submission, 1_000)
+        return sent.unwrap().outcome == "done"
+
+    async def scenario(deployment, secret):
+        key = await deployment.grant(TEAM)
+        assert all([await use(deployment, key.secret, name) for name in deployment.members])
+        publication = await deployment.withdraw(key)
+        stored_ms = deployment.log.stored_ms(publication.offset)
+        until_ms = stored_ms + IN_FORCE_MS + 500
+        while time.monotonic_ns() // 1_000_000 < until_ms:
+            for name in deployment.members:
+                sent_ms = time.monotonic_ns() // 1_000_000
+                if await use(deployment, key.secret, name):
+                    deployment.journal.note_key_used(name, sent_ms - stored_ms)
+            await asyncio.sleep(0.1)
+        for name in deployment.members:
+            assert not await use(deployment, key.secret, name)
+            assert await use(deployment, secret, name)
+
+    run(scenario)
+
+
+def test_one_trace_follows_a_request_through_two_entries_to_the_endpoint():
+    """Guards against a hop that starts a trace of its own."""
+
+    async def scenario(deployment, secret):
+        holder = await holder_of(deployment)
+        gateway = next(name for name in deployment.members if name != holder)
+        trace_id = "0af7651916cd43dd8448eb211c80319c"
+        asked = deployment.asked(TEAM, SERVICE, work_body(0))
+        client = deployment.client_from(gateway, secret)
+        header = f"00-{trace_id}-b7ad6b7169203331-01"
+        report = await deployment.submit(asked, client, traceparent=header)
+        assert report.outcome == "done"
+        spans = [span for span in deployment.spans() if span["trace_id"] == trace_id]
+        hops = {span["name"]: span for span in spans}
+        submitted, forwarded, ran = (
+            hops[name] for name in ("http.submit", "peer.forward", "task.start")
+        )
+        assert [s["entry"] for s in (submitted, forwarded, ran)] == [gateway, gateway, holder]
+        assert forwarded["parent_id"] == submitted["span_id"]
+        assert ran["parent_id"] == forwarded["span_id"]
+        runs = [run for w in deployment.workers.values() for run in w.tasks.executions]
+        assert [run.traceparent.split("-")[1:3] for run in runs] == [[trace_id, ran["span_id"]]]
+
+    run(scenario, traced=True)
--- /dev/null
+++ b/packages/standin/tests/test_deployment_platform.py
@@ -0,0 +1,76 @@
+"""Faults of the log and of workers over real sockets."""
+
+import asyncio
+
+import pytest
+from deployment_builders import run, started, submit
+from fescuecrank_cli import client
+from fescuecrank_core.entry_config import CURRENCY_MS
+
+
+def test_log_outage_stops_publications_but_no_work(monkeypatch):
+    """Guards against refusing work that a majority allows, and against a lost publication."""
+    monkeypatch.setattr(client, "ASK_AGAIN_MS", 500)
+
+    async def scenario(deployment, secret):
+        deployment.log.faults.down = True
+        end = deployment.log.end
+        # Past this time the last read of the log proves nothing any more.
+        await asyncio.sleep(CURRENCY_MS / 1_000 + 0.5)
+        for entry in deployment.members:
+            assert await submit(deployment, secret, entry) == "done"
+        record = await deployment.operator().drain("hoist-1", "drain-1")
+        assert record.is_err() or record.ok_value.verdict != "accepted"
+        assert deployment.log.end == end
+        deployment.log.faults.down = False
+        await deployment.until_members(deployment.members)
+        key = await deployment.grant("arenas")
+        assert await submit(deployment, key.secret, "entry-1") == "done"
+
+    run(scenario)
+
+
+def test_publication_whose_answer_is_lost_is_accepted_once():
+    """Guards against an operator being told that a record failed which took effect."""
+
+    async def scenario(deployment, secret):
+        deployment.log.faults.lost_answers = 1
+        key = await deployment.grant("arenas")
+        assert deployment.log.faults.lost_answers == 0
+        assert await submit(deployment, key.secret, "entry-2") == "done"
+        status = (await deployment.operator().status()).unwrap()
+        assert status["keys"].count(key.key_id) == 1
+
+    run(scenario)
+
+
+def test_silent_connections_to_workers_delay_answers_only():
+    """Guards against waiting for ever on a silent connection, and against a second run."""
+
+    async def scenario(deployment, secret):
+        for worker in deployment.workers.values():
+            worker.faults.silent = 2
+        sent = [submit(deployment, secret, "entry-1", 20) for _ in range(12)]
+        assert set(await asyncio.gather(*sent)) == {"done"}
+        assert sum(worker.faults.silent for worker in deployment.workers.values()) < 12
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(("idempotent", "outcome"), [(True, "done"), (False, "unknown")])
+def test_worker_that_dies_loses_no_request(idempotent, outcome):
+    """Guards against callers without an answer, and against a second run of unsafe work."""
+
+    async def scenario(deployment, secret):
+        sent = asyncio.gather(
+            *(submit(deployment, secret, "entry-1", 1_500, idempotent) for _ in range(6))
+        )
+        await started(deployment, 6)
+        worker = next(w for w in deployment.workers.values() if w.tasks.running())
+        lost = len(worker.tasks.running())
+        await worker.die()
+        outcomes = await sent
+        assert outcomes.count("done") == (6 if idempotent else 6 - lost)
+        assert outcome in outcomes
+
+    run(scenario)
