--- a/packages/cli/tests/test_docs.py
+++ b/packages/cli/tests/test_docs.py
@@ -3,36 +3,20 @@
 import datetime
 import itertools
 import json
-import re
 import shlex
-from pathlib import Path
 
 import jsonschema
 import pytest
 import typer
 import yaml
 from declaration_builders import FLEET
+from documented_commands import COMMAND_LINES, CONSOLE, PAGES, ROOT
 from fescuecrank_cli import reference
 from fescuecrank_cli.main import app
 from fescuecrank_core.loader import load_fleet
 
-ROOT = Path(__file__).parents[3]
-PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 DEPLOYMENTS = [ROOT / "examples" / name for name in ("halvorsen", "hoang-long")]
 
-CONSOLE = re.compile(r"^ *```console\n(.*?)^ *```", re.MULTILINE | re.DOTALL)
-PROMPT = re.compile(r"^ *\$ (fescuecrank (?:.*\\\n)*.*)$", re.MULTILINE)
-INLINE = re.compile(r"`(fescuecrank [^`\n]+)`")
-
-
-def command_lines(text):
-    blocks = "\n".join(CONSOLE.findall(text))
-    prompts = [line.replace("\\\n", " ") for line in PROMPT.findall(blocks)]
-    return prompts + INLINE.findall(CONSOLE.sub("", text))
-
-
-COMMAND_LINES = sorted({line for page in PAGES for line in command_lines(page.read_text())})
-
 
 def parse(command, args, parent=None):
     """Parse a command line to its end without running it."""
--- /dev/null
+++ b/packages/standin/tests/test_deployment_commands.py
@@ -0,0 +1,164 @@
+"""The command line, and every command that the documentation shows, against real entries."""
+
+import asyncio
+import json
+import re
+import shlex
+
+import pytest
+from documented_commands import COMMAND_LINES, ROOT
+from fescuecrank_cli.main import app
+from fescuecrank_standin.deployment import deployment_of, running
+from fescuecrank_standin.observed import expected_answer, work_body
+from typer.testing import CliRunner
+
+HANG_SECONDS = 120
+CALLERS = {"submit", "result", "cancel", "explain"}
+RECORD = re.compile(r"record: (\S+)")
+REQUEST = re.compile(r"request: (\S+)")
+ADDRESS = re.compile(r"10\.0\.0\.1(\d):8080")
+EXAMPLE_ID = "01994f2e-7c00-7a5b-8c1d-0f9b7e6a5d4c"
+EXAMPLE_KEY = "5f0c9a8be1d2374c6a"
+
+# A command of the pages belongs to the deployment whose names it uses; one without names to both.
+NAMES = {
+    "hoang-long": ("hoang-long", "hoist", "truss", "touring-crews", "autumn-kernel"),
+    "halvorsen": ("halvorsen", "quoting", "lot-tracking"),
+}
+# Commands that others depend on come first, and those that end something come last.
+ORDER = ("validate", "plan", "apply", "key grant", "submit", "wave start")
+LAST = ("cancel", "key withdraw")
+
+
+def deployments_of(line):
+    named = [name for name, words in NAMES.items() if any(word in line for word in words)]
+    return named or list(NAMES)
+
+
+def rank(line):
+    words = line.replace("--entry 10.0.0.11:8080 ", "")
+    for number, prefix in enumerate(ORDER):
+        if f"fescuecrank {prefix}" in words:
+            return number
+    return len(ORDER) + any(f"fescuecrank {prefix}" in words for prefix in LAST)
+
+
+class Terminal:
+    """Runs commands in a thread, since a command has an event loop of its own."""
+
+    def __init__(self, deployment, folder):
+        self.deployment = deployment
+        self.operator_key = folder / "operator.key"
+        self.operator_key.write_text(deployment.operator_key.secret)
+        self.team_key = folder / "team.key"
+        (folder / "examples").symlink_to(ROOT / "examples")
+        (folder / "README.md").symlink_to(ROOT / "README.md")
+
+    async def run(self, *args, exit_code=0, body=None):
+        is_caller = bool(CALLERS & set(args))
+        env = {
+            "FESCUECRANK_ENTRIES": " ".join(m.url for m in self.deployment.members.values()),
+            "FESCUECRANK_KEY_FILE": str(self.team_key if is_caller else self.operator_key),
+            "FESCUECRANK_KEY": None,
+        }
+        ran = await asyncio.to_thread(CliRunner().invoke, app, list(args), env=env, input=body)
+        assert ran.exit_code == exit_code, f"{args}: {ran.exit_code}\n{ran.output}"
+        return ran
+
+    async def json(self, *args, **more):
+        return json.loads((await self.run("--output", "json", *args, **more)).stdout)
+
+
+def in_terminal(scenario, name, folder):
+    async def work():
+        async with running(deployment_of(name, entries=3), serving=False) as deployment:
+            await scenario(deployment, Terminal(deployment, folder))
+        assert deployment.journal.violations == []
+
+    asyncio.run(asyncio.wait_for(work(), HANG_SECONDS))
+
+
+def test_operator_and_caller_work_by_commands_alone(tmp_path, monkeypatch):
+    """Guards against commands that only fit the scripted entries of the other tests."""
+    monkeypatch.chdir(tmp_path)
+    fleet = "examples/hoang-long/fleet"
+
+    async def scenario(deployment, terminal):
+        assert (await terminal.json("validate", fleet))["teams"] == 6
+        assert len((await terminal.json("plan", fleet))["changes"]) == 23
+        applied = await terminal.json("apply", fleet)
+        assert (applied["verdict"], applied["not_confirmed"]) == ("accepted", [])
+        assert (await terminal.json("plan", fleet))["changes"] == []
+        await deployment.until_cells()
+        await request_scenario(terminal)
+        await maintenance_scenario(terminal)
+
+    async def request_scenario(terminal):
+        key_file = str(terminal.team_key)
+        granted = await terminal.json("key", "grant", "--team", "arenas", "--secret-file", key_file)
+        body = work_body(10, "inspect hoist 7")
+        sent = await terminal.run("submit", "hoist-inspection", "--body", "-", body=body)
+        assert sent.stdout_bytes == expected_answer("hoist-inspection", body)
+        request = REQUEST.search(sent.stderr).group(1)
+        told = await terminal.run("result", request)
+        assert told.stdout_bytes == sent.stdout_bytes
+        assert (await terminal.json("explain", request))["state"] == "ended"
+        await terminal.json("key", "withdraw", granted["key_id"])
+        await terminal.run("submit", "hoist-inspection", exit_code=1)
+
+    async def maintenance_scenario(terminal):
+        assert {m["live"] for m in (await terminal.json("status"))["members"]} == {True}
+        await terminal.json("wave", "start", "--pool", "hoist", "--id", "w1")
+        for action, paused in (("pause", True), ("resume", False)):
+            await terminal.json("wave", action, "w1")
+            [wave] = (await terminal.json("wave", "status"))["waves"]
+            assert (wave["paused"], wave["pools"], wave["total"]) == (paused, ["hoist"], 6)
+        assert (await terminal.json("drain", "truss-2"))["verdict"] == "accepted"
+        while "drain" not in str(await terminal.json("why", "truss-2")):
+            await asyncio.sleep(0.1)
+        await terminal.json("drain", "truss-2", "--cancel")
+        await terminal.run("why", "no-such-worker", exit_code=1)
+
+    in_terminal(scenario, "hoang-long", tmp_path)
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_documented_commands_run(name, tmp_path, monkeypatch):
+    """Guards against pages whose commands exist but do not do what the page says."""
+    monkeypatch.chdir(tmp_path)
+    lines = sorted((line for line in COMMAND_LINES if name in deployments_of(line)), key=rank)
+    # An empty or short list would mean that the pages were not found.
+    assert len(lines) > 15
+
+    async def scenario(deployment, terminal):
+        await deployment.apply()
+        await deployment.until_cells()
+        team = "touring-crews" if name == "hoang-long" else "kiln-crews"
+        key = await deployment.grant(team)
+        withdrawn = await deployment.grant(team)
+        terminal.team_key.write_text(key.secret)
+        drained = await terminal.run("drain", f"{next(iter(deployment.workers))}")
+        record_id = RECORD.search(drained.stderr).group(1)
+        if name == "halvorsen":
+            await terminal.run("wave", "start", "--id", "autumn-kernel")
+        addresses = [member.daemon.http_address for member in deployment.members.values()]
+        for line in lines:
+            args = [filled(word, addresses) for word in shlex.split(line)[1:]]
+            await run_one(terminal, args, record_id, withdrawn.key_id)
+
+    def filled(word, addresses):
+        return ADDRESS.sub(lambda found: addresses[int(found[1]) % len(addresses)], word)
+
+    async def run_one(terminal, args, record_id, key_id):
+        for at, word in enumerate(args):
+            if word in (EXAMPLE_ID, "RECORD_ID"):
+                args[at] = record_id
+            elif word == EXAMPLE_KEY:
+                args[at] = key_id
+            elif word.endswith(f"/{EXAMPLE_ID}"):
+                sent = await terminal.run("submit", word.partition("/")[0], body=b"")
+                args[at] = REQUEST.search(sent.stderr).group(1)
+        # The request that stands in for the example has ended, which `cancel` tells by status 1.
+        await terminal.run(*args, exit_code=1 if args[0] == "cancel" else 0)
+
+    in_terminal(scenario, name, tmp_path)
