--- a/packages/standin/src/fescuecrank_standin/demo.py
+++ b/packages/standin/src/fescuecrank_standin/demo.py
@@ -287,7 +287,7 @@
         Row("budget violations", broken.get("P1", 0), 0),
         Row("pool violations", broken.get("P2", 0), 0),
         Row("interrupted by a planned stop", broken.get("P9", 0), 0),
-        Row("wrong answers", broken.get("P5", 0), 0),
+        Row("wrong answers", broken.get("P5", 0) - counts["lost"], 0),
         Row("configuration in force everywhere", max(measures.in_force_ms), IN_FORCE_MS, "ms"),
         Row("withdrawn key refused everywhere", measures.refused_ms, IN_FORCE_MS, "ms"),
     ]
