Correct the scripted offset of apply's test

The scripted entry counted a record as applied at its own offset, while entries state the offset that they read next. The test now also guards against confirming at the record's own offset.

--- a/packages/cli/tests/test_operators.py
+++ b/packages/cli/tests/test_operators.py
@@ -101,7 +101,7 @@
         assert output == "table" or json.loads(ran.stdout) == told
 
 
-def config(fleet, applied=12):
+def config(fleet, applied=13):
     sections = {
         section: {
             name: {"version": 7, "value": declaration_to_plain(value)}
@@ -120,7 +120,8 @@
     """Guards against reporting success before the configuration is in force."""
     fleet = fleet_of(tmp_path)
     file = write(tmp_path, FLEET.replace("limit: 40", "limit: 41"))
-    script = {CONFIG: [config(fleet, 9), config(fleet, 9), config(fleet)], PUBLISH: [ACCEPTED]}
+    # An entry states the offset that it reads next, so at 12 it has yet to read record 12.
+    script = {CONFIG: [config(fleet, 9), config(fleet, 12), config(fleet)], PUBLISH: [ACCEPTED]}
     (fake,) = entries(script)
     ran = run([fake.address], "--output", "json", "apply", str(file), "--author", "ana")
     assert ran.exit_code == 0, ran.output
