Submit a request again when no entry knows it any more

An entry forgets a request whose caller was told that it waits, and a record that is only queued is lost with its holder. The client then asked for the result until its deadline.

--- a/packages/cli/src/fescuecrank_cli/client.py
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -294,7 +294,7 @@
         deadline = _now_ms() + wait_ms
         call = _submit_call(submission, min(wait_ms, SUBMIT_WAIT_MS))
         sent = await self._attempt(call, submission.service, submission.request_id)
-        return await self._followed(sent, deadline)
+        return await self._followed(sent, deadline, call)
 
     async def _attempt(
         self, call: Call, service: str, request_id: str
@@ -378,13 +378,16 @@
         return Ok(lost) if lost else Err(failure)
 
     async def _followed(
-        self, asked: Result[RequestReport, Failure], deadline_ms: int
+        self, asked: Result[RequestReport, Failure], deadline_ms: int, submit: Call | None = None
     ) -> Result[RequestReport, Failure]:
         """Ask for the result of a request that an entry has taken, until it has an outcome.
 
-        Answers that are lost or refused say nothing of a request that an entry took before.
+        Answers that are lost or refused say nothing of a request that an entry took before. The
+        record of a request that waits is lost with its holder, so `submit` is sent again under the
+        same id when no entry knows the request.
         """
         pause_ms = POLL_MS
+        submits_left = SUBMIT_PASSES - 1 if submit else 0
         while asked.is_ok() and asked.ok_value.outcome is None and _now_ms() < deadline_ms:
             report = asked.ok_value
             await asyncio.sleep(pause_ms / 1_000)
@@ -394,8 +397,23 @@
             told = await self._ask(call, report.service, report.request_id)
             if told.is_ok() and (told.ok_value.outcome is None or told.ok_value.is_final):
                 asked = told
+            elif _is_absent(told) and submits_left:
+                submits_left -= 1
+                asked = await self._repeated(submit, report)
         return asked
 
+    async def _repeated(
+        self, submit: Call, before: RequestReport
+    ) -> Result[RequestReport, Failure]:
+        """Send a submission again; a refusal covers only this attempt, not what went before."""
+        sent = await self._attempt(submit, before.service, before.request_id)
+        settled = sent.is_ok() and (sent.ok_value.outcome is None or sent.ok_value.is_final)
+        return sent if settled else Ok(before)
+
+
+def _is_absent(told: Result[RequestReport, Failure]) -> bool:
+    return told.is_err() and told.err_value.kind is FailureKind.NOT_FOUND
+
 
 def _now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
