--- a/packages/cli/src/fescuecrank_cli/main.py
+++ b/packages/cli/src/fescuecrank_cli/main.py
@@ -246,6 +246,25 @@
     session.write_publication(publication, key_id=key.key_id, **shown)
 
 
+@key_app.command(name="settings")
+def key_settings(
+    ctx: typer.Context,
+    secret_file: Annotated[
+        Path, typer.Option(help="New file for the secret, readable by its owner only.")
+    ],
+) -> None:
+    """Make an operator's key for `operator_keys` in the settings, without speaking to an entry."""
+    key = new_key()
+    _save_secret(secret_file, key)
+    ctx.obj.write(
+        {
+            "key_id": key.key_id,
+            "salt": base64.b64encode(key.salt).decode(),
+            "digest": base64.b64encode(key.digest).decode(),
+        }
+    )
+
+
 def _save_secret(file: Path, key: NewKey) -> None:
     try:
         descriptor = os.open(file, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
--- a/packages/cli/tests/documented_commands.py
+++ b/packages/cli/tests/documented_commands.py
@@ -7,8 +7,8 @@
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 
 CONSOLE = re.compile(r"^ *```console\n(.*?)^ *```", re.MULTILINE | re.DOTALL)
-PROMPT = re.compile(r"^ *\$ (fescuecrank (?:.*\\\n)*.*)$", re.MULTILINE)
-INLINE = re.compile(r"`(fescuecrank [^`\n]+)`")
+PROMPT = re.compile(r"^ *\$ (fescuecrankd? (?:.*\\\n)*.*)$", re.MULTILINE)
+INLINE = re.compile(r"`(fescuecrankd? [^`\n]+)`")
 
 
 def command_lines(text: str) -> list[str]:
--- a/packages/cli/tests/test_docs.py
+++ b/packages/cli/tests/test_docs.py
@@ -14,10 +14,14 @@
 from fescuecrank_cli import reference
 from fescuecrank_cli.main import app
 from fescuecrank_core.loader import load_fleet
+from fescuecrank_daemon.main import app as daemon_app
 
 DEPLOYMENTS = [ROOT / "examples" / name for name in ("halvorsen", "hoang-long")]
 
 
+APPS = {"fescuecrank": app, "fescuecrankd": daemon_app}
+
+
 def parse(command, args, parent=None):
     """Parse a command line to its end without running it."""
     ctx = command.make_context(command.name or "fescuecrank", list(args), parent=parent)
@@ -30,7 +34,8 @@
 @pytest.mark.parametrize("line", COMMAND_LINES)
 def test_documented_command_exists(line):
     """Guards against pages that name commands or options which the binary does not have."""
-    parse(typer.main.get_command(app), shlex.split(line)[1:])
+    binary, *args = shlex.split(line)
+    parse(typer.main.get_command(APPS[binary]), args)
 
 
 def test_check_of_documented_commands_can_fail():
--- a/packages/cli/tests/test_operators.py
+++ b/packages/cli/tests/test_operators.py
@@ -21,6 +21,8 @@
     refusal,
 )
 from fescuecrank_core.declarations import SECTIONS
+from fescuecrank_core.keys import key_id_of, matches
+from fescuecrank_core.ledger_state import Key
 from fescuecrank_core.plain import declaration_to_plain
 
 DRAIN = "POST /v1/workers/hoist-1/drain"
@@ -259,3 +261,17 @@
     ran = run([], "validate", str(write(tmp_path, "teams:\n  a: {share: -1}\n")))
     assert ran.exit_code == 2
     assert len(ran.stderr.splitlines()) == 2
+
+
+def test_key_for_the_settings_matches_its_secret(run, tmp_path):
+    """Guards against a deployment whose first operator's key is refused."""
+    file = tmp_path / "operator.key"
+    ran = run([], "--output", "json", "key", "settings", "--secret-file", str(file))
+    assert ran.exit_code == 0, ran.output
+    made = json.loads(ran.stdout)
+    secret = file.read_text().strip()
+    assert stat.S_IMODE(file.stat().st_mode) == 0o600
+    assert secret not in ran.output
+    salt, digest = (base64.b64decode(made[name]) for name in ("salt", "digest"))
+    assert matches(secret, Key(made["key_id"], "operator", "", salt, digest))
+    assert key_id_of(secret) == made["key_id"]
--- a/packages/standin/tests/test_deployment_commands.py
+++ b/packages/standin/tests/test_deployment_commands.py
@@ -8,6 +8,7 @@
 import pytest
 from documented_commands import COMMAND_LINES, ROOT
 from fescuecrank_cli.main import app
+from fescuecrank_daemon.main import app as daemon_app
 from fescuecrank_standin.deployment import deployment_of, running
 from fescuecrank_standin.observed import expected_answer, work_body
 from typer.testing import CliRunner
@@ -22,7 +23,7 @@
 
 # A command of the pages belongs to the deployment whose names it uses; one without names to both.
 NAMES = {
-    "hoang-long": ("hoang-long", "hoist", "truss", "touring-crews", "autumn-kernel"),
+    "hoang-long": ("hoang-long", "hoist", "truss", "touring-crews", "arenas", "autumn-kernel"),
     "halvorsen": ("halvorsen", "quoting", "lot-tracking"),
 }
 # Commands that others depend on come first, and those that end something come last.
@@ -43,6 +44,9 @@
     return len(ORDER) + any(f"fescuecrank {prefix}" in words for prefix in LAST)
 
 
+APPS = {"fescuecrank": app, "fescuecrankd": daemon_app}
+
+
 class Terminal:
     """Runs commands in a thread, since a command has an event loop of its own."""
 
@@ -54,14 +58,16 @@
         (folder / "examples").symlink_to(ROOT / "examples")
         (folder / "README.md").symlink_to(ROOT / "README.md")
 
-    async def run(self, *args, exit_code=0, body=None):
+    async def run(self, *args, exit_code=0, body=None, binary="fescuecrank"):
         is_caller = bool(CALLERS & set(args))
         env = {
             "FESCUECRANK_ENTRIES": " ".join(m.url for m in self.deployment.members.values()),
             "FESCUECRANK_KEY_FILE": str(self.team_key if is_caller else self.operator_key),
             "FESCUECRANK_KEY": None,
         }
-        ran = await asyncio.to_thread(CliRunner().invoke, app, list(args), env=env, input=body)
+        ran = await asyncio.to_thread(
+            CliRunner().invoke, APPS[binary], list(args), env=env, input=body
+        )
         assert ran.exit_code == exit_code, f"{args}: {ran.exit_code}\n{ran.output}"
         return ran
 
@@ -143,13 +149,14 @@
             await terminal.run("wave", "start", "--id", "autumn-kernel")
         addresses = [member.daemon.http_address for member in deployment.members.values()]
         for line in lines:
-            args = [filled(word, addresses) for word in shlex.split(line)[1:]]
-            await run_one(terminal, args, record_id, withdrawn.key_id)
+            binary, *words = shlex.split(line)
+            args = [filled(word, addresses) for word in words]
+            await run_one(terminal, binary, args, record_id, withdrawn.key_id)
 
     def filled(word, addresses):
         return ADDRESS.sub(lambda found: addresses[int(found[1]) % len(addresses)], word)
 
-    async def run_one(terminal, args, record_id, key_id):
+    async def run_one(terminal, binary, args, record_id, key_id):
         for at, word in enumerate(args):
             if word in (EXAMPLE_ID, "RECORD_ID"):
                 args[at] = record_id
@@ -159,6 +166,6 @@
                 sent = await terminal.run("submit", word.partition("/")[0], body=b"")
                 args[at] = REQUEST.search(sent.stderr).group(1)
         # The request that stands in for the example has ended, which `cancel` tells by status 1.
-        await terminal.run(*args, exit_code=1 if args[0] == "cancel" else 0)
+        await terminal.run(*args, exit_code=1 if args[0] == "cancel" else 0, binary=binary)
 
     in_terminal(scenario, name, tmp_path)
