--- a/packages/cli/tests/test_docs.py
+++ b/packages/cli/tests/test_docs.py
@@ -3,35 +3,23 @@
 import datetime
 import itertools
 import json
-import re
 import shlex
-from pathlib import Path
 
 import jsonschema
 import pytest
 import typer
 import yaml
 from declaration_builders import FLEET
+from documented_commands import COMMAND_LINES, CONSOLE, PAGES, ROOT
 from fescuecrank_cli import reference
 from fescuecrank_cli.main import app
 from fescuecrank_core.loader import load_fleet
+from fescuecrank_daemon.main import app as daemon_app
 
-ROOT = Path(__file__).parents[3]
-PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 DEPLOYMENTS = [ROOT / "examples" / name for name in ("halvorsen", "hoang-long")]
 
-CONSOLE = re.compile(r"^ *```console\n(.*?)^ *```", re.MULTILINE | re.DOTALL)
-PROMPT = re.compile(r"^ *\$ (fescuecrank (?:.*\\\n)*.*)$", re.MULTILINE)
-INLINE = re.compile(r"`(fescuecrank [^`\n]+)`")
 
-
-def command_lines(text):
-    blocks = "\n".join(CONSOLE.findall(text))
-    prompts = [line.replace("\\\n", " ") for line in PROMPT.findall(blocks)]
-    return prompts + INLINE.findall(CONSOLE.sub("", text))
-
-
-COMMAND_LINES = sorted({line for page in PAGES for line in command_lines(page.read_text())})
+APPS = {"fescuecrank": app, "fescuecrankd": daemon_app}
 
 
 def parse(command, args, parent=None):
@@ -46,7 +34,8 @@
 @pytest.mark.parametrize("line", COMMAND_LINES)
 def test_documented_command_exists(line):
     """Guards against pages that name commands or options which the binary does not have."""
-    parse(typer.main.get_command(app), shlex.split(line)[1:])
+    binary, *args = shlex.split(line)
+    parse(typer.main.get_command(APPS[binary]), args)
 
 
 def test_check_of_documented_commands_can_fail():
