--- a/packages/core/src/fescuecrank_core/sharing.py
+++ b/packages/core/src/fescuecrank_core/sharing.py
@@ -439,14 +439,19 @@
                 continue
             if team.deficit() <= -QUICK_BORROW * self._slot_share:
                 continue
-            if front.head(RequestClass.ARCHIVAL) is not None and self._archival_first(team):
-                # Archival work is below its own floor too and has had less.
+            if self._starves_archival(front):
                 continue
             slowdown = (now_ms - head.queued_ms) / max(1, head.expected_ms)
             if slowdown > best_slowdown:
                 best, best_slowdown = head, slowdown
         return best
 
+    def _starves_archival(self, front: _Front) -> bool:
+        """Return whether quick work holds slots of a team whose archival work is further behind."""
+        if front.head(RequestClass.ARCHIVAL) is None or front.team.quick_held() == 0:
+            return False
+        return self._archival_first(front.team)
+
     def _next_by(self, fronts: list[_Front]) -> Waiting | None:
         best, best_gain = None, -math.inf
         for front in fronts:
