--- a/packages/bench/src/fescuecrank_bench/sharing_bench.py
+++ b/packages/bench/src/fescuecrank_bench/sharing_bench.py
@@ -278,7 +278,9 @@
         for deployment in DEPLOYMENTS:
             for label, majority, minority, part in self.CASES:
                 rows.append(self._row(deployment, label, majority, minority, part))
-                cold = self._wait(deployment, DominantShareQueue, majority, minority, part, False)
+                cold = self._wait(
+                    deployment, DominantShareQueue, majority, minority, part, False, FAULT_SEEDS
+                )
                 note = "sizes are not learned before the flood; no baseline run"
                 rows.append(
                     Row(
