--- a/packages/bench/src/fescuecrank_bench/slopes_cell.py
+++ b/packages/bench/src/fescuecrank_bench/slopes_cell.py
@@ -65,7 +65,7 @@
     driver = Driver(fleet(count), members=3)
     cell = driver.entry.cells.cells[driver.scope()]
     # The ledger and the list are measured in roles of their own.
-    return (cell.workers._views, cell.index, cell.workers._poll_queue)
+    return (cell.workers._views, cell._index, cell.workers._poll_queue)
 
 
 def request_slopes() -> list[Slope]:
@@ -102,9 +102,9 @@
 
 def _check_served(driver: Driver) -> None:
     cell = driver.entry.cells.cells[driver.scope()]
-    unended = sum(record.state is not RequestState.ENDED for record in cell.table)
-    if unended > len(cell.table) // 2 and len(cell.table) > 0:
-        raise RuntimeError(f"{unended} of {len(cell.table)} requests were not served")
+    unended = sum(record.state is not RequestState.ENDED for record in cell.book.table)
+    if unended > len(cell.book.table) // 2 and len(cell.book.table) > 0:
+        raise RuntimeError(f"{unended} of {len(cell.book.table)} requests were not served")
 
 
 def running_slopes() -> list[Slope]:
@@ -115,7 +115,7 @@
         driver = Driver(fleet(300), members=4, run_ms=3_600_000)
         _submit(driver, count, numbers, 1_000)
         driver.run(1_000)
-        running = driver.entry.cells.cells[driver.scope()].unfinished()
+        running = len(driver.entry.cells.cells[driver.scope()].tasks)
         if running != count:
             raise RuntimeError(f"{running} tasks run instead of {count}")
         driver.meter.clear()
--- a/packages/core/src/fescuecrank_core/cells.py
+++ b/packages/core/src/fescuecrank_core/cells.py
@@ -131,8 +131,8 @@
 
     def _drop(self, scope: str) -> list[Effect]:
         cell = self.cells.pop(scope)
-        self._calls_open |= cell.started_tasks()
-        self._backups.adopt(scope, cell.epoch, cell.table)
+        self._calls_open |= cell.tasks.started_ids()
+        self._backups.adopt(scope, cell.epoch, cell.book.table)
         return [Notice("cell_lost", {"scope": scope, "epoch": cell.epoch})]
 
     def _follow_claim(self, scope: str, now: Instant) -> list[Effect]:
@@ -179,7 +179,6 @@
             claim,
             pool_of_scope(claim.scope),
             self._cfg.region,
-            self._cfg.name,
             self._ledger,
             self._membership,
             self._claims,
--- a/packages/core/src/fescuecrank_core/metrics.py
+++ b/packages/core/src/fescuecrank_core/metrics.py
@@ -91,7 +91,7 @@
     views = cell.workers.views()
     usable = cell.workers.usable()
     yield Sample("cell_queue", len(cell.queue), label)
-    yield Sample("cell_running", cell.unfinished(), label)
+    yield Sample("cell_running", len(cell.tasks), label)
     yield Sample("cell_workers_in_service", len(usable), label)
     yield Sample("cell_workers_idle", sum(not views[name].tasks for name in usable), label)
     yield Sample("cell_retry_tokens", cell.retries.tokens, label)
--- a/packages/core/src/fescuecrank_core/operators.py
+++ b/packages/core/src/fescuecrank_core/operators.py
@@ -179,7 +179,7 @@
             "scope": cell.scope,
             "epoch": cell.epoch,
             "waiting": len(cell.queue),
-            "running": cell.unfinished(),
+            "running": len(cell.tasks),
             "in_service": len(cell.workers.usable()),
             "out": {name: reason.value for name, reason in cell.workers.out().items()},
             "escrow": {
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/running_tasks.py
@@ -0,0 +1,155 @@
+"""Tasks of one cell that may be running, and commands about them."""
+
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.declarations import Resources
+from fescuecrank_core.effects import ControlTask, Effect, QueryTask, TaskAction
+from fescuecrank_core.escrow import CellAccounts
+from fescuecrank_core.request_queue import RequestQueue
+from fescuecrank_core.requests import Request, RequestKey, Task
+from fescuecrank_core.workers import WorkerGroup
+
+QUERY_INTERVAL_MS = 1_000
+# A throttled task may end or the need may pass; both are cheaper than a checkpoint.
+CHECKPOINT_AFTER_MS = 200
+
+
+@attrs.define
+class Running:
+    """A task from its placement to its end.
+
+    `lost_since_ms` is set while it is not known what became of the task.
+    """
+
+    task: Task
+    request: Request
+    queued_ms: int = 0
+    lost_since_ms: int | None = None
+    next_query_ms: int = 0
+    started: bool = False
+    started_ms: int = 0
+    used: Resources | None = None
+    stop_asked: bool = False
+    throttled_ms: int | None = None
+    reclaimed: bool = False
+
+    @property
+    def slots(self) -> int:
+        """Slots in use, which are the units of the team's limit."""
+        return self.request.need.slots
+
+
+class RunningTasks:
+    """What the tasks of a cell use: workers, units of limits, and shares."""
+
+    def __init__(
+        self,
+        workers: WorkerGroup,
+        accounts: CellAccounts,
+        queue: RequestQueue,
+        may_act: Callable[[Instant], bool],
+        send_before_ms: Callable[[Instant], int],
+    ) -> None:
+        self._workers = workers
+        self._accounts = accounts
+        self._queue = queue
+        self._may_act = may_act
+        self._send_before_ms = send_before_ms
+        self._by_key: dict[RequestKey, Running] = {}
+        self._by_task: dict[str, Running] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def __iter__(self) -> Iterator[Running]:
+        return iter(list(self._by_key.values()))
+
+    def get(self, key: RequestKey) -> Running | None:
+        """Return the task of a request."""
+        return self._by_key.get(key)
+
+    def by_task(self, task_id: str) -> Running | None:
+        """Return a task by its id."""
+        return self._by_task.get(task_id)
+
+    def busy_slots(self) -> int:
+        """Return the slots of all tasks."""
+        return sum(running.slots for running in self._by_key.values())
+
+    def started_ids(self) -> set[str]:
+        """Return the ids of the tasks whose start command may have been sent."""
+        return {task_id for task_id, running in self._by_task.items() if running.started}
+
+    def add(self, running: Running, need: Resources, expected_ms: int, now: Instant) -> None:
+        """Count a task that has been placed, or that an earlier holder may have started."""
+        task = running.task
+        self._by_key[task.key] = running
+        self._by_task[task.task_id] = running
+        self._workers.add_task(task.worker, task.task_id, need, expected_ms, now)
+
+    def release(self, running: Running, now: Instant) -> None:
+        """Free all that a task used."""
+        task = running.task
+        self._learn_end(running, now)
+        del self._by_key[task.key]
+        del self._by_task[task.task_id]
+        self._workers.remove_task(task.worker, task.task_id)
+        self._accounts.give_back(task.key.team, running.slots, now)
+        self._queue.finish(task.key, now)
+
+    def _learn_end(self, running: Running, now: Instant) -> None:
+        if running.used is not None and running.started_ms:
+            run_ms = now.mono_ms - running.started_ms
+            self._queue.observe(running.request, running.used, run_ms, finished=True)
+
+    def note_usage(self, task_id: str, used: Resources, run_ms: int) -> None:
+        """Learn from a lagging report about a running task."""
+        running = self._by_task.get(task_id)
+        if running is not None:
+            running.used = used
+            self._queue.observe(running.request, used, run_ms, finished=False)
+
+    # Commands
+
+    def control(self, running: Running, action: TaskAction, now: Instant) -> list[Effect]:
+        """Throttle, checkpoint or stop a task."""
+        if not self._may_act(now):
+            return []
+        running.stop_asked = running.stop_asked or action is TaskAction.STOP
+        address = self._workers.address(running.task.worker)
+        command = ControlTask(self._commanded(running), address, action, self._send_before_ms(now))
+        return [command]
+
+    def ask(self, running: Running, now: Instant) -> list[Effect]:
+        """Ask the worker what became of a task, over a new connection."""
+        running.lost_since_ms = running.lost_since_ms or now.mono_ms
+        running.next_query_ms = now.mono_ms + QUERY_INTERVAL_MS
+        address = self._workers.address(running.task.worker)
+        return [QueryTask(self._commanded(running), address, forbid=True)]
+
+    def _commanded(self, running: Running) -> Task:
+        """Return the task under the fence of this epoch; workers refuse an earlier holder's."""
+        return attrs.evolve(running.task, fence=self._workers.fence(running.task.worker))
+
+    def lease_has_ended(self, running: Running, now: Instant) -> bool:
+        """Return whether the worker has surely stopped the task."""
+        return self._workers.lease_has_ended(running.task.worker, running.task.task_id, now)
+
+    def reclaim(self, now: Instant) -> list[Effect]:
+        """Throttle, then checkpoint, tasks whose capacity others are entitled to."""
+        effects: list[Effect] = []
+        for key in self._queue.over_share(now):
+            running = self._by_key.get(key)
+            if running is None or not running.started or running.reclaimed:
+                continue
+            if running.throttled_ms is None:
+                running.throttled_ms = now.mono_ms
+                effects.extend(self.control(running, TaskAction.THROTTLE, now))
+            elif now.mono_ms - running.throttled_ms >= CHECKPOINT_AFTER_MS:
+                running.reclaimed = running.request.idempotent
+                if running.reclaimed:
+                    effects.extend(self.control(running, TaskAction.CHECKPOINT, now))
+        return effects
--- /dev/null
+++ b/packages/core/src/fescuecrank_core/task_ends.py
@@ -0,0 +1,184 @@
+"""What follows from the end of a task: an answer, another attempt, or an unknown outcome."""
+
+import hashlib
+
+import attrs
+
+from fescuecrank_core.clock import Instant
+from fescuecrank_core.effects import Effect
+from fescuecrank_core.events import TaskEnd, TaskReported
+from fescuecrank_core.quarantine import FailureTracker
+from fescuecrank_core.request_book import RequestBook
+from fescuecrank_core.request_queue import RequestQueue
+from fescuecrank_core.requests import Answer, Outcome, RequestKey, RequestRecord, RequestState
+from fescuecrank_core.retries import RetryBudget
+from fescuecrank_core.running_tasks import QUERY_INTERVAL_MS, Running, RunningTasks
+from fescuecrank_core.workers import WorkerGroup
+
+# A request that so many workers in a row have refused to start is refused to the caller.
+MAX_REFUSALS = 20
+
+
+class TaskEnds:
+    """Decides on requests whose task has ended, or may have."""
+
+    def __init__(
+        self,
+        book: RequestBook,
+        tasks: RunningTasks,
+        queue: RequestQueue,
+        workers: WorkerGroup,
+        tracker: FailureTracker,
+        retries: RetryBudget,
+    ) -> None:
+        self._book = book
+        self._tasks = tasks
+        self._queue = queue
+        self._workers = workers
+        self._tracker = tracker
+        self._retries = retries
+        self._refusals: dict[RequestKey, int] = {}
+        self._avoid: dict[RequestKey, frozenset[str]] = {}
+
+    def avoided(self, key: RequestKey) -> frozenset[str]:
+        """Return the workers on which a request has failed before."""
+        return self._avoid.get(key, frozenset())
+
+    def on_task(self, event: TaskReported, now: Instant) -> list[Effect]:
+        """Take in what became of a task."""
+        running = self._tasks.by_task(event.task_id)
+        record = self._book.get(running.task.key)
+        return _HANDLERS[event.end](self, running, record, event, now)
+
+    def _on_answered(
+        self, running: Running, record: RequestRecord, event: TaskReported, now: Instant
+    ) -> list[Effect]:
+        if hashlib.sha256(event.body).hexdigest() != event.digest:
+            return self._on_lost(running, record, event, now)
+        key = record.request.key
+        self._tracker.report(event.worker, key, not event.endpoint_failed, now.mono_ms)
+        if event.endpoint_failed and self._may_try_again(record):
+            return self._try_again(running, record, now)
+        self._tasks.release(running, now)
+        outcome = Outcome.FAILED if event.endpoint_failed else Outcome.DONE
+        answer = Answer(
+            key,
+            outcome,
+            event.detail,
+            event.status,
+            event.body,
+            event.digest,
+            record.attempts,
+        )
+        return self._end(record, answer, now)
+
+    def _may_try_again(self, record: RequestRecord) -> bool:
+        if not record.request.idempotent or self._tracker.hopeless(record.request.key):
+            return False
+        return self._retries.take()
+
+    def _try_again(self, running: Running, record: RequestRecord, now: Instant) -> list[Effect]:
+        """Put a request back into the queue; its last attempt can have no further effect."""
+        key = record.request.key
+        self._avoid[key] = self.avoided(key) | {running.task.worker}
+        self._tasks.release(running, now)
+        effects = self._book.change(_queued(record), now)
+        self._queue.add(record.request, now)
+        return effects
+
+    def _on_not_started(
+        self, running: Running, record: RequestRecord, event: TaskReported, now: Instant
+    ) -> list[Effect]:
+        key = record.request.key
+        if event.draining:
+            self._workers.mark_draining(event.worker)
+        if event.end is TaskEnd.NOT_SENT:
+            self._workers.mark_unreachable(event.worker, now)
+        # The worker promised never to start this task, so the attempt does not count.
+        record = attrs.evolve(record, attempts=max(0, record.attempts - 1))
+        self._refusals[key] = self._refusals.get(key, 0) + 1
+        if self._refusals[key] <= MAX_REFUSALS:
+            return self._try_again(running, record, now)
+        self._tasks.release(running, now)
+        self._forget(key)
+        reason = f"refused by workers: {event.detail}"
+        return self._book.end_unstarted(record, Outcome.NOT_RUN, reason, now)
+
+    def _on_lost(
+        self, running: Running, record: RequestRecord, event: TaskReported, now: Instant
+    ) -> list[Effect]:
+        if self._tasks.lease_has_ended(running, now):
+            return self._give_up(running, record, now)
+        running.lost_since_ms = running.lost_since_ms or now.mono_ms
+        if now.mono_ms < running.next_query_ms:
+            return []
+        return self._tasks.ask(running, now)
+
+    def _on_running(
+        self, running: Running, record: RequestRecord, event: TaskReported, now: Instant
+    ) -> list[Effect]:
+        # The connection that was to bring the answer may be gone, so the task is asked for until
+        # it ends.
+        running.lost_since_ms = now.mono_ms
+        running.next_query_ms = now.mono_ms + QUERY_INTERVAL_MS
+        return []
+
+    def _on_stopped(
+        self, running: Running, record: RequestRecord, event: TaskReported, now: Instant
+    ) -> list[Effect]:
+        if running.stop_asked:
+            self._tasks.release(running, now)
+            key = record.request.key
+            answer = Answer(key, Outcome.FAILED, "cancelled while it ran", runs=record.attempts)
+            return self._end(record, answer, now)
+        if running.reclaimed:
+            self._tasks.release(running, now)
+            effects = self._book.change(_queued(record), now)
+            self._queue.add_again(record.request, running.queued_ms)
+            return effects
+        return self._give_up(running, record, now)
+
+    def _give_up(self, running: Running, record: RequestRecord, now: Instant) -> list[Effect]:
+        """Decide on a request whose task has ended without an answer."""
+        if self._may_try_again(record):
+            return self._try_again(running, record, now)
+        self._tasks.release(running, now)
+        key = record.request.key
+        reason = f"worker {running.task.worker} gave no answer; the request may have run"
+        return self._end(record, Answer(key, Outcome.UNKNOWN, reason, runs=record.attempts), now)
+
+    def _end(self, record: RequestRecord, answer: Answer, now: Instant) -> list[Effect]:
+        self._forget(answer.key)
+        return self._book.end(record, answer, now)
+
+    def _forget(self, key: RequestKey) -> None:
+        self._refusals.pop(key, None)
+        self._avoid.pop(key, None)
+
+    def ask_lost(self, now: Instant) -> list[Effect]:
+        """Ask again about lost tasks, and give up those whose leases have ended."""
+        effects: list[Effect] = []
+        for running in self._tasks:
+            if not running.started or now.mono_ms < running.next_query_ms:
+                continue
+            if self._tasks.lease_has_ended(running, now):
+                record = self._book.get(running.task.key)
+                effects.extend(self._give_up(running, record, now))
+            elif running.lost_since_ms is not None:
+                effects.extend(self._tasks.ask(running, now))
+        return effects
+
+
+def _queued(record: RequestRecord) -> RequestRecord:
+    return attrs.evolve(record, state=RequestState.QUEUED, task=None)
+
+
+_HANDLERS = {
+    TaskEnd.ANSWERED: TaskEnds._on_answered,
+    TaskEnd.REFUSED: TaskEnds._on_not_started,
+    TaskEnd.NOT_SENT: TaskEnds._on_not_started,
+    TaskEnd.NEVER_SEEN: TaskEnds._on_not_started,
+    TaskEnd.LOST: TaskEnds._on_lost,
+    TaskEnd.RUNNING: TaskEnds._on_running,
+    TaskEnd.STOPPED: TaskEnds._on_stopped,
+}
