--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -127,7 +127,9 @@
             record = attrs.evolve(record, state=RequestState.DISPATCHED, attempts=attempts)
             self.book.store(record, now)
         request = record.request
-        running = Running(record.task, request, lost_since_ms=now.mono_ms, started=True)
+        running = Running(
+            record.task, request, adopted=True, lost_since_ms=now.mono_ms, started=True
+        )
         self.accounts.adopt_running(request.key.team, running.slots)
         self.tasks.add(running, request.need, request.expected_run_ms, now)
 
--- a/packages/core/src/fescuecrank_core/escrow.py
+++ b/packages/core/src/fescuecrank_core/escrow.py
@@ -110,6 +110,15 @@
         account.idle_since_ms = now.mono_ms
         account.return_units(account.recall)
 
+    def give_back_adopted(self, team: str, units: int, now: Instant) -> None:
+        """Return the units of a task that an earlier holder of the cell had started.
+
+        They are never used again here: the earlier holder may already have used the same unit for a
+        later task, if its backups had not stored the end of this one.
+        """
+        self.give_back(team, units, now)
+        self.team(team).return_units(units)
+
     def set_waiting(self, team: str, units: int) -> None:
         """State how many units the queue could use now."""
         self.team(team).waiting = units
--- a/packages/core/src/fescuecrank_core/running_tasks.py
+++ b/packages/core/src/fescuecrank_core/running_tasks.py
@@ -21,12 +21,14 @@
 class Running:
     """A task from its placement to its end.
 
-    `lost_since_ms` is set while it is not known what became of the task.
+    `lost_since_ms` is set while it is not known what became of the task. `adopted` tells that an
+    earlier holder of the cell placed it.
     """
 
     task: Task
     request: Request
     queued_ms: int = 0
+    adopted: bool = False
     lost_since_ms: int | None = None
     next_query_ms: int = 0
     started: bool = False
@@ -97,7 +99,10 @@
         del self._by_key[task.key]
         del self._by_task[task.task_id]
         self._workers.remove_task(task.worker, task.task_id)
-        self._accounts.give_back(task.key.team, running.slots, now)
+        give_back = self._accounts.give_back
+        if running.adopted:
+            give_back = self._accounts.give_back_adopted
+        give_back(task.key.team, running.slots, now)
         self._queue.finish(task.key, now)
 
     def _learn_end(self, running: Running, now: Instant) -> None:
