Keep work that grows with workers and tasks out of each tick of a cell

On each tick of 25 ms the holder of a cell summed the slots of all its workers for a load that is used every 500 ms, and looked at each running task twice. Twice a second, and on each poll of the instance list, it scanned the assignments of the whole fleet and checked every worker again although nothing had changed. The load is now taken when maintenance is due, lost tasks are looked for every 100 ms, unstarted tasks have a table of their own, the ledger keeps the workers of each pool until a pool changes, and an unchanged list or pool is skipped.

--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -55,6 +55,8 @@
 CANCELS_PER_STEP = 64
 STARTS_PER_STEP = 64
 QUERY_INTERVAL_MS = 1_000
+# All running tasks are looked at, which costs too much on each tick.
+LOST_INTERVAL_MS = 100
 LOAD_INTERVAL_MS = 1_000
 CONFIGURE_INTERVAL_MS = 500
 EXPIRE_INTERVAL_MS = 1_000
@@ -116,6 +118,7 @@
         self._ids = ids
         self._seq = claim.epoch << SEQ_BITS
         self._running: dict[RequestKey, Running] = {}
+        self._unstarted: dict[RequestKey, Running] = {}
         self._by_task: dict[str, RequestKey] = {}
         self._waiters: dict[RequestKey, set[str]] = {}
         self._refusals: dict[RequestKey, int] = {}
@@ -123,7 +126,7 @@
         self._cancels: dict[RequestKey, None] = {}
         self._queued: dict[RequestKey, Waiting] = {}
         self._wanted: Counter[str] = Counter()
-        self._due = {"load": 0, "configure": 0, "expire": 0}
+        self._due = {"load": 0, "configure": 0, "expire": 0, "lost": 0}
         self.queue = DominantShareQueue()
         self.index = WorkerIndex()
         self.estimator = Estimator()
@@ -379,7 +382,9 @@
         self.queue.start(key, now.mono_ms)
         self._unqueue(key)
         task = Task(self._ids.next("task"), key, worker, self.workers.fence(worker))
-        self._remember(Running(task, waiting.need.slots, queued_ms=waiting.queued_ms))
+        running = Running(task, waiting.need.slots, queued_ms=waiting.queued_ms)
+        self._remember(running)
+        self._unstarted[key] = running
         self.workers.add_task(worker, task.task_id, waiting.need, now)
         if record.attempts == 0:
             self.retries.note_first_attempt()
@@ -403,6 +408,7 @@
             {"cell": self.scope, "class": record.request.request_class.value},
         )
         running.started = True
+        self._unstarted.pop(key, None)
         running.started_ms = now.mono_ms
         address = self.workers.address(running.task.worker)
         until_ms = self._membership.current_until_ms(now)
@@ -429,6 +435,7 @@
         key = running.task.key
         self._learn_end(running, now)
         del self._running[key]
+        self._unstarted.pop(key, None)
         self._by_task.pop(running.task.task_id, None)
         self.workers.remove_task(running.task.worker, running.task.task_id)
         self.accounts.give_back(key.team, running.slots, now)
@@ -620,7 +627,7 @@
         if not self._claims.may_act(self.scope, now):
             return effects
         effects.extend(self.workers.poll(now))
-        if not self.is_stopping:
+        if not self.is_stopping and self.workers.is_maintenance_due(now):
             effects.extend(self.workers.maintain(self._load(), now, self._may_start_outage(now)))
         effects.extend(self._start_waiting(now))
         effects.extend(self._ask_lost(now))
@@ -654,12 +661,13 @@
 
     def _start_waiting(self, now: Instant) -> list[Effect]:
         effects: list[Effect] = []
-        for key, running in list(self._running.items()):
-            if not running.started:
-                effects.extend(self._start_if_safe(key, now))
+        for key in list(self._unstarted):
+            effects.extend(self._start_if_safe(key, now))
         return effects
 
     def _ask_lost(self, now: Instant) -> list[Effect]:
+        if not self._is_due("lost", LOST_INTERVAL_MS, now):
+            return []
         effects: list[Effect] = []
         for key, running in list(self._running.items()):
             task = running.task
--- a/packages/core/src/fescuecrank_core/cells.py
+++ b/packages/core/src/fescuecrank_core/cells.py
@@ -102,6 +102,7 @@
         self._takeovers: dict[str, Takeover] = {}
         self._backup_records: dict[str, BackupsChanged] = {}
         self._listed: dict[str, Instance] = {}
+        self._instances: tuple[Instance, ...] = ()
         self._refused: dict[str, Refused] = {}
         self.cells: dict[str, Cell] = {}
 
@@ -318,6 +319,10 @@
 
     def on_instances(self, event: InstancesListed, now: Instant) -> list[Effect]:
         """Pass the instance list to all cells."""
+        # Nearly all polls find the list unchanged, and comparing the same objects costs little.
+        if event.instances == self._instances:
+            return []
+        self._instances = event.instances
         self._listed = {item.name: item for item in event.instances}
         for cell in self.cells.values():
             cell.workers.on_instances(self._listed, now)
--- a/packages/core/src/fescuecrank_core/ledger.py
+++ b/packages/core/src/fescuecrank_core/ledger.py
@@ -42,6 +42,8 @@
 
     def __init__(self) -> None:
         self.state = LedgerState()
+        # Workers of each pool, derived from the assignments when they are asked for.
+        self._pool_workers: dict[str, tuple[str, ...]] | None = None
 
     @property
     def applied(self) -> int:
@@ -61,6 +63,8 @@
         record = entry.record
         if record.record_id not in self.state.verdicts:
             refusal = _FOLDS[type(record)](self.state, entry.offset, record)
+            if _changes_pools(record):
+                self._pool_workers = None
             self._remember(entry.offset, record.record_id, refusal)
         return True
 
@@ -93,6 +97,7 @@
         if state.applied <= self.state.applied:
             return False
         self.state = state
+        self._pool_workers = None
         return True
 
     def retire_member_lists(self, offset: int) -> None:
@@ -120,9 +125,14 @@
         assignment = self.state.assignments.get(worker)
         return assignment.pool if assignment else None
 
-    def workers_of(self, pool: str) -> list[str]:
-        """Return the workers that belong to a pool."""
-        return [name for name, item in self.state.assignments.items() if item.pool == pool]
+    def workers_of(self, pool: str) -> tuple[str, ...]:
+        """Return the workers that belong to a pool; the same tuple until a pool has changed."""
+        if self._pool_workers is None:
+            found: dict[str, list[str]] = {}
+            for name, item in self.state.assignments.items():
+                found.setdefault(item.pool, []).append(name)
+            self._pool_workers = {name: tuple(workers) for name, workers in found.items()}
+        return self._pool_workers.get(pool, ())
 
     def active_waves(self, pool: str) -> list[Wave]:
         """Return the waves that are to take workers of this pool out, oldest first."""
@@ -130,6 +140,12 @@
         return [w for w in waves if not w.paused and (not w.pools or pool in w.pools)]
 
 
+def _changes_pools(record: Record) -> bool:
+    if isinstance(record, records.ConfigPublished):
+        return any(change.section == "pools" for change in record.changes)
+    return isinstance(record, records.InstanceMoved)
+
+
 def _fold_config(
     state: LedgerState, offset: int, record: records.ConfigPublished
 ) -> Refusal | None:
--- a/packages/core/src/fescuecrank_core/sharing.py
+++ b/packages/core/src/fescuecrank_core/sharing.py
@@ -25,8 +25,8 @@
 # Time constant of the usage of each class of a team, and of the debt of a team without waiting
 # work. It equals the window over which closeness is measured.
 MEMORY_MS = 10_000
-# Lag and past use below this, in share x ms, decide nothing any more: one slot of the largest cell is
-# a share of 5e-6.
+# Lag and past use below this, in share x ms, decide nothing any more: one slot of the largest cell
+# is a share of 5e-6.
 NEGLIGIBLE = 1e-9
 # How far a team may go above its entitlement, in slots, to start quick work below its floor.
 QUICK_BORROW = 1.0
--- a/packages/core/src/fescuecrank_core/workers.py
+++ b/packages/core/src/fescuecrank_core/workers.py
@@ -146,6 +146,8 @@
         self._maintained: dict[str, InstanceMaintained] = {}
         self._next_maintenance_ms = now.mono_ms
         self._in_service: set[str] = set()
+        self._capacity: Resources | None = None
+        self._synced: tuple[tuple[str, ...], dict[str, Instance]] | None = None
 
     def views(self) -> dict[str, WorkerView]:
         """Return all workers of the cell."""
@@ -167,15 +169,15 @@
 
     def slots(self) -> int:
         """Return the slots of the workers in service."""
-        views = (self._views[name] for name in self._in_service)
-        return sum(view.instance.capacity.slots for view in views)
+        return self.capacity().slots
 
     def capacity(self) -> Resources:
         """Return the summed capacity of the workers in service."""
-        total = Resources(slots=0)
-        for name in self._in_service:
-            total += self._views[name].instance.capacity
-        return total
+        if self._capacity is None:
+            self._capacity = Resources(slots=0)
+            for name in self._in_service:
+                self._capacity += self._views[name].instance.capacity
+        return self._capacity
 
     # Membership of the cell
 
@@ -186,7 +188,14 @@
 
     def sync(self, now: Instant) -> None:
         """Follow the ledger: workers that joined the pool come in, others go out."""
-        wanted = set(self._ledger.workers_of(self._pool))
+        workers = self._ledger.workers_of(self._pool)
+        # Both are replaced, never changed in place.
+        seen = self._synced
+        if seen is not None and seen[0] is workers and seen[1] is self._listed:
+            return
+        self._synced = (workers, self._listed)
+        self._capacity = None
+        wanted = set(workers)
         for name in wanted:
             instance = self._listed.get(name)
             if name not in self._views:
@@ -235,6 +244,7 @@
         serves = self.out_reason(view) is None and self._ledger.pool_of(view.name) == self._pool
         if serves == (view.name in self._in_service):
             return
+        self._capacity = None
         if not serves:
             self._in_service.discard(view.name)
             self._index.drop(view.name)
@@ -367,10 +377,12 @@
         """Note how many workers are to move to another pool."""
         self._moves[to_pool] = count
 
+    def is_maintenance_due(self, now: Instant) -> bool:
+        """Return whether `maintain` should be called; its arguments cost more than the check."""
+        return now.mono_ms >= self._next_maintenance_ms
+
     def maintain(self, load: float, now: Instant, may_start: bool) -> list[Effect]:
         """Start and advance planned outages; none starts while `may_start` is false."""
-        if now.mono_ms < self._next_maintenance_ms:
-            return []
         self._next_maintenance_ms = now.mono_ms + MAINTENANCE_INTERVAL_MS
         self._update_quarantine(now)
         if may_start:
