--- a/packages/bench/src/fescuecrank_bench/slopes_entry.py
+++ b/packages/bench/src/fescuecrank_bench/slopes_entry.py
@@ -75,7 +75,9 @@
     return [
         Slope(GATEWAY, "processor time", MICROSECONDS, "request", tuple(cpu)),
         Slope(GATEWAY, "state", "B", "waiting request", tuple(state)),
-        Slope(GATEWAY, "processor time a second", MICROSECONDS, "waiting request", tuple(waiting_cpu)),
+        Slope(
+            GATEWAY, "processor time a second", MICROSECONDS, "waiting request", tuple(waiting_cpu)
+        ),
         Slope(GATEWAY, "forwards a second", "B", "waiting request", tuple(waiting_bytes)),
     ]
 
@@ -147,4 +149,3 @@
             work()
 
     return processor_us(repeat, 3) / JUDGEMENTS
-
