--- a/packages/core/src/fescuecrank_core/cell.py
+++ b/packages/core/src/fescuecrank_core/cell.py
@@ -19,6 +19,7 @@
     ReplicateAck,
     ResultReply,
 )
+from fescuecrank_core.outages import Outages
 from fescuecrank_core.placement import WorkerIndex
 from fescuecrank_core.publishing import Publisher
 from fescuecrank_core.quarantine import FailureTracker
@@ -46,6 +47,8 @@
 CANCELS_PER_STEP = 64
 STARTS_PER_STEP = 64
 LOAD_INTERVAL_MS = 1_000
+# All running tasks are looked at, which costs too much on each tick.
+LOST_INTERVAL_MS = 100
 CONFIGURE_INTERVAL_MS = 500
 EXPIRE_INTERVAL_MS = 1_000
 LOG_SILENCE_MS = 2_000
@@ -80,7 +83,7 @@
         self._claims = claims
         self._ids = ids
         self._cancels: dict[RequestKey, None] = {}
-        self._due = {"load": 0, "configure": 0, "expire": 0}
+        self._due = {"load": 0, "configure": 0, "expire": 0, "lost": 0}
         self._index = WorkerIndex()
         self._tracker = FailureTracker()
         self.retries = RetryBudget()
@@ -93,12 +96,10 @@
             pool,
             region,
             ledger,
-            publisher,
-            ids,
-            membership.current_until_ms,
             self._index,
-            self._tracker,
-            now,
+        )
+        self.outages = Outages(
+            self.workers, ledger, publisher, ids, membership.current_until_ms, self._tracker
         )
         self.book = RequestBook(self.epoch, table, self.replicator)
         self.tasks = RunningTasks(
@@ -262,7 +263,7 @@
     def _choose_worker(self, waiting: Waiting) -> str | None:
         avoid = self._ends.avoided(waiting.key)
         if waiting.expected_ms > LONG_TASK_MS:
-            avoid |= self.workers.upcoming
+            avoid |= self.outages.upcoming
         worker = self._index.choose(waiting.need, avoid)
         return worker or (self._index.choose(waiting.need) if avoid else None)
 
@@ -289,8 +290,7 @@
         record = self.book.get(key)
         record = attrs.evolve(record, state=RequestState.DISPATCHED, attempts=record.attempts + 1)
         self.book.store(record, now)
-        running.started = True
-        running.started_ms = now.mono_ms
+        self.tasks.note_start(running, now)
         address = self.workers.address(running.task.worker)
         until_ms = self._membership.current_until_ms(now)
         start = StartTask(running.task, address, running.request, LEASE_MS, until_ms)
@@ -352,11 +352,12 @@
         if not self._may_act(now):
             return effects
         effects.extend(self.workers.poll(now))
-        if not self.is_stopping:
-            effects.extend(self.workers.maintain(self._load(), now, self._may_start_outage(now)))
-        for running in self.tasks:
+        if not self.is_stopping and self.outages.is_due(now):
+            effects.extend(self.outages.maintain(self._load(), now, self._may_start_outage(now)))
+        for running in self.tasks.unstarted():
             effects.extend(self._start_if_safe(running, now))
-        effects.extend(self._ends.ask_lost(now))
+        if self._is_due("lost", LOST_INTERVAL_MS, now):
+            effects.extend(self._ends.ask_lost(now))
         effects.extend(self.tasks.reclaim(now))
         for team, units in self.queue.waiting_slots().items():
             self.accounts.set_waiting(team, units)
--- a/packages/core/src/fescuecrank_core/cells.py
+++ b/packages/core/src/fescuecrank_core/cells.py
@@ -103,6 +103,7 @@
         self._takeovers: dict[str, Takeover] = {}
         self._backup_records: dict[str, BackupsChanged] = {}
         self._listed: dict[str, Instance] = {}
+        self._instances: tuple[Instance, ...] = ()
         self._refused: dict[str, Refused] = {}
         self._calls_open: set[str] = set()
         self.cells: dict[str, Cell] = {}
@@ -314,13 +315,17 @@
         """Note instances that are to move to another pool."""
         cell = self.cells.get(message.cell)
         if cell is not None and cell.epoch == message.epoch:
-            cell.workers.ask_to_move(message.to_pool, message.count)
+            cell.outages.ask_to_move(message.to_pool, message.count)
         return []
 
     # Events
 
     def on_instances(self, event: InstancesListed, now: Instant) -> list[Effect]:
         """Pass the instance list to all cells."""
+        # Nearly all polls find the list unchanged, and comparing the same objects costs little.
+        if event.instances == self._instances:
+            return []
+        self._instances = event.instances
         self._listed = {item.name: item for item in event.instances}
         for cell in self.cells.values():
             cell.workers.on_instances(self._listed, now)
@@ -354,5 +359,5 @@
 
     def why(self, worker: str) -> str | None:
         """Explain the state of a worker of one of the cells."""
-        answers = (cell.workers.why(worker) for cell in self.cells.values())
+        answers = (cell.outages.why(worker) for cell in self.cells.values())
         return next((answer for answer in answers if answer is not None), None)
--- a/packages/core/src/fescuecrank_core/running_tasks.py
+++ b/packages/core/src/fescuecrank_core/running_tasks.py
@@ -62,6 +62,7 @@
         self._send_before_ms = send_before_ms
         self._by_key: dict[RequestKey, Running] = {}
         self._by_task: dict[str, Running] = {}
+        self._unstarted: dict[RequestKey, Running] = {}
 
     def __len__(self) -> int:
         return len(self._by_key)
@@ -90,14 +91,27 @@
         task = running.task
         self._by_key[task.key] = running
         self._by_task[task.task_id] = running
+        if not running.started:
+            self._unstarted[task.key] = running
         self._workers.add_task(task.worker, task.task_id, need, expected_ms, now)
 
+    def unstarted(self) -> list[Running]:
+        """Return the tasks that wait for their records to be stored on backups."""
+        return list(self._unstarted.values())
+
+    def note_start(self, running: Running, now: Instant) -> None:
+        """Note that the start command may be sent from now on."""
+        running.started = True
+        running.started_ms = now.mono_ms
+        self._unstarted.pop(running.task.key, None)
+
     def release(self, running: Running, now: Instant) -> None:
         """Free all that a task used."""
         task = running.task
         self._learn_end(running, now)
         del self._by_key[task.key]
         del self._by_task[task.task_id]
+        self._unstarted.pop(task.key, None)
         self._workers.remove_task(task.worker, task.task_id)
         give_back = self._accounts.give_back
         if running.adopted:
--- a/packages/core/src/fescuecrank_core/waves.py
+++ b/packages/core/src/fescuecrank_core/waves.py
@@ -51,7 +51,7 @@
 
 
 @attrs.define
-class _Trip:
+class _Outage:
     """A worker that the planner took out; `back_ms` is when it was first seen in service again."""
 
     since_ms: int
@@ -128,7 +128,7 @@
     def __init__(self) -> None:
         self._paused = False
         self._load = LastingLoad()
-        self._trips: dict[str, _Trip] = {}
+        self._outages: dict[str, _Outage] = {}
         self._given_back: set[str] = set()
         self._upcoming: set[str] = set()
         self._load_blocked_ms: int | None = None
@@ -171,7 +171,7 @@
             if adds and step.counts.total >= limit:
                 break
             step.take(member)
-            self._trips[member.name] = _Trip(now_ms, member.drain_ms)
+            self._outages[member.name] = _Outage(now_ms, member.drain_ms)
             chosen.append(member.name)
         if chosen:
             self._load_blocked_ms = None
@@ -191,15 +191,15 @@
             return []
         late = []
         for member in members:
-            trip = self._trips.get(member.name)
-            if trip is None or member.running == 0 or member.name in self._given_back:
+            outage = self._outages.get(member.name)
+            if outage is None or member.running == 0 or member.name in self._given_back:
                 continue
-            patience_ms = max(MIN_DRAIN_PATIENCE_MS, DRAIN_PATIENCE * trip.expected_drain_ms)
-            if now_ms - trip.since_ms > patience_ms:
+            patience_ms = max(MIN_DRAIN_PATIENCE_MS, DRAIN_PATIENCE * outage.expected_drain_ms)
+            if now_ms - outage.since_ms > patience_ms:
                 late.append(member.name)
         for name in late:
             self._given_back.add(name)
-            del self._trips[name]
+            del self._outages[name]
         return late
 
     def upcoming(
@@ -241,16 +241,16 @@
         part = _ratio(weights.roll_out_time, weights.share_closeness)
         self._load.observe(load, left, now_ms, BACKLOG_WINDOW_MS * part)
         for member in members:
-            trip = self._trips.get(member.name)
-            if trip is None:
+            outage = self._outages.get(member.name)
+            if outage is None:
                 continue
             if member.name in out:
-                trip.back_ms = None
-            elif trip.back_ms is None:
-                trip.back_ms = now_ms
-            late = trip.back_ms is not None and now_ms - trip.back_ms >= RECORD_LAG_MS
+                outage.back_ms = None
+            elif outage.back_ms is None:
+                outage.back_ms = now_ms
+            late = outage.back_ms is not None and now_ms - outage.back_ms >= RECORD_LAG_MS
             if member.name not in out and (member.done or late):
-                del self._trips[member.name]
+                del self._outages[member.name]
         if all(member.done for member in members):
             self._given_back.clear()
 
@@ -267,7 +267,7 @@
             for member in members
             if not member.done
             and out.get(member.name) in allowed
-            and member.name not in self._trips
+            and member.name not in self._outages
         ]
 
     def _limit_by_load(self, now_ms: int, count: int, total_out: int, weights: Weights) -> int:
@@ -280,7 +280,7 @@
             self._load_blocked_ms = now_ms
         patience_ms = 2 * STALL_MS * _ratio(weights.share_closeness, weights.roll_out_time)
         stalled = now_ms - self._load_blocked_ms >= patience_ms
-        return total_out + 1 if stalled and not self._trips else limit
+        return total_out + 1 if stalled and not self._outages else limit
 
 
 class _Step:
