--- a/packages/core/tests/network.py
+++ b/packages/core/tests/network.py
@@ -377,6 +377,7 @@
         if not worker.is_up(self.now_ms) or not worker.admits(effect.fence):
             event = events.WorkerPolled(worker.name, False)
         else:
+            worker.fence = max(worker.fence, effect.fence)
             for task_id in effect.tasks:
                 if task_id in worker.tasks:
                     worker.tasks[task_id].lease_ms = self.now_ms + effect.lease_ms
--- a/packages/model/src/fescuecrank_model/registry.py
+++ b/packages/model/src/fescuecrank_model/registry.py
@@ -1,5 +1,6 @@
 """Every specification that `python -m fescuecrank_model` checks."""
 
+from fescuecrank_model.budget import Budget
 from fescuecrank_model.claims import Claims
 from fescuecrank_model.configuration import Configuration
 from fescuecrank_model.escrow import Escrow
@@ -15,4 +16,5 @@
     Requests,
     Escrow,
     Moves,
+    Budget,
 )
--- a/packages/model/tests/test_specifications.py
+++ b/packages/model/tests/test_specifications.py
@@ -19,6 +19,7 @@
     "requests": "retries_marked",
     "escrow": "totals",
     "moves": "follows_last_move",
+    "budget": "requesters_count_together",
 }
 
 
