Acknowledge forwarded requests, and repeat them only when the holder changes

Change: the holder answers a forward with ForwardAccepted under its epoch; the gateway tells callers that do not wait, repeats an accepted request every 5 s and at once when the claim changes, and follows it after its caller has left. Conclusion: test_accepted_request_is_repeated_to_a_new_holder_after_its_caller_left failed before.

--- a/packages/core/src/fescuecrank_core/cells.py
+++ b/packages/core/src/fescuecrank_core/cells.py
@@ -24,6 +24,7 @@
     CancelRequest,
     EscrowGrant,
     Forward,
+    ForwardAccepted,
     ForwardAnswer,
     MoveAdvice,
     ReplicateAck,
@@ -282,7 +283,8 @@
             return []
         answer = cell.refuse_or_none(message, now)
         if answer is None:
-            return cell.submit(sender, message.request, now)
+            accepted = SendPeer(sender, ForwardAccepted(message.request.key, cell.epoch))
+            return [accepted, *cell.submit(sender, message.request, now)]
         self._refused[message.submission] = Refused(answer, now.mono_ms)
         return [SendPeer(sender, ForwardAnswer(answer))]
 
--- a/packages/core/src/fescuecrank_core/entry.py
+++ b/packages/core/src/fescuecrank_core/entry.py
@@ -162,6 +162,7 @@
         messages.LedgerRequest: reader.on_ledger_request,
         messages.LedgerCopy: reader.on_ledger_copy,
         messages.Forward: cells.on_forward,
+        messages.ForwardAccepted: gateway.on_accepted,
         messages.ForwardAnswer: gateway.on_answer,
         messages.CancelRequest: cells.on_cancel,
         messages.CancelNoted: gateway.on_cancel_noted,
--- a/packages/core/src/fescuecrank_core/gateway.py
+++ b/packages/core/src/fescuecrank_core/gateway.py
@@ -22,15 +22,18 @@
     CancelNoted,
     CancelRequest,
     Forward,
+    ForwardAccepted,
     ForwardAnswer,
     ResultReply,
     ResultRequest,
 )
 from fescuecrank_core.record_table import is_from_the_future
-from fescuecrank_core.requests import Answer, Outcome, Request, RequestKey
+from fescuecrank_core.requests import Answer, Outcome, Request, RequestKey, RequestState
 
 # A forward that got no answer is sent again; the holder knows the request by its key.
 FORWARD_REPEAT_MS = 400
+# A holder that has accepted a request answers by itself; a repeat only covers a lost answer.
+ACCEPTED_REPEAT_MS = 5_000
 # A takeover takes about 6 s; a request that waits for it is worth keeping for longer than that.
 ANSWER_TIMEOUT_MS = 60_000
 NO_HOLDER_TIMEOUT_MS = 10_000
@@ -46,7 +49,7 @@
     """A request whose caller waits at this entry.
 
     `sent` is true once a forward may have left this process; from then on only the holder can say
-    that the request was not run.
+    that the request was not run. `accepted_epoch` is the claim under which a holder has it.
     """
 
     request: Request
@@ -56,6 +59,7 @@
     waiting: list[str] = attrs.field(factory=list)
     sent: bool = False
     next_send_ms: int = 0
+    accepted_epoch: int | None = None
 
     def forward(self) -> Forward:
         """Return the message for the holder; each copy of it is the same."""
@@ -107,8 +111,12 @@
         """Return the forward of a request whose caller waits here."""
         return self._pending[key].forward()
 
+    def callers_waiting(self) -> int:
+        """Return the number of callers whose connection waits here."""
+        return sum(len(pending.waiting) for pending in self._pending.values())
+
     def pending_count(self) -> int:
-        """Return the number of requests whose callers wait here."""
+        """Return the number of requests that this entry follows until they end."""
         return len(self._pending)
 
     # Admission
@@ -200,23 +208,46 @@
         pending.waiting.append(event.reply_to)
         return self._forward(pending, now)
 
-    def _holder_of(self, service: str) -> str | None:
+    def _scope_of(self, service: str) -> str | None:
+        """Return the cell of the own region that runs a service."""
         declared = self._ledger.fleet.services.get(service)
-        if declared is None:
-            return None
-        # The cell of the own region comes first; a pool without workers there is served elsewhere.
-        scope = cell_scope(self._cfg.region, declared.pool)
-        holder = self._ledger.holder(scope)
+        return cell_scope(self._cfg.region, declared.pool) if declared else None
+
+    def _holder_of(self, service: str) -> str | None:
+        scope = self._scope_of(service)
+        holder = self._ledger.holder(scope) if scope else None
         return holder.name if holder else None
 
     def _forward(self, pending: PendingRequest, now: Instant) -> list[Effect]:
         pending.next_send_ms = now.mono_ms + FORWARD_REPEAT_MS
+        if self._is_with_present_holder(pending):
+            pending.next_send_ms = now.mono_ms + ACCEPTED_REPEAT_MS
         holder = self._holder_of(pending.request.service)
         if holder is None:
             return []
         pending.sent = True
         return [SendPeer(holder, pending.forward())]
 
+    def _is_with_present_holder(self, pending: PendingRequest) -> bool:
+        if pending.accepted_epoch is None:
+            return False
+        scope = self._scope_of(pending.request.service)
+        claim = self._ledger.claim(scope) if scope else None
+        return claim is not None and claim.epoch == pending.accepted_epoch
+
+    def on_accepted(self, sender: str, message: ForwardAccepted, now: Instant) -> list[Effect]:
+        """Tell callers that do not wait that their request is known, and repeat it less often."""
+        pending = self._pending.get(message.key)
+        if pending is None or pending.accepted_epoch == message.epoch:
+            return []
+        is_first = pending.accepted_epoch is None
+        pending.accepted_epoch = message.epoch
+        pending.next_send_ms = now.mono_ms + ACCEPTED_REPEAT_MS
+        if not is_first:
+            return []
+        text = "accepted; ask for the result by its id"
+        return [ReplyAccepted(token, RequestState.QUEUED, text) for token in pending.waiting]
+
     # Answers
 
     def on_answer(self, sender: str, message: ForwardAnswer, now: Instant) -> list[Effect]:
@@ -245,6 +276,10 @@
             return self._finish(pending, pending.unsent_outcome(), "no entry schedules this now")
         if age > ANSWER_TIMEOUT_MS:
             return self._time_out(pending)
+        is_lost = pending.accepted_epoch is not None and not self._is_with_present_holder(pending)
+        if is_lost:
+            pending.accepted_epoch = None
+            pending.next_send_ms = now.mono_ms
         if now.mono_ms >= pending.next_send_ms:
             return self._forward(pending, now)
         return []
@@ -268,12 +303,14 @@
         return effects
 
     def on_caller_gone(self, event: CallerGone, now: Instant) -> list[Effect]:
-        """Stop waiting on behalf of a caller; its request goes on and can be asked for."""
-        for key, pending in list(self._pending.items()):
+        """Stop waiting on behalf of a caller; its request goes on and can be asked for.
+
+        The forward is still repeated, so that a request which only waits is not lost with its
+        holder.
+        """
+        for pending in self._pending.values():
             if event.reply_to in pending.waiting:
                 pending.waiting.remove(event.reply_to)
-                if not pending.waiting and pending.sent:
-                    del self._pending[key]
         for query_id, query in list(self._queries.items()):
             if query.reply_to == event.reply_to:
                 del self._queries[query_id]
--- a/packages/core/src/fescuecrank_core/messages.py
+++ b/packages/core/src/fescuecrank_core/messages.py
@@ -85,9 +85,10 @@
 
 @attrs.frozen
 class ForwardAccepted(Message):
-    """The holder has the request; until its answer comes only its record decides."""
+    """The holder has the request in the claim of `epoch`; its record decides from now on."""
 
     key: RequestKey
+    epoch: int
 
 
 @attrs.frozen
--- a/packages/core/src/fescuecrank_core/shutdown.py
+++ b/packages/core/src/fescuecrank_core/shutdown.py
@@ -47,7 +47,7 @@
         late = age >= DEADLINE_MS - LEAVE_MS
         if late:
             effects.extend(self._gateway.end_all())
-        idle = self._gateway.closed and not self._gateway.pending_count()
+        idle = self._gateway.closed and not self._gateway.callers_waiting()
         if late or (idle and not self._scopes() and not self._cells.open_calls()):
             effects.extend(self._leave(now))
         return effects
--- a/packages/core/tests/network.py
+++ b/packages/core/tests/network.py
@@ -118,6 +118,7 @@
         self.duplicate_rate = 0.0
         self.max_delay_ms = PEER_DELAY_MS
         self.replies: dict[str, list[effects.Effect]] = {}
+        self.accepted: set[str] = set()
         self.runs: Counter = Counter()
         self.exited: list[str] = []
         self.observers: list = []
@@ -274,7 +275,10 @@
             observer.replied(name, effect)
 
     _do_ReplyFailure = _do_Reply  # noqa: N815
-    _do_ReplyAccepted = _do_Reply  # noqa: N815
+
+    def _do_ReplyAccepted(self, name, generation, effect) -> None:  # noqa: N802
+        self.accepted.add(effect.reply_to)
+
     _do_ReplyView = _do_Reply  # noqa: N815
     _do_ReplyVerdict = _do_Reply  # noqa: N815
 
--- a/packages/core/tests/test_faults.py
+++ b/packages/core/tests/test_faults.py
@@ -16,6 +16,7 @@
 from fescuecrank_core.effects import ReplyFailure, Verdict
 from fescuecrank_core.entry_config import CURRENCY_MS
 from fescuecrank_core.events import (
+    CallerGone,
     InstanceState,
     PeerMessage,
     PublicationAsked,
@@ -652,3 +653,18 @@
         worker.dead = False
     dep.net.run(120_000)
     assert len(dep.net.live()[0].ledger.state.waves["wave1"].done) == 12
+
+
+def test_accepted_request_is_repeated_to_a_new_holder_after_its_caller_left():
+    """Guards against a request that only waits, was acknowledged, and is lost with its holder."""
+    dep = Deployment(teams=(("north", 1.0, 1),))
+    dep.set_run_ms(1_000)
+    holder = dep.holder()
+    gateway = dep.other_than(holder)
+    tokens = [dep.send(gateway) for _ in range(4)]
+    dep.net.run(300)
+    assert dep.net.accepted >= set(tokens)
+    dep.net.give(gateway, CallerGone(tokens[-1]))
+    dep.net.kill(holder)
+    dep.net.run(20_000)
+    assert dep.net.runs[dep.checker.asked[tokens[-1]]] == 1
--- a/packages/model/src/fescuecrank_model/budget.py
+++ b/packages/model/src/fescuecrank_model/budget.py
@@ -125,9 +125,7 @@
         others = [w for i, w in enumerate(state.workers) if i != index]
         if worker.view != IN or self._count(others, requester) >= MAX_OUT:
             return
-        after = _put(
-            state, index, view=OUT, by=requester, commands=worker.commands | {state.epoch}
-        )
+        after = _put(state, index, view=OUT, by=requester, commands=worker.commands | {state.epoch})
         overspent = sum(_is_known_out(other) for other in others) >= MAX_OUT
         label = f"the holder takes worker {index} out for the {requester}"
         yield label, after._replace(overspent=state.overspent or overspent)
