--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SEED ?= 1
 STEPS ?= 20000
 
-.PHONY: test lint format demo model soak bench slopes
+.PHONY: test lint format demo model soak faults bench slopes
 
 $(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -42,3 +42,6 @@
 
 slopes: $(STAMP)
 	$(BIN)/python -m fescuecrank_bench.slopes
+
+faults: $(STAMP)
+	PYTHONPATH=packages/core/src:packages/core/tests $(BIN)/python packages/core/tests/fault_figures.py
