--- a/packages/cli/src/fescuecrank_cli/client.py
+++ b/packages/cli/src/fescuecrank_cli/client.py
@@ -201,6 +201,14 @@
         path = f"/v1/workers/{_part(worker)}/drain?record_id={_part(record_id)}"
         return await self.publish("worker.cancel_drain", "DELETE", path, record_id)
 
+    async def strike(
+        self, entry: str, incarnation: int, record_id: str
+    ) -> Result[Publication, Failure]:
+        """Remove an entry that is gone for good from all majorities."""
+        path = f"/v1/members/{_part(entry)}/strike"
+        body = {"record_id": record_id, "incarnation": incarnation}
+        return await self.publish("member.strike", "POST", path, record_id, body)
+
     async def start_wave(
         self, wave_id: str, pools: Sequence[str], record_id: str
     ) -> Result[Publication, Failure]:
--- a/packages/cli/src/fescuecrank_cli/main.py
+++ b/packages/cli/src/fescuecrank_cli/main.py
@@ -314,6 +314,20 @@
     ctx.obj.write_publication(ctx.obj.ask(operation), worker=worker)
 
 
+@app.command(rich_help_panel=OPERATORS)
+def strike(
+    ctx: typer.Context,
+    entry: Annotated[str, typer.Argument(metavar="ENTRY", help="Name of the entry.")],
+    incarnation: Annotated[
+        int, typer.Option(help="Incarnation that is gone, as `status` shows it.", min=1)
+    ],
+) -> None:
+    """Remove an entry that is gone for good from all majorities."""
+    record_id = _announce_record()
+    asked = ctx.obj.ask(lambda client: client.strike(entry, incarnation, record_id))
+    ctx.obj.write_publication(asked, entry=entry)
+
+
 @wave_app.command()
 def start(
     ctx: typer.Context,
--- a/packages/cli/tests/test_operators.py
+++ b/packages/cli/tests/test_operators.py
@@ -275,3 +275,12 @@
     salt, digest = (base64.b64decode(made[name]) for name in ("salt", "digest"))
     assert matches(secret, Key(made["key_id"], "operator", "", salt, digest))
     assert key_id_of(secret) == made["key_id"]
+
+
+def test_strike_names_the_incarnation_that_is_gone(entries, run):
+    """Guards against striking a later incarnation of the same entry."""
+    (fake,) = entries({"POST /v1/members/entry-3/strike": [ACCEPTED]})
+    ran = run([fake.address], "strike", "entry-3", "--incarnation", "17")
+    assert ran.exit_code == 0, ran.output
+    (body,) = fake.bodies()
+    assert body["incarnation"] == 17
