Check the incarnation before an entry is struck

Cause: a strike with another incarnation was refused, yet had already removed the name from the majorities; the test that runs the documented commands led to it. Change: the incarnation is checked first; a name that is no longer a member can still be struck while an earlier member list holds it.

--- a/packages/core/src/fescuecrank_core/ledger.py
+++ b/packages/core/src/fescuecrank_core/ledger.py
@@ -238,11 +238,13 @@
 def _fold_member_left(
     state: LedgerState, offset: int, record: records.MemberLeft
 ) -> Refusal | None:
-    if record.forced:
-        _strike_from_member_lists(state, record.name)
     member = state.members.get(record.name)
+    if record.forced and member is None:
+        return _strike_former_member(state, record.name)
     if member is None or member.incarnation != record.incarnation:
         return Refusal(f"{record.name!r} is not a member in this incarnation")
+    if record.forced:
+        _strike_from_member_lists(state, record.name)
     del state.members[record.name]
     _append_member_list(state, offset)
     return None
@@ -252,6 +254,13 @@
     state.member_lists.append(MemberList(offset, tuple(state.members)))
 
 
+def _strike_former_member(state: LedgerState, name: str) -> Refusal | None:
+    if not any(name in item.names for item in state.member_lists):
+        return Refusal(f"{name!r} counts in no majority")
+    _strike_from_member_lists(state, name)
+    return None
+
+
 def _strike_from_member_lists(state: LedgerState, name: str) -> None:
     lists = []
     for item in state.member_lists:
--- a/packages/core/tests/test_faults.py
+++ b/packages/core/tests/test_faults.py
@@ -668,3 +668,14 @@
     dep.net.kill(holder)
     dep.net.run(20_000)
     assert dep.net.runs[dep.checker.asked[tokens[-1]]] == 1
+
+
+def test_strike_of_another_incarnation_changes_nothing():
+    """Guards against an operator's slip that removes a live entry from the majorities."""
+    dep = Deployment()
+    before = dep.net.live()[0].ledger.state.member_lists[-1].names
+    record = MemberLeft("strike", "e2", 17, forced=True)
+    assert dep.verdict("e1", record) is Verdict.REFUSED
+    dep.net.log.append(MemberLeft("strike2", "e2", 17, forced=True))
+    dep.net.run(1_000)
+    assert dep.net.live()[0].ledger.state.member_lists[-1].names == before
