--- a/packages/standin/tests/test_deployment_commands.py
+++ b/packages/standin/tests/test_deployment_commands.py
@@ -165,8 +165,8 @@
             elif word.endswith(f"/{EXAMPLE_ID}"):
                 sent = await terminal.run("submit", word.partition("/")[0], body=b"")
                 args[at] = REQUEST.search(sent.stderr).group(1)
-        # The request that stands in for the example has ended, which `cancel` tells by status 1, and
-        # the incarnation in the example of `strike` is that of no entry, which is refused.
+        # The request that stands in for the example has ended, which `cancel` tells by status 1,
+        # and the incarnation in the example of `strike` is that of no entry, which is refused.
         refused = args[0] in ("cancel", "strike")
         await terminal.run(*args, exit_code=1 if refused else 0, binary=binary)
 
