--- a/packages/bench/src/fescuecrank_bench/slopes_cell.py
+++ b/packages/bench/src/fescuecrank_bench/slopes_cell.py
@@ -6,7 +6,6 @@
 from fescuecrank_core import codec, messages
 from fescuecrank_core.backups import BackupKeeper
 from fescuecrank_core.clock import Instant
-from fescuecrank_core.ledger import Ledger
 from fescuecrank_core.requests import Answer, Outcome, RequestRecord, RequestState
 
 from fescuecrank_bench.slopes_builders import (
@@ -163,7 +162,7 @@
 
 
 def _store(changes: list[messages.Replicate]) -> BackupKeeper:
-    keeper, now = BackupKeeper(Ledger()), Instant(0, WALL_START_MS)
+    keeper, now = BackupKeeper(), Instant(0, WALL_START_MS)
     keeper.on_table_offer("e1", messages.TableOffer("r1/p", 1, 0, 0, 1, ()), now)
     for change in changes:
         keeper.on_replicate("e1", change, now)
--- a/packages/core/src/fescuecrank_core/backups.py
+++ b/packages/core/src/fescuecrank_core/backups.py
@@ -4,7 +4,6 @@
 
 from fescuecrank_core.clock import Instant
 from fescuecrank_core.effects import Effect, SendPeer
-from fescuecrank_core.ledger import Ledger
 from fescuecrank_core.messages import (
     Replicate,
     ReplicateAck,
@@ -59,8 +58,7 @@
 class BackupKeeper:
     """Stores records for other holders and gives them to the next one."""
 
-    def __init__(self, ledger: Ledger) -> None:
-        self._ledger = ledger
+    def __init__(self) -> None:
         self._backups: dict[str, Backup] = {}
         self._next_expire_ms = 0
 
--- a/packages/core/src/fescuecrank_core/entry.py
+++ b/packages/core/src/fescuecrank_core/entry.py
@@ -76,7 +76,7 @@
     reader = LogReader(cfg, ledger, membership, now)
     publisher = Publisher(ledger, membership)
     claims = ClaimKeeper(cfg, ledger, membership, publisher, ids)
-    backups = BackupKeeper(ledger)
+    backups = BackupKeeper()
     cells = CellHost(cfg, ledger, membership, claims, publisher, backups, ids)
     gateway = Gateway(cfg, ledger, membership, ids)
     operators = Operators(cfg, ledger, membership, publisher, cells, ids)
--- a/packages/core/src/fescuecrank_core/membership.py
+++ b/packages/core/src/fescuecrank_core/membership.py
@@ -15,6 +15,8 @@
 from fescuecrank_core.messages import Heartbeat
 
 NEVER = -(10**15)
+# An entry that was replaced under another name is not called any more after this.
+FORGET_AFTER_MS = 60_000
 
 
 @attrs.define
@@ -223,7 +225,7 @@
         if now.mono_ms < self._next_heartbeat_ms:
             return []
         self._next_heartbeat_ms = now.mono_ms + HEARTBEAT_MS
-        effects = self._meet_new_peers(now)
+        effects = self._meet_new_peers(now) + self._forget_gone_peers(now)
         for peer in self._peers.values():
             effects.append(SendPeer(peer.name, self._heartbeat_for(peer, now)))
             effects.extend(self._replace_silent(peer, now))
@@ -267,9 +269,14 @@
             return []
         return [DisconnectPeer(peer.name, wanted=True)]
 
-    def forget(self, name: str) -> list[Effect]:
-        """Drop a peer that is neither a member nor a seed any more."""
-        if name in self._cfg.seeds or name in self._ledger.state.members:
-            return []
-        self._peers.pop(name, None)
-        return [DisconnectPeer(name, wanted=False)]
+    def _forget_gone_peers(self, now: Instant) -> list[Effect]:
+        """Drop silent peers that are neither members nor seeds any more."""
+        known = self._cfg.seeds.keys() | self._ledger.state.members.keys()
+        gone = [
+            name
+            for name in self._peers.keys() - known
+            if self.silent_ms(name, now) > FORGET_AFTER_MS
+        ]
+        for name in gone:
+            del self._peers[name]
+        return [DisconnectPeer(name, wanted=False) for name in gone]
--- a/packages/core/src/fescuecrank_core/mover.py
+++ b/packages/core/src/fescuecrank_core/mover.py
@@ -13,7 +13,10 @@
 
 
 class Mover:
-    """Collects loads of cells and turns planned moves into advice to the donors."""
+    """Collects loads of cells and turns planned moves into advice to the donors.
+
+    It keeps one load for each pool, so a pool must lie in one region.
+    """
 
     def __init__(self, ledger: Ledger, membership: Membership, claims: ClaimKeeper) -> None:
         self._ledger = ledger
--- a/packages/core/src/fescuecrank_core/record_table.py
+++ b/packages/core/src/fescuecrank_core/record_table.py
@@ -45,20 +45,11 @@
             self._ended.pop(key, None)
         return True
 
-    def drop(self, key: RequestKey) -> None:
-        """Forget a request that was never dispatched."""
-        self._records.pop(key, None)
-        self._ended.pop(key, None)
-
     def merge(self, records: Iterable[RequestRecord]) -> None:
         """Store all records of a copy."""
         for record in records:
             self.put(record)
 
-    def max_seq(self) -> int:
-        """Return the highest `seq` stored, or 0."""
-        return max((record.seq for record in self._records.values()), default=0)
-
     def expire(self, wall_ms: int) -> None:
         """Forget records whose answers are no longer kept."""
         while self._ended:
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -3,10 +3,10 @@
 import attrs
 from builders import config_record, fleet
 from fescuecrank_core.clock import Instant
-from fescuecrank_core.effects import ConnectPeer
+from fescuecrank_core.effects import ConnectPeer, DisconnectPeer
 from fescuecrank_core.entry_config import CURRENCY_MS, EntryConfig
 from fescuecrank_core.ledger import Ledger
-from fescuecrank_core.membership import Membership
+from fescuecrank_core.membership import FORGET_AFTER_MS, Membership
 from fescuecrank_core.messages import Heartbeat
 from fescuecrank_core.records import LogEntry, MemberJoined, MemberLeft
 
@@ -141,3 +141,14 @@
     assert not membership.is_current(at(1_001))
     membership.on_heartbeat("e3", beat("e3", 1, 1_000, echo_incarnation=2), at(1_001))
     assert membership.is_current(at(1_001))
+
+
+def test_replaced_entry_under_another_name_is_forgotten():
+    """Guards against heartbeats for ever to every name that an entry ever had."""
+    _, membership = membership_of_three()
+    membership.on_heartbeat("e9", beat("e9", 1, 1_000), at(1_001))
+    membership.on_tick(at(1_500))
+    assert membership.peer("e9") is not None
+    effects = membership.on_tick(at(1_002 + FORGET_AFTER_MS))
+    assert membership.peer("e9") is None
+    assert DisconnectPeer("e9", wanted=False) in effects
