--- a/packages/core/src/fescuecrank_core/outages.py
+++ b/packages/core/src/fescuecrank_core/outages.py
@@ -92,14 +92,13 @@
                 self._begin(view, OutageKind.DRAIN, "")
 
     def _start_moves(self) -> None:
+        views = self._group.views()
         for to_pool, count in list(self._moves.items()):
             del self._moves[to_pool]
-            idle_first = sorted(
-                self._group.usable(), key=lambda name: len(self._group.views()[name].tasks)
-            )
+            idle_first = sorted(self._group.usable(), key=lambda name: len(views[name].tasks))
             for name in idle_first:
-                if count > 0 and self._refusal(self._group.views()[name]) is None:
-                    self._begin(self._group.views()[name], OutageKind.MOVE, to_pool)
+                if count > 0 and self._refusal(views[name]) is None:
+                    self._begin(views[name], OutageKind.MOVE, to_pool)
                     count -= 1
 
     def _wave(self, now: Instant) -> Wave | None:
--- a/packages/core/src/fescuecrank_core/workers.py
+++ b/packages/core/src/fescuecrank_core/workers.py
@@ -7,7 +7,7 @@
 
 from fescuecrank_core.budgets import Domain, OutReason
 from fescuecrank_core.clock import Instant
-from fescuecrank_core.declarations import Profile, Resources
+from fescuecrank_core.declarations import NO_RESOURCES, Profile, Resources
 from fescuecrank_core.effects import Effect, PollWorker
 from fescuecrank_core.events import (
     Instance,
@@ -156,7 +156,7 @@
     def capacity(self) -> Resources:
         """Return the summed capacity of the workers in service."""
         if self._capacity is None:
-            self._capacity = Resources(slots=0)
+            self._capacity = NO_RESOURCES
             for name in self._in_service:
                 self._capacity += self._views[name].instance.capacity
         return self._capacity
