Run jobs on the users' platform: scheduler, service shell and adapter

One leader is elected by a conditional append to the store. Entries append accepted jobs; the leader records every run before it starts.

--- /dev/null
+++ b/packages/daemon/src/fescuecrank_daemon/platform_main.py
@@ -0,0 +1,90 @@
+"""Composition root of an entry on the users' platform."""
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+
+from fescuecrank_platform.fleet_calls import HttpFleetCalls
+from fescuecrank_platform.requests import PlatformRequests
+from fescuecrank_platform.settings import SETTINGS_ENV, PlatformSettings, read_settings
+from fescuecrank_platform.store import LogStore
+from fescuecrank_platform.worker_calls import HttpWorkerCalls
+from fescuecrank_scheduler.events import ShutDown
+from fescuecrank_scheduler.reducer import Reducer
+from fescuecrank_service.engine import Engine
+from fescuecrank_service.front import Front
+from fescuecrank_service.http_calls import HttpCaller
+from fescuecrank_service.log_lines import LineLog
+
+from fescuecrank_daemon.clock import SystemClock
+
+EXIT_BAD_SETTINGS = 2
+
+# Calls to store, machine list and advice that may be open at a time.
+STORE_CALLS = 24
+# Calls to workers that may be open at a time: one hold and some orders for each.
+WORKER_CALLS = 400
+
+# After the process has decided to end, open answers are written for at most this long.
+LINGER_MS = 100
+
+
+async def run(cfg: PlatformSettings) -> None:
+    """Run one entry until it is told to stop."""
+    clock = SystemClock()
+    rng = random.Random()
+    log = LineLog(clock, cfg.node)
+    caller = HttpCaller(STORE_CALLS)
+    engine = Engine(
+        Reducer(cfg.node, cfg.limits(), rng),
+        clock,
+        LogStore(caller, cfg.store),
+        lambda: HttpWorkerCalls(HttpCaller(WORKER_CALLS)),
+        HttpFleetCalls(caller, cfg.machines, cfg.advice, cfg.node),
+        # Each life of a process numbers its appends anew.
+        f"{cfg.node}-{rng.getrandbits(48):x}",
+        log,
+    )
+    front = Front(
+        PlatformRequests(),
+        clock,
+        engine.post,
+        lambda: engine.reducer.ready,
+        lambda: engine.reducer.config.max_body_bytes,
+    )
+    engine.front = front
+    front.listen(cfg.front, cfg.ready)
+
+    def shut_down() -> None:
+        front.stopping = True
+        engine.post(ShutDown())
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, shut_down)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.write("settings_reloaded", {}))
+    log.write("started", {"store": cfg.store, "front": cfg.front})
+    await engine.run()
+    front.stop_listening()
+    await asyncio.sleep(LINGER_MS / 1_000)
+    log.write("stopped", {})
+
+
+def main() -> int:
+    """Entry point of the process."""
+    logging.getLogger().setLevel(logging.ERROR)
+    path = Path(os.environ.get(SETTINGS_ENV, "/etc/fescuecrank/boot.yaml"))
+    cfg = read_settings(path)
+    if cfg.is_err():
+        print(cfg.err_value, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    asyncio.run(run(cfg.ok_value))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/platform/src/fescuecrank_platform/settings.py
@@ -0,0 +1,101 @@
+"""The settings file that the platform writes for each process."""
+
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_scheduler.limits import Limits
+from result import Err, Ok, Result
+
+SETTINGS_ENV = "FESCUECRANK_NODE_FILE"
+
+STEP = "settings.read"
+
+
+@attrs.frozen
+class PlatformSettings:
+    """What a process learns of itself and of the platform; addresses are `host:port`."""
+
+    node: str
+    data_centre: str
+    front: str
+    ready: str
+    store: str
+    machines: str
+    advice: str
+    record_bytes: int
+    call_bytes: int
+    lease_max_ms: int
+    maintenance_ms: int
+    status_ms: int
+
+    def limits(self) -> Limits:
+        """Return the scheduler's limits within the deployment's bounds."""
+        return Limits(
+            lease_max_ms=self.lease_max_ms,
+            lease_ms=min(Limits.__attrs_attrs__.lease_ms.default, self.lease_max_ms),
+            maintenance_ms=self.maintenance_ms,
+            keep_ended_ms=self.status_ms + 30_000,
+        )
+
+
+def read_settings(path: Path) -> Result[PlatformSettings, Failure]:
+    """Return the checked settings; the failure names the file and the field."""
+    try:
+        plain = yaml.load(path.read_bytes(), Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+    except (OSError, yaml.YAMLError) as exc:
+        return Err(Failure(FailureKind.INVALID, STEP, str(path), str(exc)))
+    fields = _Fields(plain, str(path))
+    try:
+        return Ok(
+            PlatformSettings(
+                node=fields.text("node_name"),
+                data_centre=fields.text("zone"),
+                front=fields.text("listen_addrs.front"),
+                ready=fields.text("listen_addrs.ready"),
+                store=fields.text("platform.address"),
+                machines=fields.text("cloud.address", ""),
+                advice=fields.text("advice", ""),
+                record_bytes=fields.number("platform.record_bytes", 262_144),
+                call_bytes=fields.number("platform.call_bytes", 2_097_152),
+                lease_max_ms=fields.number("bounds.hold_max_ms", 10_000),
+                maintenance_ms=int(1_000 * fields.number("bounds.maintenance_s", 2)),
+                status_ms=int(1_000 * fields.number("bounds.status_s", 120)),
+            )
+        )
+    except ValueError as exc:
+        return Err(Failure(FailureKind.INVALID, STEP, str(path), str(exc)))
+
+
+class _Fields:
+    """Typed access to nested fields; `ValueError` names the field that is wrong."""
+
+    def __init__(self, plain: Any, path: str) -> None:
+        self._plain = plain
+        self._path = path
+
+    def _find(self, name: str) -> Any:
+        value = self._plain
+        for part in name.split("."):
+            value = value.get(part) if isinstance(value, dict) else None
+        return value
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Return a string field; `default` stands for one that is missing."""
+        value = self._find(name)
+        if value is None and default is not None:
+            return default
+        if not isinstance(value, str) or not value:
+            raise ValueError(f"field {name}: must be a string, is {value!r}")
+        return value
+
+    def number(self, name: str, default: float) -> Any:
+        """Return a number that is not negative."""
+        value = self._find(name)
+        if value is None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            raise ValueError(f"field {name}: must be a number of at least 0, is {value!r}")
+        return value
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the job scheduler: one reducer over events, effects as data, no I/O."""
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/fleet.py
@@ -0,0 +1,127 @@
+"""What operators declare: queues, pools, teams, and the amounts they are counted in."""
+
+import attrs
+
+
+@attrs.frozen
+class Amounts:
+    """An amount of a worker's resources; `cpu` in thousandths of a core, `mem_mb` in MiB."""
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+    def plus(self, other: "Amounts") -> "Amounts":
+        """Return the sum."""
+        return Amounts(self.cpu + other.cpu, self.mem_mb + other.mem_mb, self.gpu + other.gpu)
+
+    def minus(self, other: "Amounts") -> "Amounts":
+        """Return the difference; it may be negative."""
+        return Amounts(self.cpu - other.cpu, self.mem_mb - other.mem_mb, self.gpu - other.gpu)
+
+    def fits(self, room: "Amounts") -> bool:
+        """Return whether this amount is at most `room` in every resource."""
+        return self.cpu <= room.cpu and self.mem_mb <= room.mem_mb and self.gpu <= room.gpu
+
+
+NOTHING = Amounts()
+
+
+@attrs.frozen
+class Queue:
+    """One queue of jobs and the pool whose workers run them."""
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    # 0 is the most urgent.
+    priority: int = 0
+    max_attempts: int = 1
+    # A job is on time within `stretch` times its longest chain of work plus `objective_ms`.
+    stretch: float = 1.0
+    objective_ms: int = 0
+    timeout_ms: int = 0
+    # Open queues take jobs without a key.
+    is_open: bool = False
+    # The queue's steps run only on workers that the advice service names.
+    needs_advice: bool = False
+
+
+@attrs.frozen
+class Pool:
+    """A pool of instances with the same purpose."""
+
+    name: str
+    # Workers of a guarded pool refuse what exceeds their capacity.
+    guarded: bool = True
+    # Instances in a stand-by pool are switched off and cost nothing.
+    standby: bool = False
+
+
+@attrs.frozen
+class Team:
+    """A team with its keys, its share when the fleet is full and its upper limit."""
+
+    name: str
+    keys: tuple[str, ...] = ()
+    weight: float = 1.0
+    # A resource with the value 0 has no limit.
+    limit: Amounts = NOTHING
+
+
+@attrs.frozen
+class Wave:
+    """Instances that are due for maintenance, at most `cap` of them at a time."""
+
+    number: int
+    machines: tuple[str, ...]
+    duration_ms: int
+    cap: int
+
+
+@attrs.frozen
+class FleetConfig:
+    """One version of the operators' configuration."""
+
+    version: int
+    queues: tuple[Queue, ...] = ()
+    pools: dict[str, Pool] = attrs.field(factory=dict)
+    teams: dict[str, Team] = attrs.field(factory=dict)
+    max_body_bytes: int = 262_144
+    _by_host: dict[str, tuple[Queue, ...]] = attrs.field(init=False, eq=False, repr=False)
+    _by_name: dict[str, Queue] = attrs.field(init=False, eq=False, repr=False)
+    _team_by_key: dict[str, Team] = attrs.field(init=False, eq=False, repr=False)
+
+    @_by_host.default
+    def _index_hosts(self) -> dict[str, tuple[Queue, ...]]:
+        hosts: dict[str, list[Queue]] = {}
+        for queue in sorted(self.queues, key=lambda queue: -len(queue.prefix)):
+            hosts.setdefault(queue.host, []).append(queue)
+        return {host: tuple(queues) for host, queues in hosts.items()}
+
+    @_by_name.default
+    def _index_names(self) -> dict[str, Queue]:
+        return {queue.name: queue for queue in self.queues}
+
+    @_team_by_key.default
+    def _index_keys(self) -> dict[str, Team]:
+        return {key: team for team in self.teams.values() for key in team.keys}
+
+    def queue_at(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of `path` on `host`, or None."""
+        for queue in self._by_host.get(host, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+    def queue(self, name: str) -> Queue | None:
+        """Return the queue called `name`, or None if this version does not have it."""
+        return self._by_name.get(name)
+
+    def team_of(self, key: str) -> Team | None:
+        """Return the team that holds `key`, or None."""
+        return self._team_by_key.get(key)
+
+
+EMPTY_CONFIG = FleetConfig(version=-1)
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -0,0 +1,161 @@
+"""Decisions of an entry about callers' requests, from its own copy of the store.
+
+A request is accepted when its record is stored. An append whose outcome is unknown is neither an
+acceptance nor a refusal: the caller repeats the request and is answered from the record.
+"""
+
+import attrs
+
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.effects import Effect, LogLine, Reply, StoreIntake
+from fescuecrank_scheduler.events import Cancel, Lookup, Request, StoreResult, Submit
+from fescuecrank_scheduler.fleet import EMPTY_CONFIG, FleetConfig, Queue
+from fescuecrank_scheduler.job_table import JobTable
+from fescuecrank_scheduler.jobs import Job
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.records import encode_cancel, encode_job
+
+ID_LENGTH = 16
+HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+
+# Time after which a caller may come back when nothing better is known.
+RETRY_STORE_MS = 1_000
+RETRY_START_MS = 500
+
+
+@attrs.define
+class Waiting:
+    """One request whose record is being stored."""
+
+    job_id: str
+    step: str
+    since_ms: int
+
+
+@attrs.define
+class Intake:
+    """Requests of callers at this entry."""
+
+    limits: Limits
+    table: JobTable
+    config: FleetConfig = EMPTY_CONFIG
+    # When this entry's copies last agreed with the store.
+    fresh_ms: int | None = None
+    # While appends fail without an answer, further ones would only keep callers waiting.
+    store_failing: bool = False
+    draining: bool = False
+    _waiting: dict[int, Waiting] = attrs.field(factory=dict)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this entry takes new connections."""
+        return self.config.version >= 0 and self.fresh_ms is not None and not self.draining
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that wait for the store."""
+        return len(self._waiting)
+
+    def handle(self, req: Request, now: Now) -> list[Effect]:
+        """Answer a request, or start to store it."""
+        if self.config.version < 0:
+            return [Reply(req.token, 503, retry_after_ms=RETRY_START_MS)]
+        queue = self.config.queue_at(req.host, req.path)
+        if queue is None:
+            return [Reply(req.token, 404)]
+        team = self.config.team_of(req.key) if req.key else None
+        if team is None and not queue.is_open:
+            return [Reply(req.token, 401)]
+        name = team.name if team else ""
+        job_id = req.path[len(queue.prefix) :]
+        match req:
+            case Submit():
+                return self._submit(req, queue, name, job_id, now)
+            case Lookup() if not job_id:
+                return self._count(req, queue, now)
+            case Lookup():
+                return self._lookup(req, queue, name, job_id, now)
+            case Cancel():
+                return self._cancel(req, queue, name, job_id, now)
+        return [Reply(req.token, 405)]
+
+    def _submit(
+        self, req: Submit, queue: Queue, team: str, job_id: str, now: Now
+    ) -> list[Effect]:
+        if len(job_id) != ID_LENGTH or not HEX_DIGITS.issuperset(job_id):
+            return [Reply(req.token, 400, {"error": "the id is not 16 hexadecimal digits"})]
+        if req.job is None:
+            return [Reply(req.token, 400, {"error": req.problem})]
+        if job_id in self.table.jobs:
+            return [Reply(req.token, 200)]
+        if self.store_failing:
+            return self._refuse(req.token, job_id, "store_unavailable", RETRY_STORE_MS)
+        job = attrs.evolve(
+            req.job, id=job_id, queue=queue.name, team=team, accepted_ms=now.wall_ms, tasks={}
+        )
+        self._waiting[req.token] = Waiting(job_id, "submit", now.mono_ms)
+        return [StoreIntake(req.token, encode_job(job))]
+
+    def _refuse(self, token: int, job_id: str, reason: str, after_ms: int) -> list[Effect]:
+        line = LogLine("job_refused", {"job": job_id, "reason": reason, "retry_ms": after_ms})
+        return [line, Reply(token, 503, {"error": reason}, retry_after_ms=after_ms)]
+
+    def _known(self, queue: Queue, team: str, job_id: str) -> Job | None:
+        job = self.table.jobs.get(job_id)
+        if job is None or job.queue != queue.name or (job.team and job.team != team):
+            return None
+        return job
+
+    def _stale(self, now: Now) -> bool:
+        return self.fresh_ms is None or now.mono_ms - self.fresh_ms > self.limits.stale_ms
+
+    def _lookup(
+        self, req: Request, queue: Queue, team: str, job_id: str, now: Now
+    ) -> list[Effect]:
+        job = self._known(queue, team, job_id)
+        if job is not None:
+            return [Reply(req.token, 200, {"state": job.state()})]
+        if self._stale(now):
+            return [Reply(req.token, 503, retry_after_ms=RETRY_STORE_MS)]
+        return [Reply(req.token, 410)]
+
+    def _count(self, req: Request, queue: Queue, now: Now) -> list[Effect]:
+        if self._stale(now):
+            return [Reply(req.token, 503, retry_after_ms=RETRY_STORE_MS)]
+        return [Reply(req.token, 200, {"pending": self.table.pending(queue.name)})]
+
+    def _cancel(
+        self, req: Request, queue: Queue, team: str, job_id: str, now: Now
+    ) -> list[Effect]:
+        job = self._known(queue, team, job_id)
+        if job is None:
+            if self._stale(now):
+                return [Reply(req.token, 503, retry_after_ms=RETRY_STORE_MS)]
+            return [Reply(req.token, 410)]
+        if not job.open:
+            return [Reply(req.token, 200)]
+        if self.store_failing:
+            return [Reply(req.token, 503, retry_after_ms=RETRY_STORE_MS)]
+        self._waiting[req.token] = Waiting(job_id, "cancel", now.mono_ms)
+        return [StoreIntake(req.token, encode_cancel(job_id))]
+
+    def stored(self, token: int, result: StoreResult, now: Now) -> list[Effect]:
+        """Answer the caller whose record has been stored or not."""
+        waiting = self._waiting.pop(token, None)
+        if waiting is None:
+            return []
+        line = LogLine(
+            "request_stored",
+            {
+                "job": waiting.job_id,
+                "request": waiting.step,
+                "result": result.value,
+                "ms": now.mono_ms - waiting.since_ms,
+            },
+        )
+        match result:
+            case StoreResult.STORED:
+                return [line, Reply(token, 200)]
+            case StoreResult.REFUSED:
+                return [line, Reply(token, 503, retry_after_ms=RETRY_STORE_MS)]
+        return [line, Reply(token, 504, {"error": "outcome unknown"})]
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -0,0 +1,71 @@
+"""Which process decides: a claim in the store, renewed by the holder."""
+
+import enum
+import random
+
+import attrs
+
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.records import Leadership
+
+
+class Role(enum.StrEnum):
+    """Part that this process plays."""
+
+    FOLLOWER = "follower"
+    # A claim has been sent and its outcome is not known yet.
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.define
+class Election:
+    """Follows the leader's renewals and decides when to claim.
+
+    Silence counts only while the store answers this process: when the store is down, nobody can
+    tell whether the leader lives, and nobody can replace it.
+    """
+
+    name: str
+    limits: Limits
+    rng: random.Random
+    role: Role = Role.FOLLOWER
+    epoch: int = 0
+    nonce: int = 0
+    _seen: Leadership | None = None
+    _seen_ms: int = 0
+    _delay_ms: int = 0
+
+    def observe(self, leader: Leadership | None, now_ms: int) -> None:
+        """Note the newest leadership record of the store."""
+        if leader != self._seen:
+            self._seen, self._seen_ms = leader, now_ms
+            self._delay_ms = self.rng.randrange(self.limits.claim_spread_ms)
+
+    def store_returned(self, now_ms: int) -> None:
+        """Give the leader time to renew after the store was out of reach."""
+        self._seen_ms = max(self._seen_ms, now_ms)
+
+    def should_claim(self, now_ms: int) -> bool:
+        """Return whether the leader is gone and this process may replace it."""
+        if self.role is not Role.FOLLOWER:
+            return False
+        vacant = self._seen is None or not self._seen.holder
+        silence = 0 if vacant else self.limits.leader_silence_ms
+        return now_ms - self._seen_ms >= silence + self._delay_ms
+
+    def claim(self) -> Leadership:
+        """Become a candidate and return the record that claims the leadership."""
+        self.role = Role.CANDIDATE
+        self.epoch = (self._seen.epoch if self._seen else 0) + 1
+        self.nonce = self.rng.getrandbits(40)
+        return Leadership(self.epoch, self.name, 0, self.nonce)
+
+    def owns(self, leader: Leadership | None) -> bool:
+        """Return whether a leadership record is this process's own."""
+        return leader is not None and (leader.epoch, leader.nonce) == (self.epoch, self.nonce)
+
+    def give_up(self, now_ms: int) -> None:
+        """Return to following, after a lost claim or a fence."""
+        self.role = Role.FOLLOWER
+        self._seen_ms = now_ms
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -0,0 +1,58 @@
+"""Limits and time-outs of the scheduler, in milliseconds unless the name says otherwise."""
+
+import attrs
+
+
+@attrs.frozen
+class Limits:
+    """Figures that a deployment may change; each default has its reason beside it."""
+
+    # Longest lease that workers grant; part of the deployment's bounds.
+    lease_max_ms: int = 10_000
+    # Covers one hold, the detection of a dead leader and the first calls of its successor.
+    lease_ms: int = 6_500
+    # A worker's clock may run this much slower than ours.
+    clock_drift: float = 0.02
+    # A hold waits this long for an end; shorter waits cost calls, longer ones use up the lease.
+    hold_wait_ms: int = 1_500
+    # Pause before a hold is repeated after a failure.
+    hold_retry_ms: int = 250
+    # Without an answer for this long a worker gets no new runs.
+    silent_ms: int = 2_600
+    # Answers take a few milliseconds; slow links and frozen workers take longer.
+    start_timeout_ms: int = 500
+    stop_timeout_ms: int = 500
+    # A leader renews its leadership in the store this often.
+    renew_ms: int = 700
+    # A leader that was not renewed for this long is replaced.
+    leader_silence_ms: int = 2_400
+    # Spread of the claims of several candidates.
+    claim_spread_ms: int = 400
+    # A leader without a renewal for this long stops renewing leases of workers.
+    leader_validity_ms: int = 8_000
+    # Copies of the store older than this answer no negative look-ups.
+    stale_ms: int = 2_000
+    # Ends listed within this time of each other share one append.
+    flush_gap_ms: int = 12
+    # Deadline of callers that state none.
+    request_ms: int = 3_000
+    # Orders of a cancelled job's runs are repeated this often.
+    stop_retry_ms: int = 400
+    # A run that takes this many times its estimate is started elsewhere.
+    overdue_factor: float = 3.0
+    overdue_min_ms: int = 1_500
+    # A lasting task is counted as away until it has run this long.
+    settle_ms: int = 2_000
+    # Failures in a row after which a worker is left alone.
+    failure_streak: int = 3
+    quarantine_ms: int = 4_000
+    # Occurrences are not started before their time.
+    early_ms: int = 0
+    # Validity that a ticket must have left when it is used.
+    ticket_margin_ms: int = 400
+    advice_workers: int = 30
+    # The machine list is read this often while maintenance is due.
+    machines_read_ms: int = 700
+    maintenance_ms: int = 2_000
+    # Ended jobs are kept this long for callers.
+    keep_ended_ms: int = 150_000
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -0,0 +1,255 @@
+"""Maintenance waves: which machine goes down when.
+
+A machine is cordoned first; it goes down once nothing runs on its worker. Lasting tasks are moved
+one at a time, within what their step may miss.
+"""
+
+import enum
+
+import attrs
+
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.effects import (
+    Effect,
+    ListMachines,
+    LogLine,
+    MaintainMachine,
+    StoreWaveState,
+)
+from fescuecrank_scheduler.events import MachineRow, MachinesListed, OrderResult
+from fescuecrank_scheduler.fleet import Wave
+from fescuecrank_scheduler.jobs import TaskId
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.records import WaveDone, encode_wave
+from fescuecrank_scheduler.scheduler import Scheduler
+from fescuecrank_scheduler.workers import Run, RunState, Worker
+
+# An order without an answer is repeated after this time; it has no effect the second time.
+ORDER_RETRY_MS = 700
+
+# Share of a wave's time in which it is planned to be done; the rest absorbs failures.
+PLANNED_SHARE = 0.6
+
+# Estimated time from the choice of a machine until its worker is back, without the maintenance.
+EMPTY_MS = 2_500
+
+
+class Step(enum.StrEnum):
+    """Progress of one machine of a wave."""
+
+    EMPTYING = "emptying"
+    # The order was sent and may have been carried out.
+    ORDERED = "ordered"
+    DOWN = "down"
+    DONE = "done"
+
+
+@attrs.define
+class MachineProgress:
+    """One machine of a wave that has been chosen."""
+
+    step: Step
+    since_ms: int
+    next_ms: int = 0
+
+
+@attrs.define
+class WaveProgress:
+    """One wave as the leader carries it out."""
+
+    wave: Wave
+    begun_ms: int
+    completed: bool = False
+    reported: bool = False
+    machines: dict[str, MachineProgress] = attrs.field(factory=dict)
+
+    def left(self) -> list[str]:
+        """Return the machines that have not been chosen yet."""
+        return [name for name in self.wave.machines if name not in self.machines]
+
+    def busy(self) -> int:
+        """Return how many machines are being emptied or are down."""
+        return sum(1 for each in self.machines.values() if each.step is not Step.DONE)
+
+    def done(self) -> tuple[str, ...]:
+        """Return the machines whose maintenance has begun."""
+        begun = (Step.DOWN, Step.DONE)
+        return tuple(name for name, each in self.machines.items() if each.step in begun)
+
+
+@attrs.define
+class Maintenance:
+    """Waves of one leadership."""
+
+    scheduler: Scheduler
+    limits: Limits
+    waves: dict[int, WaveProgress] = attrs.field(factory=dict)
+    rows: dict[str, MachineRow] = attrs.field(factory=dict)
+    rows_ms: int = -1
+    _reading: bool = False
+    _read_ms: int = -(10**9)
+    _out: list[Effect] = attrs.field(factory=list)
+
+    def set_waves(self, waves: tuple[Wave, ...], done: dict[int, tuple[str, ...]], now: Now) -> None:
+        """Take over the waves that operators asked for, and what earlier leaders did of them."""
+        for wave in waves:
+            if wave.number in self.waves:
+                continue
+            progress = WaveProgress(wave, now.mono_ms)
+            for name in done.get(wave.number, ()):
+                progress.machines[name] = MachineProgress(Step.DOWN, now.mono_ms)
+            self.waves[wave.number] = progress
+
+    def listed(self, event: MachinesListed, now: Now) -> None:
+        """Take over the list of machines."""
+        self._reading = False
+        if event.machines is not None:
+            self.rows = {row.machine: row for row in event.machines}
+            self.rows_ms = event.sent_ms
+
+    def order_done(self, machine: str, wave: int, result: OrderResult, now: Now) -> None:
+        """Take note of the answer to an order."""
+        progress = self.waves.get(wave)
+        each = progress.machines.get(machine) if progress else None
+        if progress is None or each is None or each.step is not Step.ORDERED:
+            return
+        self._out.append(
+            LogLine(
+                "maintenance_ordered", {"machine": machine, "wave": wave, "result": result.value}
+            )
+        )
+        match result:
+            case OrderResult.OK:
+                each.step, each.since_ms = Step.DOWN, now.mono_ms
+                self.scheduler.store(encode_wave(WaveDone(wave, progress.done())))
+            case OrderResult.FENCED:
+                self.scheduler.fenced = True
+            case OrderResult.REJECTED:
+                each.step = Step.DONE
+            case _:
+                each.next_ms = now.mono_ms + ORDER_RETRY_MS
+
+    def tick(self, now: Now) -> list[Effect]:
+        """Advance all waves."""
+        active = [wave for wave in self.waves.values() if not wave.completed]
+        wanted: set[str] = set()
+        if active:
+            self._read(now)
+        for wave in active:
+            if self.rows_ms >= 0:
+                self._advance(wave, now)
+            wanted.update(name for name, each in wave.machines.items() if each.step is not Step.DONE)
+        for worker in self.scheduler.workers.values():
+            cordoned = bool(worker.machine) and worker.machine in wanted
+            if worker.cordoned and not cordoned:
+                self.scheduler.request_pass()
+            worker.cordoned = cordoned
+        self._move_lasting(now)
+        out, self._out = self._out, []
+        return out
+
+    def _read(self, now: Now) -> None:
+        if not self._reading and now.mono_ms - self._read_ms >= self.limits.machines_read_ms:
+            self._reading, self._read_ms = True, now.mono_ms
+            self._out.append(ListMachines())
+
+    def _advance(self, progress: WaveProgress, now: Now) -> None:
+        if not progress.reported:
+            progress.reported = True
+            self._out.append(StoreWaveState(progress.wave.number, completed=False))
+        for name, each in progress.machines.items():
+            self._advance_machine(progress, name, each, now)
+        self._choose(progress, now)
+        if not progress.left() and not progress.busy():
+            progress.completed = True
+            self._out.append(StoreWaveState(progress.wave.number, completed=True))
+            self._out.append(LogLine("wave_completed", {"wave": progress.wave.number}))
+
+    def _advance_machine(
+        self, progress: WaveProgress, name: str, each: MachineProgress, now: Now
+    ) -> None:
+        row = self.rows.get(name)
+        if row is None:
+            # The machine has left the fleet.
+            each.step = Step.DONE
+            return
+        if each.step is Step.EMPTYING and row.state == "up":
+            worker = self._worker_on(name)
+            if worker is None or not worker.runs:
+                each.step, each.since_ms, each.next_ms = Step.ORDERED, now.mono_ms, now.mono_ms
+        if each.step is Step.ORDERED and now.mono_ms >= each.next_ms:
+            each.next_ms = now.mono_ms + 4 * ORDER_RETRY_MS
+            self._out.append(
+                MaintainMachine(name, progress.wave.number, self.scheduler.leader.epoch)
+            )
+        if each.step is Step.DOWN and row.state == "up":
+            if self.rows_ms >= each.since_ms + self.limits.maintenance_ms // 2:
+                each.step = Step.DONE
+
+    def _choose(self, progress: WaveProgress, now: Now) -> None:
+        left = [name for name in progress.left() if name in self.rows]
+        for name in progress.left():
+            if name not in self.rows:
+                progress.machines[name] = MachineProgress(Step.DONE, now.mono_ms)
+        slots = min(progress.wave.cap, self._pace(progress, now)) - progress.busy()
+        left.sort(key=self._load)
+        for name in left[: max(0, slots)]:
+            if self.rows[name].state == "up":
+                progress.machines[name] = MachineProgress(Step.EMPTYING, now.mono_ms)
+                self._out.append(
+                    LogLine("machine_cordoned", {"machine": name, "wave": progress.wave.number})
+                )
+
+    def _pace(self, progress: WaveProgress, now: Now) -> int:
+        """Return how many machines to work on at once so that the wave ends in time."""
+        open_count = len(progress.left()) + progress.busy()
+        planned_ms = int(progress.wave.duration_ms * PLANNED_SHARE)
+        left_ms = max(1, progress.begun_ms + planned_ms - now.mono_ms)
+        each_ms = EMPTY_MS + self.limits.maintenance_ms
+        return -(-open_count * each_ms // left_ms)
+
+    def _load(self, name: str) -> tuple[int, int]:
+        worker = self._worker_on(name)
+        if worker is None:
+            return (0, 0)
+        lasting = sum(1 for run in worker.runs.values() if run.step.lasting)
+        return (lasting, worker.used.cpu)
+
+    def _worker_on(self, machine: str) -> Worker | None:
+        row = self.rows.get(machine)
+        for worker in self.scheduler.workers.values():
+            if worker.machine == machine or (row is not None and worker.id == row.worker):
+                worker.machine = machine
+                return worker
+        return None
+
+    def _move_lasting(self, now: Now) -> None:
+        """Stop lasting tasks on workers that go away, as far as their steps may miss them."""
+        for worker in list(self.scheduler.workers.values()):
+            if not worker.cordoned and (worker.ready or not worker.listed):
+                continue
+            for run in list(worker.runs.values()):
+                if run.step.lasting and run.state is RunState.RUNNING:
+                    if self._may_stop(run, now):
+                        self.scheduler.stop_run(worker, run, now)
+
+    def _may_stop(self, run: Run, now: Now) -> bool:
+        # Steps that state no bound are moved one task at a time.
+        allowed = 1 if run.step.may_miss is None else run.step.may_miss
+        job = self.scheduler.table.jobs.get(run.task.job)
+        if job is None:
+            return True
+        away = 0
+        for task in job.tasks.get((run.task.occurrence, run.task.step), ()):
+            if task.id != run.task and not self._at_work(task.id, now):
+                away += 1
+        return away < allowed
+
+    def _at_work(self, task_id: TaskId, now: Now) -> bool:
+        worker = self.scheduler.workers.get(self.scheduler.placed.get(task_id, ""))
+        run = worker.runs.get(task_id) if worker else None
+        return (
+            run is not None
+            and run.state is RunState.RUNNING
+            and now.mono_ms - run.began_ms >= self.limits.settle_ms
+        )
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/placement.py
@@ -0,0 +1,90 @@
+"""Choice of a worker for a task."""
+
+from collections.abc import Iterable
+
+from fescuecrank_scheduler.jobs import Step
+from fescuecrank_scheduler.workers import Worker
+
+
+def may_run(worker: Worker, step: Step, peers_here: int) -> bool:
+    """Return whether `worker` satisfies what the step demands; room is not considered.
+
+    `peers_here` is the number of other tasks of the step and occurrence on the worker.
+    """
+    if step.requires and step.requires not in worker.labels:
+        return False
+    return not step.anti_affinity or peers_here < step.anti_affinity
+
+
+def peers_on(worker: Worker, job: str, occurrence: int, step: int) -> int:
+    """Return how many tasks of a step of one occurrence run on `worker`."""
+    return sum(
+        1
+        for task in worker.runs
+        if task.step == step and task.occurrence == occurrence and task.job == job
+    )
+
+
+def choose(
+    workers: Iterable[Worker], job: str, occurrence: int, step_number: int, step: Step
+) -> Worker | None:
+    """Return the worker for one task, or None if none has room.
+
+    Prefers the rack of the data, then the worker with the most free processor: tasks that share a
+    worker slow each other down.
+    """
+    best: Worker | None = None
+    best_rank: tuple[bool, int] | None = None
+    need = step.room
+    for worker in workers:
+        if not need.fits(worker.room):
+            continue
+        if step.requires or step.anti_affinity:
+            here = peers_on(worker, job, occurrence, step_number) if step.anti_affinity else 0
+            if not may_run(worker, step, here):
+                continue
+        rank = (not step.affinity or step.affinity in worker.labels, worker.room.cpu)
+        if best_rank is None or rank > best_rank:
+            best, best_rank = worker, rank
+    return best
+
+
+def choose_gang(
+    workers: Iterable[Worker], job: str, occurrence: int, step_number: int, step: Step
+) -> list[Worker] | None:
+    """Return one worker for each task of a gang, or None if they do not all fit at once.
+
+    With `same_rack`, a rack that holds all tasks is taken if there is one.
+    """
+    usable = list(workers)
+    groups = [usable]
+    if step.same_rack:
+        racks = sorted({worker.rack for worker in usable})
+        groups = [[worker for worker in usable if worker.rack == rack] for rack in racks]
+        groups.append(usable)
+    for group in groups:
+        chosen = _fill(group, job, occurrence, step_number, step)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _fill(
+    workers: list[Worker], job: str, occurrence: int, step_number: int, step: Step
+) -> list[Worker] | None:
+    chosen: list[Worker] = []
+    rooms = {worker.id: worker.room for worker in workers}
+    counts = {worker.id: peers_on(worker, job, occurrence, step_number) for worker in workers}
+    for _ in range(step.count):
+        fitting = [
+            worker
+            for worker in workers
+            if step.room.fits(rooms[worker.id]) and may_run(worker, step, counts[worker.id])
+        ]
+        if not fitting:
+            return None
+        worker = max(fitting, key=lambda worker: rooms[worker.id].cpu)
+        chosen.append(worker)
+        rooms[worker.id] = rooms[worker.id].minus(step.room)
+        counts[worker.id] += 1
+    return chosen
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/quotas.py
@@ -0,0 +1,35 @@
+"""Upper limits of teams over all pools."""
+
+import attrs
+
+from fescuecrank_scheduler.fleet import NOTHING, Amounts, Team
+
+
+@attrs.define
+class Usage:
+    """What each team has running, planned starts and runs that are being stopped included."""
+
+    _used: dict[str, Amounts] = attrs.field(factory=dict)
+
+    def add(self, team: str, need: Amounts) -> None:
+        """Count a run from the moment at which it is planned."""
+        self._used[team] = self._used.get(team, NOTHING).plus(need)
+
+    def remove(self, team: str, need: Amounts) -> None:
+        """Stop counting a run whose end is known."""
+        self._used[team] = self._used.get(team, NOTHING).minus(need)
+
+    def used(self, team: str) -> Amounts:
+        """Return what a team has running."""
+        return self._used.get(team, NOTHING)
+
+    def allows(self, team: Team | None, need: Amounts, count: int = 1) -> bool:
+        """Return whether `count` more tasks stay within the team's limit."""
+        if team is None:
+            return True
+        used, limit = self.used(team.name), team.limit
+        return (
+            (not limit.cpu or used.cpu + need.cpu * count <= limit.cpu)
+            and (not limit.mem_mb or used.mem_mb + need.mem_mb * count <= limit.mem_mb)
+            and (not limit.gpu or used.gpu + need.gpu * count <= limit.gpu)
+        )
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -0,0 +1,277 @@
+"""The one reducer: every event changes the state and yields effects."""
+
+import random
+
+import attrs
+
+from fescuecrank_scheduler import events
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.effects import (
+    Effect,
+    Exit,
+    Follow,
+    LogLine,
+    SetFollow,
+    StoreProgress,
+)
+from fescuecrank_scheduler.events import Event, StoreResult, Topic
+from fescuecrank_scheduler.fleet import EMPTY_CONFIG, FleetConfig, Wave
+from fescuecrank_scheduler.intake import Intake
+from fescuecrank_scheduler.job_table import JobTable
+from fescuecrank_scheduler.leadership import Election, Role
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.maintenance import Maintenance
+from fescuecrank_scheduler.records import LEADER_KEY, encode_leadership
+from fescuecrank_scheduler.scheduler import Scheduler
+
+# After the request to stop, connections are served for this long: the balancer notices a process
+# that is not ready after two failed checks, one second apart.
+SHUTDOWN_SERVE_MS = 3_200
+
+# Requests still waiting for the store are given up after this time, before the platform kills.
+SHUTDOWN_LIMIT_MS = 5_300
+
+
+@attrs.define
+class Reducer:
+    """State of one process."""
+
+    name: str
+    limits: Limits
+    rng: random.Random
+    table: JobTable = attrs.field(factory=JobTable)
+    config: FleetConfig = EMPTY_CONFIG
+    waves: tuple[Wave, ...] = ()
+    intake: Intake = attrs.field(init=False)
+    election: Election = attrs.field(init=False)
+    scheduler: Scheduler | None = None
+    maintenance: Maintenance | None = None
+    _read_ms: dict[Topic, int] = attrs.field(factory=dict)
+    _progress_end: int = 0
+    _claim_offset: int | None = None
+    _claim_sequence: int = 0
+    _stopping_ms: int | None = None
+    _out: list[Effect] = attrs.field(factory=list)
+
+    @intake.default
+    def _make_intake(self) -> Intake:
+        return Intake(self.limits, self.table)
+
+    @election.default
+    def _make_election(self) -> Election:
+        return Election(self.name, self.limits, self.rng)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this process takes new connections."""
+        return self.intake.ready
+
+    def handle(self, event: Event, now: Now) -> list[Effect]:
+        """Apply one event and return what is to be done."""
+        match event:
+            case events.Request():
+                self._out += self.intake.handle(event, now)
+            case events.StoreHealth():
+                if event.failing != self.intake.store_failing:
+                    self._log("store_lost" if event.failing else "store_regained")
+                self.intake.store_failing = event.failing
+            case events.IntakeStored():
+                self._out += self.intake.stored(event.token, event.result, now)
+            case events.Tick():
+                self._tick(now)
+            case events.ConfigRead():
+                self._configure(event, now)
+            case events.RecordsRead():
+                self._read(event, now)
+            case events.ProgressStored():
+                self._stored(event, now)
+            case events.ShutDown():
+                self._shut_down(now)
+            case events.FlushDue():
+                pass
+            case _:
+                self._to_scheduler(event, now)
+        if self.scheduler is not None:
+            self._out += self.scheduler.advance(now)
+            if self.scheduler.fenced:
+                self._step_down("fenced", now)
+        out, self._out = self._out, []
+        return out
+
+    def _to_scheduler(self, event: Event, now: Now) -> None:
+        scheduler, maintenance = self.scheduler, self.maintenance
+        if scheduler is None or maintenance is None:
+            return
+        match event:
+            case events.WorkersRead():
+                scheduler.workers_read(event, now)
+            case events.HoldDone():
+                scheduler.hold_done(event, now)
+            case events.StartDone():
+                scheduler.start_done(event, now)
+            case events.StopDone():
+                scheduler.stop_done(event, now)
+            case events.Advised():
+                scheduler.advice.advised(event, now)
+                self._out += scheduler.advice.take()
+                scheduler.request_pass()
+            case events.MachinesListed():
+                maintenance.listed(event, now)
+            case events.MachineOrderDone() if event.wave is not None:
+                maintenance.order_done(event.machine, event.wave, event.result, now)
+
+    def _configure(self, event: events.ConfigRead, now: Now) -> None:
+        if event.config.version < self.config.version:
+            return
+        if event.config.version > self.config.version:
+            self._log("config_in_force", version=event.config.version)
+        self.config = self.intake.config = event.config
+        self.waves = event.waves
+        if self.scheduler is not None and self.maintenance is not None:
+            self.scheduler.set_config(event.config)
+            self.maintenance.set_waves(self.waves, self.table.waves_done, now)
+
+    # Records of the store.
+
+    def _read(self, event: events.RecordsRead, now: Now) -> None:
+        # A leader's own state is ahead of what it has stored.
+        own = self.scheduler is not None and event.topic is Topic.PROGRESS
+        for stored in event.records:
+            if own and stored.record.key != LEADER_KEY:
+                continue
+            try:
+                self.table.apply(stored)
+            except ValueError as exc:
+                self._log("record_skipped", key=stored.record.key, reason=str(exc))
+        last = self._read_ms.get(event.topic)
+        if last is not None and now.mono_ms - last > self.limits.stale_ms:
+            self.election.store_returned(now.mono_ms)
+        self._read_ms[event.topic] = now.mono_ms
+        if event.topic is Topic.PROGRESS:
+            self._progress_end = event.end
+            self.election.observe(self.table.leader, now.mono_ms)
+            self._check_claim(now)
+        if len(self._read_ms) == len(Topic):
+            self.intake.fresh_ms = min(self._read_ms.values())
+        changed = self.table.take_changed()
+        if self.scheduler is not None:
+            self.scheduler.jobs_changed(changed, now)
+
+    def _check_claim(self, now: Now) -> None:
+        leader = self.table.leader
+        if self.election.role is Role.LEADER and leader is not None:
+            if not self.election.owns(leader) and leader.epoch >= self.election.epoch:
+                self._step_down("replaced", now)
+        if self.election.role is not Role.CANDIDATE or self._claim_offset is None:
+            return
+        if self._progress_end <= self._claim_offset:
+            return
+        if self.election.owns(leader):
+            self._lead(now)
+        else:
+            self._lose_claim("another claim came first", now)
+
+    # Leadership.
+
+    def _claim(self, now: Now) -> None:
+        leader = self.election.claim()
+        self._claim_offset = None
+        # Claims with the same epoch must not look like repeats of one append.
+        sequence = self.rng.getrandbits(40)
+        self._log("leadership_claimed", epoch=leader.epoch, at=self._progress_end)
+        self._out.append(SetFollow(Follow.CANDIDATE))
+        self._out.append(
+            StoreProgress(
+                leader.epoch, sequence, (encode_leadership(leader),), at=self._progress_end
+            )
+        )
+        self._claim_sequence = sequence
+
+    def _lead(self, now: Now) -> None:
+        leader = self.table.leader
+        assert leader is not None
+        self.election.role = Role.LEADER
+        self.scheduler = Scheduler(
+            self.name, self.limits, self.table, self.config, leader, self._claim_sequence + 1
+        )
+        self.maintenance = Maintenance(self.scheduler, self.limits)
+        self._out.append(SetFollow(Follow.LEADER))
+        self.table.take_changed()
+        self._out += self.scheduler.begin(now)
+        self.maintenance.set_waves(self.waves, self.table.waves_done, now)
+
+    def _lose_claim(self, reason: str, now: Now) -> None:
+        self._log("claim_lost", epoch=self.election.epoch, reason=reason)
+        self.election.give_up(now.mono_ms)
+        self._claim_offset = None
+        self._out.append(SetFollow(Follow.FOLLOWER))
+
+    def _step_down(self, reason: str, now: Now) -> None:
+        self._log("leadership_ended", epoch=self.election.epoch, reason=reason)
+        self.election.give_up(now.mono_ms)
+        self.scheduler = self.maintenance = None
+        self.table.forget_progress()
+        self._read_ms.pop(Topic.PROGRESS, None)
+        self._out.append(SetFollow(Follow.FOLLOWER, reload=True))
+
+    def _stored(self, event: events.ProgressStored, now: Now) -> None:
+        if event.epoch != self.election.epoch:
+            return
+        if self.election.role is Role.CANDIDATE and event.sequence == self._claim_sequence:
+            if event.result is StoreResult.STORED:
+                self._claim_offset = event.offset
+                self._check_claim(now)
+            else:
+                self._lose_claim(event.result.value, now)
+        elif self.scheduler is not None:
+            if event.result is StoreResult.STORED:
+                self._read_ms[Topic.PROGRESS] = now.mono_ms
+                self.scheduler.progress_stored(event.sequence, now)
+                if self.scheduler.resigned:
+                    self._step_down("resigned", now)
+            else:
+                self._step_down(event.result.value, now)
+
+    # Time.
+
+    def _tick(self, now: Now) -> None:
+        if self.scheduler is not None and self.maintenance is not None:
+            self._out += self.scheduler.tick(now)
+            self._out += self.maintenance.tick(now)
+        elif self._may_claim(now):
+            self._claim(now)
+        if self._stopping_ms is not None:
+            self._check_exit(now)
+
+    def _may_claim(self, now: Now) -> bool:
+        read_ms = self._read_ms.get(Topic.PROGRESS)
+        return (
+            self._stopping_ms is None
+            and self.intake.ready
+            and read_ms is not None
+            and now.mono_ms - read_ms < self.limits.stale_ms
+            and self.election.should_claim(now.mono_ms)
+        )
+
+    # Shutdown.
+
+    def _shut_down(self, now: Now) -> None:
+        if self._stopping_ms is not None:
+            return
+        self._stopping_ms = now.mono_ms
+        self.intake.draining = True
+        self._log("stopping", leader=self.scheduler is not None)
+        if self.scheduler is not None:
+            self.scheduler.resign(now)
+
+    def _check_exit(self, now: Now) -> None:
+        assert self._stopping_ms is not None
+        passed = now.mono_ms - self._stopping_ms
+        if passed < SHUTDOWN_SERVE_MS:
+            return
+        if self.intake.open_requests and passed < SHUTDOWN_LIMIT_MS:
+            return
+        self._out.append(Exit())
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._out.append(LogLine(event, fields))
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -0,0 +1,143 @@
+"""Workers as the leader knows them: leases, runs and room."""
+
+import enum
+
+import attrs
+
+from fescuecrank_scheduler.events import HoldReply, WorkerEntry
+from fescuecrank_scheduler.fleet import NOTHING, Amounts
+from fescuecrank_scheduler.jobs import Step, TaskId
+from fescuecrank_scheduler.limits import Limits
+
+
+class RunState(enum.StrEnum):
+    """Where one run stands."""
+
+    # Its record is not stored yet.
+    PLANNED = "planned"
+    # The start was sent and may or may not have been carried out.
+    SENT = "sent"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define
+class Run:
+    """One run of a task on a worker."""
+
+    task: TaskId
+    number: int
+    step: Step
+    team: str
+    queue: str
+    state: RunState
+    ticket: str = ""
+    checkpoint: str = ""
+    # When the latest start or stop was sent.
+    sent_ms: int = 0
+    # When the worker confirmed a start or a stop; a later hold must list the run or its end.
+    settled_ms: int | None = None
+    # When the run was first known to be running.
+    began_ms: int = 0
+    attempts: int = 0
+    percent: int = 100
+    figure: float | None = None
+    # Time for which a serving task has been over its bound.
+    over_since_ms: int | None = None
+
+
+@attrs.define
+class Worker:
+    """One life of a worker."""
+
+    id: str
+    address: str = ""
+    pool: str = ""
+    zone: str = ""
+    machine: str = ""
+    capacity: Amounts = NOTHING
+    labels: tuple[str, ...] = ()
+    # Whether the list of workers names it, and as ready.
+    listed: bool = False
+    ready: bool = False
+    born_ms: int = 0
+    # Whether it has answered this leader.
+    fenced: bool = False
+    clock_ms: int | None = None
+    clock_at_ms: int = 0
+    # Latest lease end that was sent, on the worker's clock.
+    granted_ms: int | None = None
+    # By this time every lease that was ever granted has run out.
+    lease_until_ms: int = 0
+    answered_ms: int = 0
+    hold_number: int = 0
+    hold_sent_ms: int = 0
+    hold_open: bool = False
+    hold_next_ms: int = 0
+    # Ends read, and ends that the worker may forget.
+    seen: int = 0
+    acked: int = 0
+    # No new runs: the machine is about to go down.
+    cordoned: bool = False
+    blocked_until_ms: int = 0
+    failure_streak: int = 0
+    runs: dict[TaskId, Run] = attrs.field(factory=dict)
+    used: Amounts = NOTHING
+
+    @property
+    def room(self) -> Amounts:
+        """Capacity that no run takes."""
+        return self.capacity.minus(self.used)
+
+    @property
+    def rack(self) -> str:
+        """Rack of the worker; the label after that of its kind."""
+        return self.labels[1] if len(self.labels) > 1 else ""
+
+    def update(self, entry: WorkerEntry) -> None:
+        """Take over what the worker says of itself."""
+        self.address, self.pool, self.zone = entry.address, entry.pool, entry.zone
+        self.machine, self.capacity, self.labels = entry.machine, entry.capacity, entry.labels
+        self.listed, self.ready = True, entry.ready
+
+    def note_clock(self, reply: HoldReply, now_ms: int) -> None:
+        """Remember a reading of the worker's clock."""
+        self.clock_ms, self.clock_at_ms = reply.clock_ms, now_ms
+
+    def deadline(self, now_ms: int, limits: Limits) -> int | None:
+        """Return the end of the lease on the worker's clock; None if no lease can be stated.
+
+        The lease is extended only while the worker answers. Otherwise repeated calls would extend
+        the time for which the worker has to be assumed to run its tasks.
+        """
+        if self.clock_ms is None:
+            return None
+        if now_ms - self.answered_ms < limits.silent_ms or self.granted_ms is None:
+            passed = (now_ms - self.clock_at_ms) * (1 - limits.clock_drift)
+            self.granted_ms = int(self.clock_ms + passed + limits.lease_ms)
+            longest = int(limits.lease_ms / (1 - limits.clock_drift)) + 1
+            self.lease_until_ms = max(self.lease_until_ms, now_ms + longest)
+        return self.granted_ms
+
+    def add(self, run: Run) -> None:
+        """Take room for a run."""
+        self.runs[run.task] = run
+        self.used = self.used.plus(run.step.room)
+
+    def remove(self, task: TaskId) -> Run | None:
+        """Give back the room of a run."""
+        run = self.runs.pop(task, None)
+        if run is not None:
+            self.used = self.used.minus(run.step.room)
+        return run
+
+    def usable(self, now_ms: int, limits: Limits) -> bool:
+        """Return whether new runs may be placed here."""
+        return (
+            self.listed
+            and self.ready
+            and self.fenced
+            and not self.cordoned
+            and now_ms >= self.blocked_until_ms
+            and now_ms - self.answered_ms < limits.silent_ms
+        )
