Keep holding workers whose call failed to connect; give long tasks more time with each run

Cause: tornado raises for a call without an answer even with raise_error=False, so the hold of a worker that was down stayed open for good and its later runs lapsed.

--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -10,7 +10,7 @@
     # Longest lease that workers grant; part of the deployment's bounds.
     lease_max_ms: int = 10_000
     # Covers one hold, the detection of a dead leader and the first calls of its successor.
-    lease_ms: int = 6_500
+    lease_ms: int = 6_000
     # A worker's clock may run this much slower than ours.
     clock_drift: float = 0.02
     # A hold waits this long for an end; shorter waits cost calls, longer ones use up the lease.
@@ -38,9 +38,12 @@
     request_ms: int = 3_000
     # Orders of a cancelled job's runs are repeated this often.
     stop_retry_ms: int = 400
-    # A run that takes this many times its estimate is started elsewhere.
-    overdue_factor: float = 3.0
-    overdue_min_ms: int = 1_500
+    # A run that takes this many times its estimate is started elsewhere; estimates are far off.
+    overdue_factor: float = 6.0
+    overdue_min_ms: int = 4_000
+    # A run that uses no processor in this many looks, and is this old, is started elsewhere.
+    idle_looks: int = 2
+    idle_ms: int = 1_200
     # A lasting task is counted as away until it has run this long.
     settle_ms: int = 2_000
     # Failures in a row after which a worker is left alone.
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -295,6 +295,9 @@
             if row is not None and row.run == run.number:
                 run.checkpoint = row.checkpoint or run.checkpoint
                 run.percent, run.figure = row.percent, row.figure
+                # Serving tasks report their response times instead of the processor in use.
+                working = run.step.target_ms or row.figure is None or row.figure > 0
+                run.idle_looks = 0 if working else run.idle_looks + 1
                 if run.state is RunState.SENT:
                     run.state = RunState.RUNNING
                 run.began_ms = run.began_ms or now.mono_ms
@@ -687,26 +690,36 @@
                 if now.mono_ms - run.sent_ms >= self.limits.stop_retry_ms:
                     self._stop(worker, run, now)
 
-    def _stop_overdue(self, now: Now) -> None:
-        """Start a task elsewhere if its run takes far longer than estimated."""
+    def _stop_stalled(self, now: Now) -> None:
+        """Start a task elsewhere if its run does nothing, or takes far longer than estimated."""
         for worker in self.workers.values():
             for run in list(worker.runs.values()):
                 if run.state is not RunState.RUNNING or run.step.lasting or run.step.gang:
                     continue
-                bound = max(
+                age_ms = now.mono_ms - run.began_ms
+                # A task that is longer than estimated gets more time with each run.
+                bound_ms = max(
                     self.limits.overdue_min_ms,
                     int(run.step.estimate_ms * self.limits.overdue_factor),
+                ) << min(run.number - 1, 4)
+                idle = run.idle_looks >= self.limits.idle_looks and age_ms > self.limits.idle_ms
+                if not idle and age_ms <= bound_ms:
+                    continue
+                self._log(
+                    "run_stalled",
+                    task=_name(run.task),
+                    worker=worker.id,
+                    age_ms=age_ms,
+                    idle=idle,
                 )
-                if run.began_ms and now.mono_ms - run.began_ms > bound:
-                    self._log("run_overdue", task=_name(run.task), worker=worker.id)
-                    worker.blocked_until_ms = now.mono_ms + self.limits.quarantine_ms
-                    self._stop(worker, run, now)
+                worker.blocked_until_ms = now.mono_ms + self.limits.quarantine_ms
+                self._stop(worker, run, now)
 
     def tick(self, now: Now) -> list[Effect]:
         """Do what is due by the clock."""
         self._expire_leases(now)
         self._retry_stops(now)
-        self._stop_overdue(now)
+        self._stop_stalled(now)
         return self.advance(now)
 
     def advance(self, now: Now) -> list[Effect]:
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -42,6 +42,8 @@
     attempts: int = 0
     percent: int = 100
     figure: float | None = None
+    # Holds in a row that showed no processor in use.
+    idle_looks: int = 0
     # Time for which a serving task has been over its bound.
     over_since_ms: int | None = None
 
--- a/packages/service/src/fescuecrank_service/http_calls.py
+++ b/packages/service/src/fescuecrank_service/http_calls.py
@@ -52,10 +52,10 @@
             follow_redirects=False,
             decompress_response=False,
         )
-        response = await self._client.fetch(req, raise_error=False)
-        if response.code != 599:
-            return Ok(response)
-        exc = response.error
-        sent = not (isinstance(exc, CurlError) and exc.errno in NOT_SENT)
+        try:
+            return Ok(await self._client.fetch(req, raise_error=False))
+        except CurlError as exc:
+            failure = exc
+        sent = failure.errno not in NOT_SENT
         kind = FailureKind.TIMEOUT if sent else FailureKind.UNAVAILABLE
-        return Err(Failure(kind, step, address, str(exc)))
+        return Err(Failure(kind, step, address, str(failure)))
