Give room first to the largest set of jobs that can end on time; bound the wait for silent workers

(3) a restarted fleet waited for the silence of a leader that was known to be gone. Under overload the order by due time made most jobs late.

--- a/packages/scheduler/src/fescuecrank_scheduler/leadership.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -9,6 +9,10 @@
 from fescuecrank_scheduler.records import Leadership
 
 
+# Claims of a vacant leadership are spread over this part of the usual time.
+VACANT_HASTE = 4
+
+
 class Role(enum.StrEnum):
     """Part that this process plays."""
 
@@ -36,10 +40,17 @@
     _seen_ms: int = 0
     _delay_ms: int = 0
 
-    def observe(self, leader: Leadership | None, now_ms: int) -> None:
+    def observe(self, leader: Leadership | None, now_ms: int, wall_ms: int) -> None:
         """Note the newest leadership record of the store."""
         if leader != self._seen:
+            first = self._seen is None
             self._seen, self._seen_ms = leader, now_ms
+            if first and leader is not None:
+                # The record may be older than this process. A wrong clock only makes the claim
+                # early, which costs a change of leader.
+                age_ms = max(0, wall_ms - leader.wall_ms)
+                own = leader.holder == self.name
+                self._seen_ms -= self.limits.leader_silence_ms if own else age_ms
             self._delay_ms = self.rng.randrange(self.limits.claim_spread_ms)
 
     def store_returned(self, now_ms: int) -> None:
@@ -51,15 +62,16 @@
         if self.role is not Role.FOLLOWER:
             return False
         vacant = self._seen is None or not self._seen.holder
-        silence = 0 if vacant else self.limits.leader_silence_ms
-        return now_ms - self._seen_ms >= silence + self._delay_ms
+        if vacant:
+            return now_ms - self._seen_ms >= self._delay_ms // VACANT_HASTE
+        return now_ms - self._seen_ms >= self.limits.leader_silence_ms + self._delay_ms
 
-    def claim(self) -> Leadership:
+    def claim(self, wall_ms: int) -> Leadership:
         """Become a candidate and return the record that claims the leadership."""
         self.role = Role.CANDIDATE
         self.epoch = (self._seen.epoch if self._seen else 0) + 1
         self.nonce = self.rng.getrandbits(40)
-        return Leadership(self.epoch, self.name, 0, self.nonce)
+        return Leadership(self.epoch, self.name, 0, self.nonce, wall_ms)
 
     def owns(self, leader: Leadership | None) -> bool:
         """Return whether a leadership record is this process's own."""
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -15,6 +15,8 @@
     clock_drift: float = 0.02
     # A hold waits this long for an end; shorter waits cost calls, longer ones use up the lease.
     hold_wait_ms: int = 1_500
+    # Pause between two holds; ends in this time are listed together.
+    hold_gap_ms: int = 40
     # Pause before a hold is repeated after a failure.
     hold_retry_ms: int = 250
     # Without an answer for this long a worker gets no new runs.
@@ -29,7 +31,7 @@
     # Spread of the claims of several candidates.
     claim_spread_ms: int = 400
     # A leader without a renewal for this long stops renewing leases of workers.
-    leader_validity_ms: int = 8_000
+    leader_validity_ms: int = 3_500
     # Copies of the store older than this answer no negative look-ups.
     stale_ms: int = 2_000
     # Ends listed within this time of each other share one append.
@@ -41,11 +43,9 @@
     # A run that takes this many times its estimate is started elsewhere; estimates are far off.
     overdue_factor: float = 6.0
     overdue_min_ms: int = 4_000
-    # A run that uses no processor in this many looks, and is this old, is started elsewhere.
-    idle_looks: int = 2
-    idle_ms: int = 1_200
-    # A lasting task is counted as away until it has run this long.
-    settle_ms: int = 2_000
+    # A run whose progress does not rise for this long is started elsewhere; on a worker that is
+    # several times slower than usual it still rises.
+    idle_ms: int = 1_400
     # Failures in a row after which a worker is left alone.
     failure_streak: int = 3
     quarantine_ms: int = 4_000
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -34,6 +34,10 @@
 EMPTY_MS = 2_500
 
 
+# Progress of a lasting task that has finished its startup.
+AT_WORK = 100
+
+
 class Step(enum.StrEnum):
     """Progress of one machine of a wave."""
 
@@ -230,10 +234,10 @@
                 continue
             for run in list(worker.runs.values()):
                 if run.step.lasting and run.state is RunState.RUNNING:
-                    if self._may_stop(run, now):
+                    if self._may_stop(run):
                         self.scheduler.stop_run(worker, run, now)
 
-    def _may_stop(self, run: Run, now: Now) -> bool:
+    def _may_stop(self, run: Run) -> bool:
         # Steps that state no bound are moved one task at a time.
         allowed = 1 if run.step.may_miss is None else run.step.may_miss
         job = self.scheduler.table.jobs.get(run.task.job)
@@ -241,15 +245,15 @@
             return True
         away = 0
         for task in job.tasks.get((run.task.occurrence, run.task.step), ()):
-            if task.id != run.task and not self._at_work(task.id, now):
+            if task.id != run.task and not self._at_work(task.id):
                 away += 1
         return away < allowed
 
-    def _at_work(self, task_id: TaskId, now: Now) -> bool:
+    def _at_work(self, task_id: TaskId) -> bool:
         worker = self.scheduler.workers.get(self.scheduler.placed.get(task_id, ""))
         run = worker.runs.get(task_id) if worker else None
         return (
             run is not None
             and run.state is RunState.RUNNING
-            and now.mono_ms - run.began_ms >= self.limits.settle_ms
+            and run.percent >= AT_WORK
         )
--- a/packages/scheduler/src/fescuecrank_scheduler/ordering.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/ordering.py
@@ -1,49 +1,101 @@
 """Order in which jobs get room.
 
-Load pattern: each queue in turn asks several times the room of its pool for some seconds. Jobs that
-can still end on time go first, by the time at which they must start; jobs that are late already
-earn little and take what is left.
+Load pattern: each queue in turn asks several times the room of its pool for some seconds. Serving
+all of its jobs a little would make all of them late. The order therefore gives room first to a set
+of jobs that can all end on time, as large as possible: Moore and Hodgson's rule for one machine,
+with the pool taken as one machine of its joint speed. Jobs outside the set take what is left, the
+smallest first.
 """
 
+import heapq
+from collections.abc import Iterable
+
 import attrs
 
 from fescuecrank_scheduler.fleet import FleetConfig
 from fescuecrank_scheduler.jobs import Job, Phase
 
+# Share of a run's work that is still to be done, on average, while it is under way.
+UNDER_WAY = 0.5
 
-@attrs.frozen(order=True)
-class Rank:
-    """Sort key of a job; the lowest goes first."""
-
-    late: bool
-    priority: int
-    start_by_ms: int
-    job: str
 
+@attrs.frozen
+class Demand:
+    """What a job still asks of its pool."""
 
-def remaining_ms(job: Job) -> int:
-    """Return the estimated length of the longest chain of steps that are not done."""
-    lengths: list[int] = []
-    for number, step in enumerate(job.steps):
-        before = max((lengths[earlier] for earlier in step.after), default=0)
-        tasks = job.tasks.get((0, number))
-        done = tasks is not None and all(task.phase is Phase.DONE for task in tasks)
-        lengths.append(before + (0 if done else step.estimate_ms))
-    return max(lengths, default=0)
+    job: Job
+    # Work in milliseconds of a core.
+    work: float
+    # Longest chain of steps that are not done.
+    chain_ms: float
+    # Wall-clock time at which the job stops being on time.
+    due_ms: float
+    priority: int
+    lasting: bool
 
 
-def due_ms(job: Job, config: FleetConfig) -> int:
+def due_ms(job: Job, config: FleetConfig) -> float:
     """Return the wall-clock time at which a job without a schedule stops being on time."""
     queue = config.queue(job.queue)
     if queue is None:
         return job.accepted_ms + job.chain_ms()
-    return job.accepted_ms + int(queue.stretch * job.chain_ms()) + queue.objective_ms
+    return job.accepted_ms + queue.stretch * job.chain_ms() + queue.objective_ms
 
 
-def rank(job: Job, config: FleetConfig, wall_ms: int) -> Rank:
-    """Return the place of a job among those that wait for room in the same pool."""
+def demand(job: Job, config: FleetConfig) -> Demand:
+    """Return what a job still asks for, from its estimates and its progress."""
+    work = 0.0
+    chains: list[float] = []
+    for number, step in enumerate(job.steps):
+        tasks = job.tasks.get((0, number))
+        phases = [task.phase for task in tasks] if tasks else [Phase.WAITING] * step.count
+        waiting = phases.count(Phase.WAITING)
+        under_way = phases.count(Phase.ASSIGNED)
+        work += (waiting + UNDER_WAY * under_way) * step.need.cpu / 1_000 * step.estimate_ms
+        share = 1.0 if waiting else UNDER_WAY if under_way else 0.0
+        before = max((chains[earlier] for earlier in step.after), default=0.0)
+        chains.append(before + share * step.estimate_ms)
     queue = config.queue(job.queue)
-    priority = queue.priority if queue else 0
-    start_by = due_ms(job, config) - remaining_ms(job)
-    lasting = any(step.lasting for step in job.steps)
-    return Rank(not lasting and start_by < wall_ms, priority, start_by, job.id)
+    return Demand(
+        job,
+        work,
+        max(chains, default=0.0),
+        due_ms(job, config),
+        queue.priority if queue else 0,
+        any(step.lasting for step in job.steps),
+    )
+
+
+def on_time_set(demands: Iterable[Demand], cores: float, now_ms: float) -> set[str]:
+    """Return the ids of jobs that can all end on time on `cores` cores."""
+    end_ms = now_ms
+    chosen: list[tuple[float, str]] = []
+    for each in sorted(demands, key=lambda each: each.due_ms):
+        if now_ms + each.chain_ms > each.due_ms:
+            continue
+        share_ms = each.work / max(cores, 1.0)
+        end_ms += share_ms
+        heapq.heappush(chosen, (-share_ms, each.job.id))
+        if end_ms > each.due_ms:
+            # The set is too large; without its largest member it fits again.
+            largest, _ = heapq.heappop(chosen)
+            end_ms += largest
+    return {job_id for _, job_id in chosen}
+
+
+def arrange(
+    jobs: Iterable[Job], config: FleetConfig, cores: float, now_ms: float
+) -> list[Job]:
+    """Return the jobs of one pool in the order in which they get room.
+
+    `cores` is the joint speed of the pool's workers, `now_ms` the wall clock.
+    """
+    demands = [demand(job, config) for job in jobs]
+    chosen = on_time_set((each for each in demands if not each.lasting), cores, now_ms)
+
+    def place(each: Demand) -> tuple[bool, int, bool, float, str]:
+        late = each.job.id not in chosen
+        order = each.work if late else each.due_ms - each.chain_ms
+        return (not each.lasting, each.priority, late, order, each.job.id)
+
+    return [each.job for each in sorted(demands, key=place)]
--- a/packages/scheduler/src/fescuecrank_scheduler/records.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/records.py
@@ -65,6 +65,10 @@
     beat: int
     # Claims that race each other differ in it.
     nonce: int = 0
+    # Wall clock of the holder.
+    wall_ms: int = 0
+    # Workers whose leases the holder does not renew, with the time that they had left.
+    silent: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -136,7 +140,14 @@
 
 def encode_leadership(leader: Leadership) -> Record:
     """Return the record of a claim, a renewal or a resignation."""
-    value = [leader.epoch, leader.holder, leader.beat, leader.nonce]
+    value = [
+        leader.epoch,
+        leader.holder,
+        leader.beat,
+        leader.nonce,
+        leader.wall_ms,
+        leader.silent,
+    ]
     return Record(LEADER_KEY, orjson.dumps(value))
 
 
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -21,7 +21,7 @@
 from fescuecrank_scheduler.leadership import Election, Role
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.maintenance import Maintenance
-from fescuecrank_scheduler.records import LEADER_KEY, encode_leadership
+from fescuecrank_scheduler.records import LEADER_KEY, Leadership, encode_leadership
 from fescuecrank_scheduler.scheduler import Scheduler
 
 # After the request to stop, connections are served for this long: the balancer notices a process
@@ -50,6 +50,7 @@
     _progress_end: int = 0
     _claim_offset: int | None = None
     _claim_sequence: int = 0
+    _leader_before: Leadership | None = None
     _stopping_ms: int | None = None
     _out: list[Effect] = attrs.field(factory=list)
 
@@ -149,7 +150,7 @@
         self._read_ms[event.topic] = now.mono_ms
         if event.topic is Topic.PROGRESS:
             self._progress_end = event.end
-            self.election.observe(self.table.leader, now.mono_ms)
+            self.election.observe(self.table.leader, now.mono_ms, now.wall_ms)
             self._check_claim(now)
         if len(self._read_ms) == len(Topic):
             self.intake.fresh_ms = min(self._read_ms.values())
@@ -174,7 +175,8 @@
     # Leadership.
 
     def _claim(self, now: Now) -> None:
-        leader = self.election.claim()
+        self._leader_before = self.table.leader
+        leader = self.election.claim(now.wall_ms)
         self._claim_offset = None
         # Claims with the same epoch must not look like repeats of one append.
         sequence = self.rng.getrandbits(40)
@@ -194,6 +196,7 @@
         self.scheduler = Scheduler(
             self.name, self.limits, self.table, self.config, leader, self._claim_sequence + 1
         )
+        self.scheduler.leader_before = self._leader_before
         self.maintenance = Maintenance(self.scheduler, self.limits)
         self._out.append(SetFollow(Follow.LEADER))
         self.table.take_changed()
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -50,7 +50,8 @@
     starts: list[tuple[str, TaskId, int]]
     outcomes: dict[str, Outcome]
     acks: dict[str, int]
-    beat: bool
+    # Workers that a renewal reports as silent; None if the append holds no renewal.
+    silent: dict[str, int] | None
 
 
 @attrs.define
@@ -64,6 +65,8 @@
     leader: Leadership
     # Sequence number of the next append under this epoch.
     sequence: int
+    # The record that this leadership replaced.
+    leader_before: Leadership | None = None
     workers: dict[str, Worker] = attrs.field(factory=dict)
     usage: Usage = attrs.field(factory=Usage)
     advice: AdviceBook = attrs.field(factory=AdviceBook)
@@ -86,6 +89,7 @@
     _pass_due: bool = True
     _listed: bool = False
     _beat_sent_ms: int = 0
+    _inherited: dict[str, int] = attrs.field(factory=dict)
     _foreign_stops: dict[tuple[str, TaskId], int] = attrs.field(factory=dict)
     _out: list[Effect] = attrs.field(factory=list)
 
@@ -95,16 +99,21 @@
         """Take over the runs that the store records."""
         self.started_ms = self.renewed_ms = now.mono_ms
         limits = self.limits
-        old_lease = int(
-            (limits.leader_validity_ms + limits.lease_ms) / (1 - limits.clock_drift)
-        )
+        stretch = 1 / (1 - limits.clock_drift)
+        renewed_ms = limits.leader_validity_ms
+        if self.leader_before is not None and not self.leader_before.holder:
+            # A leader that has resigned renews no leases.
+            renewed_ms = 0
+        old_lease = int((renewed_ms + limits.lease_ms) * stretch)
+        self._inherited = self.leader_before.silent if self.leader_before else {}
         adopted = 0
         for job in self.table.jobs.values():
             self._waiting.add(job.id)
             for task in _tasks(job):
                 if task.phase is Phase.ASSIGNED:
                     worker = self._worker(task.worker)
-                    worker.lease_until_ms = now.mono_ms + old_lease
+                    left_ms = self._inherited.get(worker.id, old_lease)
+                    worker.lease_until_ms = now.mono_ms + min(left_ms, old_lease)
                     self._place(worker, job, task, RunState.SENT, now)
                     worker.runs[task.id].settled_ms = now.mono_ms
                     adopted += 1
@@ -174,7 +183,8 @@
             return
         worker.hold_open = False
         if event.result is CallResult.OK and event.reply is not None:
-            worker.hold_next_ms = now.mono_ms
+            # Ends that follow each other closely share one answer.
+            worker.hold_next_ms = now.mono_ms + self.limits.hold_gap_ms
             self._compare(worker, event.reply, now)
         else:
             worker.hold_next_ms = now.mono_ms + self.limits.hold_retry_ms
@@ -294,10 +304,9 @@
             row = listed.get(task)
             if row is not None and row.run == run.number:
                 run.checkpoint = row.checkpoint or run.checkpoint
+                if row.percent != run.percent or not run.progress_ms:
+                    run.progress_ms = now.mono_ms
                 run.percent, run.figure = row.percent, row.figure
-                # Serving tasks report their response times instead of the processor in use.
-                working = run.step.target_ms or row.figure is None or row.figure > 0
-                run.idle_looks = 0 if working else run.idle_looks + 1
                 if run.state is RunState.SENT:
                     run.state = RunState.RUNNING
                 run.began_ms = run.began_ms or now.mono_ms
@@ -457,8 +466,8 @@
                 for worker in self.workers.values()
                 if worker.pool == pool and worker.usable(now.mono_ms, self.limits)
             ]
-            jobs.sort(key=lambda job: ordering.rank(job, self.config, now.wall_ms))
-            for job in jobs:
+            cores = sum(worker.capacity.cpu for worker in usable) / 1_000
+            for job in ordering.arrange(jobs, self.config, cores, now.wall_ms):
                 self._schedule_job(job, usable, now)
 
     def _schedule_job(self, job: Job, usable: list[Worker], now: Now) -> None:
@@ -595,11 +604,29 @@
                     self._send_start(worker, run, now)
                 else:
                     self._run_ended(worker, run, "withdrawn", "", now)
+        if flush.silent is not None:
+            for worker in self.workers.values():
+                worker.reported_silent = worker.id in flush.silent
         for worker_id, number in flush.acks.items():
             worker = self.workers.get(worker_id)
             if worker is not None and worker.seen >= number:
                 worker.acked = max(worker.acked, number)
 
+    def _silent_workers(self, now: Now) -> dict[str, int]:
+        """Return the time left of each lease that is not renewed since its worker is silent.
+
+        A successor then need not assume that this leader has renewed it up to its end.
+        """
+        silent = {}
+        for worker in self.workers.values():
+            if not worker.runs or now.mono_ms - worker.answered_ms < self.limits.silent_ms:
+                continue
+            fresh = now.mono_ms - self.started_ms < self.limits.renew_ms
+            if worker.answered_ms or not fresh or worker.id in self._inherited:
+                silent[worker.id] = max(0, worker.lease_until_ms - now.mono_ms)
+                worker.reported_silent = True
+        return silent
+
     def store(self, record: Record) -> None:
         """Append a further record with the next flush."""
         self._extra.append(record)
@@ -624,15 +651,21 @@
         records.extend(self._extra)
         if beat_due:
             self._beat_sent_ms = now.mono_ms
-            holder = "" if self.resigning else self.leader.holder
-            self.leader = attrs.evolve(self.leader, holder=holder, beat=self.leader.beat + 1)
+            self.leader = attrs.evolve(
+                self.leader,
+                holder="" if self.resigning else self.leader.holder,
+                beat=self.leader.beat + 1,
+                wall_ms=now.wall_ms,
+                silent=self._silent_workers(now),
+            )
             records.append(encode_leadership(self.leader))
         acks = {
             worker.id: worker.seen
             for worker in self.workers.values()
             if worker.seen > worker.acked
         }
-        self._flush = Flush(self.sequence, self._planned, outcomes, acks, beat_due)
+        silent = self.leader.silent if beat_due else None
+        self._flush = Flush(self.sequence, self._planned, outcomes, acks, silent)
         self._planned, self._dirty, self._extra = [], set(), []
         self._flushed_ms = now.mono_ms
         if not records:
@@ -651,13 +684,14 @@
 
     def _expire_leases(self, now: Now) -> None:
         for worker in list(self.workers.values()):
-            if worker.runs and now.mono_ms > worker.lease_until_ms:
+            started = any(run.state is not RunState.PLANNED for run in worker.runs.values())
+            if started and now.mono_ms > worker.lease_until_ms:
                 self._lose_runs(worker, "lease_over", now)
             if not worker.listed and not worker.runs:
                 self.workers.pop(worker.id, None)
 
     def _renew_leases(self, now: Now) -> None:
-        if now.mono_ms - self.renewed_ms >= self.limits.leader_validity_ms:
+        if self.resigned or now.mono_ms - self.renewed_ms >= self.limits.leader_validity_ms:
             return
         for worker in self.workers.values():
             if not worker.hold_open and worker.address and now.mono_ms >= worker.hold_next_ms:
@@ -702,15 +736,16 @@
                     self.limits.overdue_min_ms,
                     int(run.step.estimate_ms * self.limits.overdue_factor),
                 ) << min(run.number - 1, 4)
-                idle = run.idle_looks >= self.limits.idle_looks and age_ms > self.limits.idle_ms
-                if not idle and age_ms <= bound_ms:
+                looked = run.progress_ms and worker.answered_ms > run.progress_ms
+                idle_ms = worker.answered_ms - run.progress_ms if looked else 0
+                if idle_ms <= self.limits.idle_ms and age_ms <= bound_ms:
                     continue
                 self._log(
                     "run_stalled",
                     task=_name(run.task),
                     worker=worker.id,
                     age_ms=age_ms,
-                    idle=idle,
+                    idle_ms=idle_ms,
                 )
                 worker.blocked_until_ms = now.mono_ms + self.limits.quarantine_ms
                 self._stop(worker, run, now)
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -40,10 +40,11 @@
     # When the run was first known to be running.
     began_ms: int = 0
     attempts: int = 0
-    percent: int = 100
+    # Progress of a task that ends; a lasting task is at work at 100.
+    percent: int = 0
     figure: float | None = None
-    # Holds in a row that showed no processor in use.
-    idle_looks: int = 0
+    # When the progress of the run last rose.
+    progress_ms: int = 0
     # Time for which a serving task has been over its bound.
     over_since_ms: int | None = None
 
@@ -72,6 +73,8 @@
     # By this time every lease that was ever granted has run out.
     lease_until_ms: int = 0
     answered_ms: int = 0
+    # Whether the store says that the lease is not renewed; it is not while that stands.
+    reported_silent: bool = False
     hold_number: int = 0
     hold_sent_ms: int = 0
     hold_open: bool = False
@@ -114,7 +117,8 @@
         """
         if self.clock_ms is None:
             return None
-        if now_ms - self.answered_ms < limits.silent_ms or self.granted_ms is None:
+        answering = now_ms - self.answered_ms < limits.silent_ms and not self.reported_silent
+        if answering or self.granted_ms is None:
             passed = (now_ms - self.clock_at_ms) * (1 - limits.clock_drift)
             self.granted_ms = int(self.clock_ms + passed + limits.lease_ms)
             longest = int(limits.lease_ms / (1 - limits.clock_drift)) + 1
