Move machines between pools as demand moves

Cause: under bursts the asked pool lacks room (half of the jobs waited 498 ms for their first start, 95 % up to 7.2 s) while the stand-by pool's machines are off.

--- a/packages/platform/src/fescuecrank_platform/fleet_calls.py
+++ b/packages/platform/src/fescuecrank_platform/fleet_calls.py
@@ -6,6 +6,8 @@
 from fescuecrank_service.clients import FleetCalls
 from fescuecrank_service.http_calls import HttpCaller
 
+from fescuecrank_platform.configuration import amounts
+
 LIST_TIMEOUT_MS = 1_500
 ORDER_TIMEOUT_MS = 1_500
 ADVICE_TIMEOUT_MS = 3_000
@@ -49,7 +51,13 @@
             try:
                 plain = orjson.loads(answer.ok_value.body)
                 rows += [
-                    MachineRow(row["machine"], row["pool"], row["state"], row.get("id") or "")
+                    MachineRow(
+                        row["machine"],
+                        row["pool"],
+                        row["state"],
+                        row.get("id") or "",
+                        amounts(row.get("capacity")),
+                    )
                     for row in plain["machines"]
                 ]
                 token = plain.get("next_token") or ""
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -0,0 +1,228 @@
+"""Moves machines between pools as demand moves.
+
+Load pattern: each pool in turn is asked for several times its room for some seconds and is almost
+idle in between. Machines without runs go from the stand-by pool, or from a pool with room to spare,
+to the pool whose waiting work is longest. A borrowed machine that has been idle for some time is
+switched off again, or returns to its own pool where there is no stand-by pool.
+"""
+
+import math
+
+import attrs
+
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.effects import Effect, LogLine, MoveMachine
+from fescuecrank_scheduler.events import MachineRow, OrderResult
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.maintenance import Maintenance
+from fescuecrank_scheduler.scheduler import Scheduler
+from fescuecrank_scheduler.workers import Worker
+
+# Waiting work that the pool itself does within this time needs no help: a move takes longer.
+PRESSURE_MS = 500
+
+# Help is sized so that the waiting work is done in this time.
+RELIEF_MS = 1_000
+
+# A borrowed machine idles this long before it is switched off; its cost in this time is that of
+# two moves.
+IDLE_MS = 2_000
+
+# A pool lends a machine only while it uses less than this share of its processors.
+LENDER_USE = 0.4
+
+# Time in which a moved machine's new worker has appeared and answered, besides the move itself.
+SETTLE_MS = 4_000
+
+# An order without an answer is repeated after this time; it has no effect the second time.
+ORDER_RETRY_MS = 900
+
+
+@attrs.define
+class Move:
+    """One machine on its way to a pool."""
+
+    machine: str
+    pool: str
+    sent_ms: int
+    # When the platform confirmed the move.
+    done_ms: int | None = None
+
+
+@attrs.define
+class PoolState:
+    """Load of one pool."""
+
+    cores: float = 0.0
+    used: float = 0.0
+    # Cores on their way here.
+    coming: float = 0.0
+    # Waiting work in milliseconds of a core.
+    waiting: float = 0.0
+
+    @property
+    def pressure_ms(self) -> float:
+        """Time that the pool needs for its waiting work."""
+        return self.waiting / max(1.0, self.cores + self.coming)
+
+
+@attrs.define
+class Balancer:
+    """Moves of one leadership."""
+
+    scheduler: Scheduler
+    maintenance: Maintenance
+    limits: Limits
+    # Pool of each machine when this leader first saw it.
+    homes: dict[str, str] = attrs.field(factory=dict)
+    moves: dict[str, Move] = attrs.field(factory=dict)
+    _idle_since: dict[str, int] = attrs.field(factory=dict)
+    _out: list[Effect] = attrs.field(factory=list)
+
+    def order_done(self, machine: str, result: OrderResult, now: Now) -> None:
+        """Take note of the answer to a move."""
+        move = self.moves.get(machine)
+        if move is None or move.done_ms is not None:
+            return
+        fields = {"machine": machine, "pool": move.pool, "result": result.value}
+        self._out.append(LogLine("machine_moved", fields))
+        if result is OrderResult.OK:
+            move.done_ms = now.mono_ms
+        elif result is OrderResult.FENCED:
+            self.scheduler.fenced = True
+        elif result is not OrderResult.NO_ANSWER:
+            self.moves.pop(machine)
+
+    def tick(self, now: Now) -> list[Effect]:
+        """Start the moves that are worth their price."""
+        if self.maintenance.rows_ms >= 0:
+            self._follow_moves(now)
+            pools = self._pools()
+            self._relieve(pools, now)
+            self._park(pools, now)
+        out, self._out = self._out, []
+        return out
+
+    def _follow_moves(self, now: Now) -> None:
+        for name, row in self.maintenance.rows.items():
+            self.homes.setdefault(name, row.pool)
+        for move in list(self.moves.values()):
+            if move.done_ms is not None:
+                row = self.maintenance.rows.get(move.machine)
+                listed = self.maintenance.rows_ms > move.done_ms
+                there = row is not None and row.pool == move.pool and row.state == "up"
+                arrived = listed and there and self._usable_on(move.machine, move.pool, now)
+                if arrived or now.mono_ms - move.done_ms > SETTLE_MS:
+                    del self.moves[move.machine]
+            elif now.mono_ms - move.sent_ms >= ORDER_RETRY_MS:
+                move.sent_ms = now.mono_ms
+                self._order(move)
+
+    def _order(self, move: Move) -> None:
+        epoch = self.scheduler.leader.epoch
+        self._out.append(MoveMachine(move.machine, move.pool, epoch))
+
+    def _usable_on(self, machine: str, pool: str, now: Now) -> bool:
+        return any(
+            worker.machine == machine
+            and worker.pool == pool
+            and worker.usable(now.mono_ms, self.limits)
+            for worker in self.scheduler.workers.values()
+        )
+
+    def _pools(self) -> dict[str, PoolState]:
+        pools = {
+            name: PoolState(waiting=self.scheduler.waiting_work.get(name, 0.0))
+            for name, pool in self.scheduler.config.pools.items()
+            if not pool.standby
+        }
+        for worker in self.scheduler.workers.values():
+            state = pools.get(worker.pool)
+            if state is not None and worker.listed and worker.ready and not worker.cordoned:
+                state.cores += worker.capacity.cpu / 1_000
+                state.used += worker.used.cpu / 1_000
+        for move in self.moves.values():
+            if move.pool in pools:
+                pools[move.pool].coming += self._cores(move.machine)
+        return pools
+
+    def _cores(self, machine: str) -> float:
+        row = self.maintenance.rows.get(machine)
+        return row.capacity.cpu / 1_000 if row else 0.0
+
+    def _standby(self) -> str | None:
+        names = [name for name, pool in self.scheduler.config.pools.items() if pool.standby]
+        return min(names) if names else None
+
+    # Help for a pool under pressure.
+
+    def _relieve(self, pools: dict[str, PoolState], now: Now) -> None:
+        ranked = sorted(pools.items(), key=lambda item: -item[1].pressure_ms)
+        for name, state in ranked:
+            if state.pressure_ms <= PRESSURE_MS:
+                return
+            missing = state.waiting / RELIEF_MS - state.cores - state.coming
+            while missing > 0:
+                machine = self._lendable(name, pools)
+                if machine is None:
+                    return
+                self._move(machine, name, "pressure", now)
+                missing -= max(1.0, self._cores(machine))
+
+    def _lendable(self, target: str, pools: dict[str, PoolState]) -> str | None:
+        """Return a machine that can go to `target`, best from the stand-by pool."""
+        rows = [row for row in self.maintenance.rows.values() if self._free(row)]
+        standby = self._standby()
+        for row in rows:
+            if row.pool == standby:
+                return row.machine
+        for row in rows:
+            state = pools.get(row.pool)
+            if state is None or row.pool == target:
+                continue
+            left = state.cores - self._cores(row.machine)
+            worker = self._worker(row.machine)
+            idle = worker is not None and not worker.runs
+            if idle and not state.waiting and left > 0 and state.used < LENDER_USE * left:
+                state.cores = left
+                return row.machine
+        return None
+
+    def _free(self, row: MachineRow) -> bool:
+        return (
+            row.state == "up"
+            and row.machine not in self.moves
+            and not self.maintenance.busy_with(row.machine)
+        )
+
+    def _worker(self, machine: str) -> Worker | None:
+        for worker in self.scheduler.workers.values():
+            if worker.machine == machine and worker.listed:
+                return worker
+        return None
+
+    def _move(self, machine: str, pool: str, reason: str, now: Now) -> None:
+        worker = self._worker(machine)
+        if worker is not None:
+            worker.cordoned = True
+        move = Move(machine, pool, now.mono_ms)
+        self.moves[machine] = move
+        self._idle_since.pop(machine, None)
+        fields = {"machine": machine, "pool": pool, "reason": reason}
+        self._out.append(LogLine("machine_move", fields))
+        self._order(move)
+
+    # Borrowed machines that are not needed any more.
+
+    def _park(self, pools: dict[str, PoolState], now: Now) -> None:
+        for row in self.maintenance.rows.values():
+            home = self.homes.get(row.machine, row.pool)
+            if row.pool not in pools or row.pool == home or not self._free(row):
+                continue
+            worker = self._worker(row.machine)
+            if worker is None or worker.runs or pools[row.pool].waiting:
+                self._idle_since.pop(row.machine, None)
+                continue
+            since = self._idle_since.setdefault(row.machine, now.mono_ms)
+            if now.mono_ms - since >= IDLE_MS:
+                self._move(row.machine, home, "idle", now)
--- a/packages/scheduler/src/fescuecrank_scheduler/events.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/events.py
@@ -20,8 +20,8 @@
 
 
 @attrs.frozen
-class FlushDue(Event):
-    """An append that was held back may start."""
+class Wake(Event):
+    """Something that was held back is due."""
 
 
 @attrs.frozen
@@ -238,6 +238,7 @@
     # `up`, `moving`, `upkeep` or `down`.
     state: str
     worker: str
+    capacity: Amounts
 
 
 @attrs.frozen
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Collection
 
 import attrs
 
@@ -133,18 +134,28 @@
             case _:
                 each.next_ms = now.mono_ms + ORDER_RETRY_MS
 
-    def tick(self, now: Now) -> list[Effect]:
-        """Advance all waves."""
+    def busy_with(self, machine: str) -> bool:
+        """Return whether a wave is working on a machine."""
+        for wave in self.waves.values():
+            each = wave.machines.get(machine)
+            if each is not None and each.step is not Step.DONE and not wave.completed:
+                return True
+        return False
+
+    def tick(self, now: Now, moving: Collection[str]) -> list[Effect]:
+        """Advance all waves; the machines in `moving` are on their way to another pool."""
         active = [wave for wave in self.waves.values() if not wave.completed]
         wanted: set[str] = set()
-        if active:
+        if active or any(pool.standby for pool in self.scheduler.config.pools.values()):
             self._read(now)
         for wave in active:
             if self.rows_ms >= 0:
-                self._advance(wave, now)
+                self._advance(wave, now, moving)
             wanted.update(name for name, each in wave.machines.items() if each.step is not Step.DONE)
         for worker in self.scheduler.workers.values():
-            cordoned = bool(worker.machine) and worker.machine in wanted
+            cordoned = bool(worker.machine) and (
+                worker.machine in wanted or worker.machine in moving
+            )
             if worker.cordoned and not cordoned:
                 self.scheduler.request_pass()
             worker.cordoned = cordoned
@@ -157,13 +168,13 @@
             self._reading, self._read_ms = True, now.mono_ms
             self._out.append(ListMachines())
 
-    def _advance(self, progress: WaveProgress, now: Now) -> None:
+    def _advance(self, progress: WaveProgress, now: Now, moving: Collection[str]) -> None:
         if not progress.reported:
             progress.reported = True
             self._out.append(StoreWaveState(progress.wave.number, completed=False))
         for name, each in progress.machines.items():
             self._advance_machine(progress, name, each, now)
-        self._choose(progress, now)
+        self._choose(progress, now, moving)
         if not progress.left() and not progress.busy():
             progress.completed = True
             self._out.append(StoreWaveState(progress.wave.number, completed=True))
@@ -190,7 +201,7 @@
             if self.rows_ms >= each.since_ms + self.limits.maintenance_ms // 2:
                 each.step = Step.DONE
 
-    def _choose(self, progress: WaveProgress, now: Now) -> None:
+    def _choose(self, progress: WaveProgress, now: Now, moving: Collection[str]) -> None:
         left = [name for name in progress.left() if name in self.rows]
         for name in progress.left():
             if name not in self.rows:
@@ -198,7 +209,7 @@
         slots = min(progress.wave.cap, self._pace(progress, now)) - progress.busy()
         left.sort(key=self._load)
         for name in left[: max(0, slots)]:
-            if self.rows[name].state == "up":
+            if self.rows[name].state == "up" and name not in moving:
                 progress.machines[name] = MachineProgress(Step.EMPTYING, now.mono_ms)
                 self._out.append(
                     LogLine("machine_cordoned", {"machine": name, "wave": progress.wave.number})
--- a/packages/scheduler/src/fescuecrank_scheduler/ordering.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/ordering.py
@@ -66,6 +66,17 @@
     )
 
 
+def waiting_work(job: Job) -> float:
+    """Return the work of tasks whose turn has come and that do not run, in ms of a core."""
+    total = 0.0
+    for (occurrence, number), tasks in job.tasks.items():
+        waiting = sum(1 for task in tasks if task.phase is Phase.WAITING)
+        step = job.steps[number]
+        if waiting and not step.lasting and job.step_ready(occurrence, number):
+            total += waiting * step.need.cpu / 1_000 * step.estimate_ms
+    return total
+
+
 def on_time_set(demands: Iterable[Demand], cores: float, now_ms: float) -> set[str]:
     """Return the ids of jobs that can all end on time on `cores` cores."""
     end_ms = now_ms
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fescuecrank_scheduler import events
+from fescuecrank_scheduler.balancer import Balancer
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.effects import (
     Effect,
@@ -46,6 +47,7 @@
     election: Election = attrs.field(init=False)
     scheduler: Scheduler | None = None
     maintenance: Maintenance | None = None
+    balancer: Balancer | None = None
     _read_ms: dict[Topic, int] = attrs.field(factory=dict)
     _progress_end: int = 0
     _claim_offset: int | None = None
@@ -88,7 +90,7 @@
                 self._stored(event, now)
             case events.ShutDown():
                 self._shut_down(now)
-            case events.FlushDue():
+            case events.Wake():
                 pass
             case _:
                 self._to_scheduler(event, now)
@@ -120,6 +122,8 @@
                 maintenance.listed(event, now)
             case events.MachineOrderDone() if event.wave is not None:
                 maintenance.order_done(event.machine, event.wave, event.result, now)
+            case events.MachineOrderDone() if self.balancer is not None:
+                self.balancer.order_done(event.machine, event.result, now)
 
     def _configure(self, event: events.ConfigRead, now: Now) -> None:
         if event.config.version < self.config.version:
@@ -198,6 +202,7 @@
         )
         self.scheduler.leader_before = self._leader_before
         self.maintenance = Maintenance(self.scheduler, self.limits)
+        self.balancer = Balancer(self.scheduler, self.maintenance, self.limits)
         self._out.append(SetFollow(Follow.LEADER))
         self.table.take_changed()
         self._out += self.scheduler.begin(now)
@@ -212,7 +217,7 @@
     def _step_down(self, reason: str, now: Now) -> None:
         self._log("leadership_ended", epoch=self.election.epoch, reason=reason)
         self.election.give_up(now.mono_ms)
-        self.scheduler = self.maintenance = None
+        self.scheduler = self.maintenance = self.balancer = None
         self.table.forget_progress()
         self._read_ms.pop(Topic.PROGRESS, None)
         self._out.append(SetFollow(Follow.FOLLOWER, reload=True))
@@ -238,9 +243,10 @@
     # Time.
 
     def _tick(self, now: Now) -> None:
-        if self.scheduler is not None and self.maintenance is not None:
+        if self.scheduler is not None and self.maintenance and self.balancer:
             self._out += self.scheduler.tick(now)
-            self._out += self.maintenance.tick(now)
+            self._out += self.maintenance.tick(now, self.balancer.moves)
+            self._out += self.balancer.tick(now)
         elif self._may_claim(now):
             self._claim(now)
         if self._stopping_ms is not None:
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -77,6 +77,8 @@
     resigning: bool = False
     resigned: bool = False
     started_ms: int = 0
+    # Work that has not found room, by pool, in milliseconds of a core.
+    waiting_work: dict[str, float] = attrs.field(factory=dict)
     # Worker of each run that counts, by task.
     placed: dict[TaskId, str] = attrs.field(factory=dict)
     _flush: Flush | None = None
@@ -460,6 +462,7 @@
                 self._waiting.discard(job_id)
             elif queue is not None:
                 by_pool.setdefault(queue.pool, []).append(job)
+        self.waiting_work.clear()
         for pool, jobs in by_pool.items():
             usable = [
                 worker
@@ -469,6 +472,7 @@
             cores = sum(worker.capacity.cpu for worker in usable) / 1_000
             for job in ordering.arrange(jobs, self.config, cores, now.wall_ms):
                 self._schedule_job(job, usable, now)
+            self.waiting_work[pool] = sum(ordering.waiting_work(job) for job in jobs)
 
     def _schedule_job(self, job: Job, usable: list[Worker], now: Now) -> None:
         self._occurrences(job, now)
@@ -674,11 +678,16 @@
         self._out.append(StoreProgress(self.leader.epoch, self.sequence, tuple(records)))
         self.sequence += 1
 
-    @property
-    def flush_wait_ms(self) -> int | None:
-        """Time after which a flush that was held back may start; None if there is nothing."""
-        waiting = self._flush is None and (self._dirty or self._extra)
-        return self.limits.flush_gap_ms if waiting else None
+    def next_wake_ms(self, now: Now) -> int | None:
+        """Return the time until the next append or hold that is due; None if there is none."""
+        times = [
+            worker.hold_next_ms - now.mono_ms
+            for worker in self.workers.values()
+            if not worker.hold_open and worker.address
+        ]
+        if self._flush is None and (self._dirty or self._extra):
+            times.append(self._flushed_ms + self.limits.flush_gap_ms - now.mono_ms)
+        return max(1, min(times)) if times else None
 
     # Leases.
 
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import attrs
-from fescuecrank_core.clock import Clock
+from fescuecrank_core.clock import Clock, Instant
 from fescuecrank_core.errors import Failure
 from fescuecrank_scheduler import effects, events
 from fescuecrank_scheduler.effects import Effect, Follow
@@ -88,7 +88,8 @@
         self._failing: set[str] = set()
         self._calls: set[asyncio.Task[None]] = set()
         self._tick_ms = FOLLOWER_TICK_MS
-        self._flush_timer: asyncio.TimerHandle | None = None
+        self._wake: asyncio.TimerHandle | None = None
+        self._wake_ms = 0
         self._exited = asyncio.Event()
 
     # Life of the process.
@@ -108,21 +109,28 @@
 
     def post(self, event: Event) -> None:
         """Give one event to the reducer and carry out what it asks for."""
-        for effect in self.reducer.handle(event, self._clock.now()):
+        now = self._clock.now()
+        for effect in self.reducer.handle(event, now):
             self._carry_out(effect)
-        self._arm_flush()
+        self._arm_wake(now)
 
-    def _arm_flush(self) -> None:
-        """Wake the reducer when an append that it held back may start."""
+    def _arm_wake(self, now: Instant) -> None:
+        """Wake the reducer when something that it held back is due."""
         scheduler = self.reducer.scheduler
-        wait_ms = scheduler.flush_wait_ms if scheduler is not None else None
-        if wait_ms is not None and self._flush_timer is None:
-            loop = asyncio.get_running_loop()
-            self._flush_timer = loop.call_later(wait_ms / 1_000, self._flush_due)
-
-    def _flush_due(self) -> None:
-        self._flush_timer = None
-        self.post(events.FlushDue())
+        wait_ms = scheduler.next_wake_ms(now) if scheduler is not None else None
+        if wait_ms is None or wait_ms >= self._tick_ms:
+            return
+        due_ms = now.mono_ms + wait_ms
+        if self._wake is not None:
+            if due_ms >= self._wake_ms:
+                return
+            self._wake.cancel()
+        self._wake_ms = due_ms
+        self._wake = asyncio.get_running_loop().call_later(wait_ms / 1_000, self._wake_up)
+
+    def _wake_up(self) -> None:
+        self._wake = None
+        self.post(events.Wake())
 
     # Effects.
 
