--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -201,9 +201,9 @@
             self._out.append(
                 MaintainMachine(name, progress.wave.number, self.scheduler.leader.epoch)
             )
-        if each.step is Step.DOWN and row.state == "up":
-            if self.rows_ms >= each.since_ms + self.limits.maintenance_ms // 2:
-                each.step = Step.DONE
+        read_later = self.rows_ms >= each.since_ms + self.limits.maintenance_ms // 2
+        if each.step is Step.DOWN and row.state == "up" and read_later:
+            each.step = Step.DONE
 
     def _choose(self, progress: WaveProgress, now: Now, moving: Collection[str]) -> None:
         left = [name for name in progress.left() if name in self.rows]
@@ -248,9 +248,9 @@
             if not worker.cordoned and (worker.ready or not worker.listed):
                 continue
             for run in list(worker.runs.values()):
-                if run.step.lasting and run.state is RunState.RUNNING:
-                    if self._may_stop(run):
-                        self.scheduler.stop_run(worker, run, now)
+                movable = run.step.lasting and run.state is RunState.RUNNING
+                if movable and self._may_stop(run):
+                    self.scheduler.stop_run(worker, run, now)
 
     def _may_stop(self, run: Run) -> bool:
         # Steps that state no bound are moved one task at a time.
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -164,9 +164,9 @@
 
     def _check_claim(self, now: Now) -> None:
         leader = self.table.leader
-        if self.election.role is Role.LEADER and leader is not None:
-            if not self.election.owns(leader) and leader.epoch >= self.election.epoch:
-                self._step_down("replaced", now)
+        leading = self.election.role is Role.LEADER and leader is not None
+        if leading and not self.election.owns(leader) and leader.epoch >= self.election.epoch:
+            self._step_down("replaced", now)
         if self.election.role is not Role.CANDIDATE or self._claim_offset is None:
             return
         if self._progress_end <= self._claim_offset:
--- a/packages/scheduler/tests/fake_store.py
+++ b/packages/scheduler/tests/fake_store.py
@@ -42,9 +42,9 @@
                 return StoreResult.FENCED, -1
             if epoch == known.epoch and sequence in known.answers:
                 return StoreResult.STORED, known.answers[sequence]
-            if epoch == known.epoch and known.sequence is not None:
-                if sequence != known.sequence + 1:
-                    return StoreResult.FENCED, -1
+            follows = known.sequence is None or sequence == known.sequence + 1
+            if epoch == known.epoch and not follows:
+                return StoreResult.FENCED, -1
         if at is not None and at != self.end:
             return StoreResult.CONFLICT, self.end
         offset = self.end
--- a/packages/scheduler/tests/fake_worker.py
+++ b/packages/scheduler/tests/fake_worker.py
@@ -52,9 +52,10 @@
                 self._end(run, "lapsed")
             elif run.stop_at_ms is not None and now_ms >= run.stop_at_ms:
                 self._end(run, "stopped")
-            elif run.work_ms is not None and now_ms >= run.began_ms + run.work_ms:
-                if not self.hangs:
-                    self._end(run, "failed" if run.fails else "done")
+            elif run.work_ms is None or self.hangs:
+                continue
+            elif now_ms >= run.began_ms + run.work_ms:
+                self._end(run, "failed" if run.fails else "done")
 
     def _end(self, run: FakeRun, how: str) -> None:
         self.counter += 1
