--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -49,6 +49,8 @@
     # Failures in a row after which a worker is left alone.
     failure_streak: int = 3
     quarantine_ms: int = 4_000
+    # Room that becomes free in this time is given out together.
+    pass_gap_ms: int = 10
     # Waiting tasks are looked at again at least this often.
     pass_ms: int = 200
     # Validity that a ticket must have left when it is used.
--- a/packages/scheduler/src/fescuecrank_scheduler/ordering.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/ordering.py
@@ -13,25 +13,38 @@
 import attrs
 
 from fescuecrank_scheduler.fleet import FleetConfig
-from fescuecrank_scheduler.jobs import Job, Phase
+from fescuecrank_scheduler.jobs import Job, Phase, Task
 
 # Share of a run's work that is still to be done, on average, while it is under way.
 UNDER_WAY = 0.5
 
 
+@attrs.frozen
+class ReadyStep:
+    """Tasks of one step of one occurrence whose turn has come and that do not run."""
+
+    occurrence: int
+    number: int
+    tasks: tuple[Task, ...]
+
+
 @attrs.frozen
 class Demand:
-    """What a job still asks of its pool."""
+    """What a job still asks of its pool; it stays true until one of its tasks changes."""
 
     job: Job
-    # Work in milliseconds of a core.
+    # Work in milliseconds of a core: all that is left, and that whose turn has come.
     work: float
+    waiting_work: float
     # Longest chain of steps that are not done.
     chain_ms: float
     # Wall-clock time at which the job stops being on time.
     due_ms: float
     priority: int
     lasting: bool
+    ready: tuple[ReadyStep, ...]
+    # Whether any task that exists does not run.
+    waiting: bool
 
 
 def due_ms(job: Job, config: FleetConfig) -> float:
@@ -59,40 +72,39 @@
 
 def demand(job: Job, config: FleetConfig) -> Demand:
     """Return what a job still asks for, from its estimates and its progress."""
-    work = 0.0
-    chains: list[float] = []
-    occurrence = open_occurrence(job) if job.schedule else 0
-    for number, step in enumerate(job.steps):
-        tasks = job.tasks.get((occurrence, number))
-        phases = [task.phase for task in tasks] if tasks else [Phase.WAITING] * step.count
-        waiting = phases.count(Phase.WAITING)
-        under_way = phases.count(Phase.ASSIGNED)
-        work += (waiting + UNDER_WAY * under_way) * step.need.cpu / 1_000 * step.estimate_ms
-        share = 1.0 if waiting else UNDER_WAY if under_way else 0.0
-        before = max((chains[earlier] for earlier in step.after), default=0.0)
-        chains.append(before + share * step.estimate_ms)
     queue = config.queue(job.queue)
+    work = waiting_work = 0.0
+    ready: list[ReadyStep] = []
+    waiting_any = False
+    chains: dict[int, list[float]] = {}
+    for (occurrence, number), tasks in job.tasks.items():
+        step = job.steps[number]
+        waiting = tuple(task for task in tasks if task.phase is Phase.WAITING)
+        under_way = sum(1 for task in tasks if task.phase is Phase.ASSIGNED)
+        each_work = step.need.cpu / 1_000 * step.estimate_ms
+        work += (len(waiting) + UNDER_WAY * under_way) * each_work
+        share = 1.0 if waiting else UNDER_WAY if under_way else 0.0
+        lengths = chains.setdefault(occurrence, [])
+        before = max((lengths[earlier] for earlier in step.after), default=0.0)
+        lengths.append(before + share * step.estimate_ms)
+        if waiting:
+            waiting_any = True
+            if job.step_ready(occurrence, number):
+                ready.append(ReadyStep(occurrence, number, waiting))
+                waiting_work += 0.0 if step.lasting else len(waiting) * each_work
     return Demand(
         job,
         work,
-        max(chains, default=0.0),
+        waiting_work,
+        max((max(lengths) for lengths in chains.values()), default=0.0),
         due_ms(job, config),
         queue.priority if queue else 0,
         any(step.lasting for step in job.steps),
+        tuple(ready),
+        waiting_any,
     )
 
 
-def waiting_work(job: Job) -> float:
-    """Return the work of tasks whose turn has come and that do not run, in ms of a core."""
-    total = 0.0
-    for (occurrence, number), tasks in job.tasks.items():
-        waiting = sum(1 for task in tasks if task.phase is Phase.WAITING)
-        step = job.steps[number]
-        if waiting and not step.lasting and job.step_ready(occurrence, number):
-            total += waiting * step.need.cpu / 1_000 * step.estimate_ms
-    return total
-
-
 def on_time_set(demands: Iterable[Demand], cores: float, now_ms: float) -> set[str]:
     """Return the ids of jobs that can all end on time on `cores` cores."""
     end_ms = now_ms
@@ -110,12 +122,12 @@
     return {job_id for _, job_id in chosen}
 
 
-def arrange(jobs: Iterable[Job], config: FleetConfig, cores: float, now_ms: float) -> list[Job]:
+def arrange(demands: Iterable[Demand], cores: float, now_ms: float) -> list[Demand]:
     """Return the jobs of one pool in the order in which they get room.
 
     `cores` is the joint speed of the pool's workers, `now_ms` the wall clock.
     """
-    demands = [demand(job, config) for job in jobs]
+    demands = list(demands)
     chosen = on_time_set((each for each in demands if not each.lasting), cores, now_ms)
 
     def place(each: Demand) -> tuple[bool, int, bool, float, str]:
@@ -123,4 +135,4 @@
         order = each.work if late else each.due_ms - each.chain_ms
         return (not each.lasting, each.priority, late, order, each.job.id)
 
-    return [each.job for each in sorted(demands, key=place)]
+    return sorted(demands, key=place)
--- a/packages/scheduler/src/fescuecrank_scheduler/placement.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/placement.py
@@ -37,13 +37,14 @@
     best_rank: tuple[bool, int] | None = None
     need = step.room
     for worker in workers:
-        if not need.fits(worker.room):
+        room = worker.room
+        if need.cpu > room.cpu or not need.fits(room):
             continue
         if step.requires or step.anti_affinity:
             here = peers_on(worker, job, occurrence, step_number) if step.anti_affinity else 0
             if not may_run(worker, step, here):
                 continue
-        rank = (not step.affinity or step.affinity in worker.labels, worker.room.cpu)
+        rank = (not step.affinity or step.affinity in worker.labels, room.cpu)
         if best_rank is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -34,6 +34,7 @@
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Step, Task, TaskId
 from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.ordering import Demand, ReadyStep
 from fescuecrank_scheduler.quotas import Usage
 from fescuecrank_scheduler.records import Leadership, Record, encode_leadership, encode_progress
 from fescuecrank_scheduler.workers import Run, RunState, Worker
@@ -89,6 +90,7 @@
     _outcomes: dict[str, Outcome] = attrs.field(factory=dict)
     _planned: list[tuple[str, TaskId, int]] = attrs.field(factory=list)
     _waiting: set[str] = attrs.field(factory=set)
+    _demands: dict[str, Demand] = attrs.field(factory=dict)
     _extra: list[Record] = attrs.field(factory=list)
     _pass_due: bool = True
     _pass_ms: int = 0
@@ -139,6 +141,7 @@
     def set_config(self, config: FleetConfig) -> None:
         """Use a new configuration for all further decisions."""
         self.config = config
+        self._demands.clear()
         self._pass_due = True
 
     def jobs_changed(self, ids: Iterable[str], now: Now) -> None:
@@ -370,7 +373,7 @@
             return
         task.checkpoint = checkpoint or run.checkpoint or task.checkpoint
         task.phase = Phase.WAITING
-        self._dirty.add(job.id)
+        self._mark(job)
         if how == DONE:
             worker.failure_streak = 0
         elif how == FAILED:
@@ -424,7 +427,7 @@
 
     def _end_job(self, job: Job, outcome: Outcome, now: Now) -> None:
         self._outcomes[job.id] = outcome
-        self._dirty.add(job.id)
+        self._mark(job)
         self._waiting.discard(job.id)
         for task in _tasks(job):
             worker = self.workers.get(self.placed.get(task.id, ""))
@@ -459,46 +462,52 @@
         self._pass_due = False
         self._pass_ms = now.mono_ms
         self._next_due_ms = NEVER
-        by_pool: dict[str, list[Job]] = {}
+        by_pool: dict[str, list[Demand]] = {}
         for job_id in list(self._waiting):
             job = self.table.jobs[job_id]
             queue = self.config.queue(job.queue)
             if not job.open or job_id in self._outcomes:
                 self._waiting.discard(job_id)
             elif queue is not None:
-                by_pool.setdefault(queue.pool, []).append(job)
+                by_pool.setdefault(queue.pool, []).append(self._demand(job, now))
         self.waiting_work.clear()
-        for pool, jobs in by_pool.items():
+        for pool, demands in by_pool.items():
             usable = [
                 worker
                 for worker in self.workers.values()
                 if worker.pool == pool and worker.usable(now.mono_ms, self.limits)
             ]
             cores = sum(worker.capacity.cpu for worker in usable) / 1_000
-            for job in ordering.arrange(jobs, self.config, cores, now.wall_ms):
-                self._schedule_job(job, usable, now)
-            self.waiting_work[pool] = sum(ordering.waiting_work(job) for job in jobs)
-
-    def _schedule_job(self, job: Job, usable: list[Worker], now: Now) -> None:
-        self._occurrences(job, now)
-        waiting = False
-        for (occurrence, number), tasks in job.tasks.items():
-            open_tasks = [task for task in tasks if task.phase is Phase.WAITING]
-            waiting = waiting or bool(open_tasks)
-            if not open_tasks or not usable or not job.step_ready(occurrence, number):
-                continue
-            step = job.steps[number]
+            for demand in ordering.arrange(demands, cores, now.wall_ms):
+                self._schedule_job(demand, usable, now)
+            self.waiting_work[pool] = sum(
+                self._demand(demand.job, now).waiting_work for demand in demands
+            )
+
+    def _demand(self, job: Job, now: Now) -> Demand:
+        demand = self._demands.get(job.id)
+        if demand is None or job.schedule is not None:
+            self._occurrences(job, now)
+            demand = self._demands[job.id] = ordering.demand(job, self.config)
+        return demand
+
+    def _schedule_job(self, demand: Demand, usable: list[Worker], now: Now) -> None:
+        job = demand.job
+        if not demand.waiting and job.schedule is None:
+            self._waiting.discard(job.id)
+        queue = self.config.queue(job.queue)
+        for ready in demand.ready if usable else ():
+            step = job.steps[ready.number]
             workers = usable
-            queue = self.config.queue(job.queue)
             if queue is not None and queue.needs_advice:
-                workers = self.advice.allowed(job, occurrence, number, usable, now, self.limits)
+                workers = self.advice.allowed(
+                    job, ready.occurrence, ready.number, usable, now, self.limits
+                )
                 self._out.extend(self.advice.take())
             if step.gang:
-                self._start_gang(job, occurrence, number, tasks, workers, now)
+                self._start_gang(job, ready, workers, now)
             else:
-                self._start_tasks(job, occurrence, number, open_tasks, workers, now)
-        if not waiting and job.schedule is None:
-            self._waiting.discard(job.id)
+                self._start_tasks(job, ready, workers, now)
 
     def _occurrences(self, job: Job, now: Now) -> None:
         if job.schedule is None:
@@ -512,49 +521,33 @@
                 break
             job.occurrence(number)
 
-    def _start_tasks(
-        self,
-        job: Job,
-        occurrence: int,
-        number: int,
-        tasks: list[Task],
-        workers: list[Worker],
-        now: Now,
-    ) -> None:
-        step, team = job.steps[number], self.config.teams.get(job.team)
-        for task in tasks:
+    def _start_tasks(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> None:
+        step, team = job.steps[ready.number], self.config.teams.get(job.team)
+        for task in ready.tasks:
             if not self.usage.allows(team, step.need):
                 return
-            worker = placement.choose(workers, job.id, occurrence, number, step)
+            worker = placement.choose(workers, job.id, ready.occurrence, ready.number, step)
             if worker is None:
                 return
             self._plan(worker, job, task, task.run + 1, now)
 
-    def _start_gang(
-        self,
-        job: Job,
-        occurrence: int,
-        number: int,
-        tasks: list[Task],
-        workers: list[Worker],
-        now: Now,
-    ) -> None:
-        step, team = job.steps[number], self.config.teams.get(job.team)
-        if any(task.phase is not Phase.WAITING for task in tasks):
+    def _start_gang(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> None:
+        step, team = job.steps[ready.number], self.config.teams.get(job.team)
+        if len(ready.tasks) < step.count:
             return
         if not self.usage.allows(team, step.need, step.count):
             return
-        chosen = placement.choose_gang(workers, job.id, occurrence, number, step)
+        chosen = placement.choose_gang(workers, job.id, ready.occurrence, ready.number, step)
         if chosen is None:
             return
-        run = max(task.run for task in tasks) + 1
-        for task, worker in zip(tasks, chosen, strict=True):
+        run = max(task.run for task in ready.tasks) + 1
+        for task, worker in zip(ready.tasks, chosen, strict=True):
             self._plan(worker, job, task, run, now)
 
     def _plan(self, worker: Worker, job: Job, task: Task, run: int, now: Now) -> None:
         task.run, task.worker, task.phase = run, worker.id, Phase.ASSIGNED
         job.begun = True
-        self._dirty.add(job.id)
+        self._mark(job)
         self._place(worker, job, task, RunState.PLANNED, now)
         self._planned.append((worker.id, task.id, run))
 
@@ -603,6 +596,7 @@
             self._log("job_ended", job=job_id, outcome=outcome.value)
             self.table.set_outcome(job, outcome)
             self._outcomes.pop(job_id, None)
+            self._demands.pop(job_id, None)
             self.advice.forget(job_id)
         for worker_id, task, number in flush.starts:
             worker = self.workers.get(worker_id)
@@ -689,6 +683,8 @@
         ]
         if self._flush is None and (self._dirty or self._extra):
             times.append(self._flushed_ms + self.limits.flush_gap_ms - now.mono_ms)
+        if self._pass_due:
+            times.append(self._pass_ms + self.limits.pass_gap_ms - now.mono_ms)
         return max(1, min(times)) if times else None
 
     # Leases.
@@ -774,7 +770,8 @@
 
     def advance(self, now: Now) -> list[Effect]:
         """Place waiting tasks, start an append and renew leases that are due."""
-        if self._pass_due and self._listed and not self.resigning:
+        rested = now.mono_ms - self._pass_ms >= self.limits.pass_gap_ms
+        if self._pass_due and rested and self._listed and not self.resigning:
             self._schedule(now)
         self._start_flush(now)
         self._renew_leases(now)
@@ -791,6 +788,11 @@
 
     # Helpers.
 
+    def _mark(self, job: Job) -> None:
+        """Note that the progress of a job has changed."""
+        self._dirty.add(job.id)
+        self._demands.pop(job.id, None)
+
     def stop_run(self, worker: Worker, run: Run, now: Now) -> None:
         """Stop one run so that its task starts elsewhere."""
         self._stop(worker, run, now)
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -88,11 +88,8 @@
     failure_streak: int = 0
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
     used: Amounts = NOTHING
-
-    @property
-    def room(self) -> Amounts:
-        """Capacity that no run takes."""
-        return self.capacity.minus(self.used)
+    # Capacity that no run takes.
+    room: Amounts = NOTHING
 
     @property
     def rack(self) -> str:
@@ -104,6 +101,7 @@
         self.address, self.pool, self.zone = entry.address, entry.pool, entry.zone
         self.machine, self.capacity, self.labels = entry.machine, entry.capacity, entry.labels
         self.listed, self.ready = True, entry.ready
+        self._count(self.used)
 
     def note_clock(self, reply: HoldReply, now_ms: int) -> None:
         """Remember a reading of the worker's clock."""
@@ -128,15 +126,18 @@
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.task] = run
-        self.used = self.used.plus(run.step.room)
+        self._count(self.used.plus(run.step.room))
 
     def remove(self, task: TaskId) -> Run | None:
         """Give back the room of a run."""
         run = self.runs.pop(task, None)
         if run is not None:
-            self.used = self.used.minus(run.step.room)
+            self._count(self.used.minus(run.step.room))
         return run
 
+    def _count(self, used: Amounts) -> None:
+        self.used, self.room = used, self.capacity.minus(used)
+
     def usable(self, now_ms: int, limits: Limits) -> bool:
         """Return whether new runs may be placed here."""
         return (
