Pace filling tasks, refuse what can only end too late, reload settings; tests of each decision

Refusals: a job that would end after three times its objective, by the time that its pool needs for its waiting work, is answered 429 at once with the time after which it can be served.

--- a/packages/daemon/src/fescuecrank_daemon/platform_main.py
+++ b/packages/daemon/src/fescuecrank_daemon/platform_main.py
@@ -10,12 +10,18 @@
 
 from fescuecrank_platform.fleet_calls import HttpFleetCalls
 from fescuecrank_platform.requests import PlatformRequests
-from fescuecrank_platform.settings import SETTINGS_ENV, PlatformSettings, read_settings
+from fescuecrank_platform.settings import (
+    SETTINGS_ENV,
+    Endpoints,
+    PlatformSettings,
+    read_settings,
+)
 from fescuecrank_platform.store import LogStore
 from fescuecrank_platform.worker_calls import HttpWorkerCalls
 from fescuecrank_scheduler.events import ShutDown
 from fescuecrank_scheduler.reducer import Reducer
 from fescuecrank_service.engine import Engine
+from fescuecrank_service.file_watch import FileWatch
 from fescuecrank_service.front import Front
 from fescuecrank_service.http_calls import HttpCaller
 from fescuecrank_service.log_lines import LineLog
@@ -33,8 +39,9 @@
 LINGER_MS = 100
 
 
-async def run(cfg: PlatformSettings) -> None:
+async def run(path: Path, cfg: PlatformSettings) -> None:
     """Run one entry until it is told to stop."""
+    endpoints = Endpoints.of(cfg)
     clock = SystemClock()
     rng = random.Random()
     log = LineLog(clock, cfg.node)
@@ -42,9 +49,9 @@
     engine = Engine(
         Reducer(cfg.node, cfg.limits(), rng),
         clock,
-        LogStore(caller, cfg.store),
+        LogStore(caller, endpoints),
         lambda: HttpWorkerCalls(HttpCaller(WORKER_CALLS)),
-        HttpFleetCalls(caller, cfg.machines, cfg.advice, cfg.node),
+        HttpFleetCalls(caller, endpoints, cfg.node),
         # Each life of a process numbers its appends anew.
         f"{cfg.node}-{rng.getrandbits(48):x}",
         log,
@@ -63,12 +70,24 @@
         front.stopping = True
         engine.post(ShutDown())
 
+    def reload() -> None:
+        read = read_settings(path)
+        if read.is_err():
+            log.write("settings_rejected", {"reason": str(read.err_value)})
+            return
+        endpoints.update(read.ok_value)
+        same = {"store": endpoints.store, "machines": endpoints.machines}
+        log.write("settings_reloaded", same)
+
     loop = asyncio.get_running_loop()
+    watch = FileWatch(path, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shut_down)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.write("settings_reloaded", {}))
+    loop.add_signal_handler(signal.SIGHUP, watch.check, True)
     log.write("started", {"store": cfg.store, "front": cfg.front})
+    watching = loop.create_task(watch.run())
     await engine.run()
+    watching.cancel()
     front.stop_listening()
     await asyncio.sleep(LINGER_MS / 1_000)
     log.write("stopped", {})
@@ -82,7 +101,7 @@
     if cfg.is_err():
         print(cfg.err_value, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    asyncio.run(run(cfg.ok_value))
+    asyncio.run(run(path, cfg.ok_value))
     return 0
 
 
--- a/packages/platform/src/fescuecrank_platform/fleet_calls.py
+++ b/packages/platform/src/fescuecrank_platform/fleet_calls.py
@@ -7,6 +7,7 @@
 from fescuecrank_service.http_calls import HttpCaller
 
 from fescuecrank_platform.configuration import amounts
+from fescuecrank_platform.settings import Endpoints
 
 LIST_TIMEOUT_MS = 1_500
 ORDER_TIMEOUT_MS = 1_500
@@ -31,10 +32,9 @@
 class HttpFleetCalls(FleetCalls):
     """Calls by HTTP; `holder` names this process in orders."""
 
-    def __init__(self, caller: HttpCaller, machines: str, advice: str, holder: str) -> None:
+    def __init__(self, caller: HttpCaller, endpoints: Endpoints, holder: str) -> None:
         self._caller = caller
-        self._machines = machines
-        self._advice = advice
+        self._endpoints = endpoints
         self._holder = holder
 
     async def machines(self) -> tuple[MachineRow, ...] | None:
@@ -44,7 +44,7 @@
         for _ in range(MAX_PAGES):
             path = "/api/machines" + (f"?page_token={token}" if token else "")
             answer = await self._caller.call(
-                "machines.list", self._machines, "GET", path, LIST_TIMEOUT_MS
+                "machines.list", self._endpoints.machines, "GET", path, LIST_TIMEOUT_MS
             )
             if answer.is_err() or answer.ok_value.code != 200:
                 return None
@@ -87,7 +87,7 @@
         }
         answer = await self._caller.call(
             "machines.order",
-            self._machines,
+            self._endpoints.machines,
             "POST",
             path,
             ORDER_TIMEOUT_MS,
@@ -112,7 +112,7 @@
         }
         answer = await self._caller.call(
             "advice.ask",
-            self._advice,
+            self._endpoints.advice,
             "POST",
             "/api/advise",
             ADVICE_TIMEOUT_MS,
--- a/packages/platform/src/fescuecrank_platform/settings.py
+++ b/packages/platform/src/fescuecrank_platform/settings.py
@@ -41,6 +41,24 @@
         )
 
 
+@attrs.define
+class Endpoints:
+    """Addresses of the platform's services; a reload of the settings may change them."""
+
+    store: str
+    machines: str
+    advice: str
+
+    @classmethod
+    def of(cls, cfg: PlatformSettings) -> "Endpoints":
+        """Return the addresses that settings state."""
+        return cls(cfg.store, cfg.machines, cfg.advice)
+
+    def update(self, cfg: PlatformSettings) -> None:
+        """Use the addresses of new settings for all further calls."""
+        self.store, self.machines, self.advice = cfg.store, cfg.machines, cfg.advice
+
+
 def read_settings(path: Path) -> Result[PlatformSettings, Failure]:
     """Return the checked settings; the failure names the file and the field."""
     try:
--- a/packages/platform/src/fescuecrank_platform/store.py
+++ b/packages/platform/src/fescuecrank_platform/store.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from fescuecrank_platform.configuration import decode_operators
+from fescuecrank_platform.settings import Endpoints
 from fescuecrank_platform.worker_list import decode_workers
 
 # Topics whose name begins so keep the newest record of each key for good.
@@ -68,11 +69,15 @@
 class LogStream(Stream):
     """One partition of a topic."""
 
-    def __init__(self, caller: HttpCaller, address: str, topic: str, part: int = 0) -> None:
+    def __init__(self, caller: HttpCaller, endpoints: Endpoints, topic: str, part: int = 0) -> None:
         self._caller = caller
-        self._address = address
+        self._endpoints = endpoints
         self._query = f"topic={quote(topic)}&part={part}"
 
+    @property
+    def _address(self) -> str:
+        return self._endpoints.store
+
     async def read(self, first: int, wait_ms: int) -> Result[Page | Expired, Failure]:
         """Read the tail."""
         path = f"/api/log-read?{self._query}&from={first}&wait_ms={wait_ms}"
@@ -174,13 +179,13 @@
 class LogStore(Store):
     """The store with the topics of the system, the operators and the workers."""
 
-    def __init__(self, caller: HttpCaller, address: str) -> None:
+    def __init__(self, caller: HttpCaller, endpoints: Endpoints) -> None:
         self._shared = {
-            topic: LogStream(caller, address, name) for topic, name in TOPIC_NAMES.items()
+            topic: LogStream(caller, endpoints, name) for topic, name in TOPIC_NAMES.items()
         }
-        self._operators = LogStream(caller, address, OPERATORS_TOPIC)
-        self._workers = LogStream(caller, address, WORKERS_TOPIC)
-        self._status = LogStream(caller, address, STATUS_TOPIC)
+        self._operators = LogStream(caller, endpoints, OPERATORS_TOPIC)
+        self._workers = LogStream(caller, endpoints, WORKERS_TOPIC)
+        self._status = LogStream(caller, endpoints, STATUS_TOPIC)
 
     def shared(self, topic: Topic) -> Stream:
         """Return one of the system's own streams."""
--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -22,6 +22,9 @@
 RETRY_STORE_MS = 1_000
 RETRY_START_MS = 500
 
+# A job that ends after this many times its objective is of no use any more.
+LATE_FACTOR = 3
+
 
 @attrs.define
 class Waiting:
@@ -87,16 +90,36 @@
         if job_id in self.table.jobs:
             return [Reply(req.token, 200)]
         if self.store_failing:
-            return self._refuse(req.token, job_id, "store_unavailable", RETRY_STORE_MS)
+            return self._refuse(req.token, 503, job_id, "store_unavailable", RETRY_STORE_MS)
+        late_ms = self._too_late_by(queue, req.job, now)
+        if late_ms > 0:
+            return self._refuse(req.token, 429, job_id, "pool_full", late_ms)
         job = attrs.evolve(
             req.job, id=job_id, queue=queue.name, team=team, accepted_ms=now.wall_ms, tasks={}
         )
         self._waiting[req.token] = Waiting(job_id, "submit", now.mono_ms)
         return [StoreIntake(req.token, encode_job(job))]
 
-    def _refuse(self, token: int, job_id: str, reason: str, after_ms: int) -> list[Effect]:
+    def _too_late_by(self, queue: Queue, job: Job, now: Now) -> int:
+        """Return by how much a job handed in now would miss even the time of late jobs.
+
+        The load pattern is a burst far above the pool's room: jobs that can only end after their
+        caller has any use for them would take room from all others.
+        """
+        leader = self.table.leader
+        if leader is None or job.schedule or any(step.lasting for step in job.steps):
+            return 0
+        if now.wall_ms - leader.wall_ms > self.limits.stale_ms:
+            return 0
+        chain_ms = job.chain_ms()
+        latest_ms = LATE_FACTOR * (queue.stretch * chain_ms + queue.objective_ms)
+        return int(leader.waits.get(queue.pool, 0) + chain_ms - latest_ms)
+
+    def _refuse(
+        self, token: int, status: int, job_id: str, reason: str, after_ms: int
+    ) -> list[Effect]:
         line = LogLine("job_refused", {"job": job_id, "reason": reason, "retry_ms": after_ms})
-        return [line, Reply(token, 503, {"error": reason}, retry_after_ms=after_ms)]
+        return [line, Reply(token, status, {"error": reason}, retry_after_ms=after_ms)]
 
     def _known(self, queue: Queue, team: str, job_id: str) -> Job | None:
         job = self.table.jobs.get(job_id)
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -15,6 +15,8 @@
     clock_drift: float = 0.02
     # A hold waits this long for an end; shorter waits cost calls, longer ones use up the lease.
     hold_wait_ms: int = 1_500
+    # The same on workers where a task that fills may disturb one that serves.
+    paced_wait_ms: int = 500
     # Pause between two holds; ends in this time are listed together.
     hold_gap_ms: int = 40
     # Pause before a hold is repeated after a failure.
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/pacing.py
@@ -0,0 +1,80 @@
+"""Pace of tasks that fill: they slow down where a serving task beside them is over its bound.
+
+Load pattern: the disturbance differs by image and changes within seconds, so the pace follows what
+the worker reports. It falls by half at once and rises by a small step only after a calm time.
+"""
+
+import attrs
+
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.effects import Effect, LogLine, PaceRun
+from fescuecrank_scheduler.workers import Run, RunState, Worker
+
+FULL = 100
+
+# A pace below this share is as good as none.
+LEAST = 10
+
+# Share of its bound from which a serving task counts as disturbed, and below which as calm.
+DISTURBED = 0.9
+CALM = 0.6
+
+# The report covers half a second and a new pace takes effect within a tenth.
+FALL_GAP_MS = 700
+RISE_GAP_MS = 1_500
+RISE_STEP = 20
+
+# An order without an answer is repeated after this time.
+RETRY_MS = 600
+
+
+@attrs.define
+class Pacer:
+    """Paces of the filling runs on one leader's workers."""
+
+    fence: int
+    _changed_ms: dict[str, int] = attrs.field(factory=dict)
+
+    def adjust(self, worker: Worker, now: Now) -> list[Effect]:
+        """Return the orders that follow from a worker's latest report."""
+        fills = [
+            run for run in worker.runs.values() if run.step.fills and run.state is RunState.RUNNING
+        ]
+        if not fills:
+            return []
+        out: list[Effect] = []
+        ratio = self._disturbance(worker)
+        last_ms = self._changed_ms.get(worker.id, 0)
+        if ratio is None:
+            wanted = FULL
+        elif ratio > DISTURBED and now.mono_ms - last_ms >= FALL_GAP_MS:
+            slowest = min(run.pace for run in fills) // 2
+            wanted = slowest if slowest >= LEAST else 0
+        elif ratio < CALM and now.mono_ms - last_ms >= RISE_GAP_MS:
+            wanted = min(FULL, min(run.pace for run in fills) + RISE_STEP)
+        else:
+            wanted = None
+        if wanted is not None and any(run.pace != wanted for run in fills):
+            self._changed_ms[worker.id] = now.mono_ms
+            fields = {"worker": worker.id, "percent": wanted, "ratio": ratio, "runs": len(fills)}
+            out.append(LogLine("pace_changed", fields))
+            for run in fills:
+                run.pace = wanted
+        out += [self._order(worker, run, now) for run in fills if self._due(run, now)]
+        return out
+
+    def _disturbance(self, worker: Worker) -> float | None:
+        """Return the highest ratio of response times to their bound, or None if nothing serves."""
+        ratios = [
+            run.figure / run.step.target_ms
+            for run in worker.runs.values()
+            if run.step.target_ms and run.figure is not None
+        ]
+        return max(ratios, default=None)
+
+    def _due(self, run: Run, now: Now) -> bool:
+        return run.pace_confirmed != run.pace and now.mono_ms - run.pace_sent_ms >= RETRY_MS
+
+    def _order(self, worker: Worker, run: Run, now: Now) -> PaceRun:
+        run.pace_sent_ms = now.mono_ms
+        return PaceRun(worker.id, worker.address, self.fence, run.task, run.number, run.pace)
--- a/packages/scheduler/src/fescuecrank_scheduler/records.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/records.py
@@ -69,6 +69,8 @@
     wall_ms: int = 0
     # Workers whose leases the holder does not renew, with the time that they had left.
     silent: dict[str, int] = attrs.field(factory=dict)
+    # Time that each pool needs for its waiting work, in ms.
+    waits: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -147,6 +149,7 @@
         leader.nonce,
         leader.wall_ms,
         leader.silent,
+        leader.waits,
     ]
     return Record(LEADER_KEY, orjson.dumps(value))
 
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -114,6 +114,8 @@
                 scheduler.start_done(event, now)
             case events.StopDone():
                 scheduler.stop_done(event, now)
+            case events.PaceDone():
+                scheduler.pace_done(event)
             case events.Advised():
                 scheduler.advice.advised(event, now)
                 self._out += scheduler.advice.take()
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -25,6 +25,7 @@
     EndRow,
     HoldDone,
     HoldReply,
+    PaceDone,
     StartDone,
     StopDone,
     WorkerEntry,
@@ -35,6 +36,7 @@
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Step, Task, TaskId
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.ordering import Demand, ReadyStep
+from fescuecrank_scheduler.pacing import Pacer
 from fescuecrank_scheduler.quotas import Usage
 from fescuecrank_scheduler.records import Leadership, Record, encode_leadership, encode_progress
 from fescuecrank_scheduler.workers import Run, RunState, Worker
@@ -73,6 +75,7 @@
     workers: dict[str, Worker] = attrs.field(factory=dict)
     usage: Usage = attrs.field(factory=Usage)
     advice: AdviceBook = attrs.field(factory=AdviceBook)
+    pacer: Pacer = attrs.field(init=False)
     # When this leadership was renewed in the store.
     renewed_ms: int = 0
     fenced: bool = False
@@ -102,6 +105,10 @@
     _foreign_stops: dict[tuple[str, TaskId], int] = attrs.field(factory=dict)
     _out: list[Effect] = attrs.field(factory=list)
 
+    @pacer.default
+    def _make_pacer(self) -> Pacer:
+        return Pacer(self.leader.epoch)
+
     # Start of a leadership.
 
     def begin(self, now: Now) -> list[Effect]:
@@ -252,6 +259,15 @@
             worker.blocked_until_ms = now.mono_ms + 4 * self.limits.hold_retry_ms
         self._run_ended(worker, run, "refused", "", now)
 
+    def pace_done(self, event: PaceDone) -> None:
+        """Take note of the answer to a change of pace; without one it is ordered again."""
+        worker = self.workers.get(event.worker)
+        run = worker.runs.get(event.task) if worker else None
+        if run is not None and event.result is CallResult.OK:
+            run.pace_confirmed = event.percent
+        elif event.result is CallResult.FENCED:
+            self.fenced = True
+
     def stop_done(self, event: StopDone, now: Now) -> None:
         """Take note of the answer to a stop; the end itself is listed by a hold."""
         worker = self.workers.get(event.worker)
@@ -331,6 +347,7 @@
             run = worker.runs.get(row.task)
             if run is None or run.number != row.run:
                 self._stop_foreign(worker, row.task, row.run, now)
+        self._out += self.pacer.adjust(worker, now)
         if worker.seen > worker.acked and not self._dirty and self._flush is None:
             worker.acked = worker.seen
 
@@ -616,6 +633,19 @@
             if worker is not None and worker.seen >= number:
                 worker.acked = max(worker.acked, number)
 
+    def _waits(self) -> dict[str, int]:
+        """Return how long each pool needs for its waiting work, in ms."""
+        waits = {}
+        for pool, work in self.waiting_work.items():
+            cores = sum(
+                worker.capacity.cpu
+                for worker in self.workers.values()
+                if worker.pool == pool and worker.listed and worker.ready
+            )
+            if work and cores:
+                waits[pool] = int(1_000 * work / cores)
+        return waits
+
     def _silent_workers(self, now: Now) -> dict[str, int]:
         """Return the time left of each lease that is not renewed since its worker is silent.
 
@@ -658,6 +688,7 @@
                 holder="" if self.resigning else self.leader.holder,
                 beat=self.leader.beat + 1,
                 wall_ms=now.wall_ms,
+                waits=self._waits(),
                 silent=self._silent_workers(now),
             )
             records.append(encode_leadership(self.leader))
@@ -709,6 +740,9 @@
         if worker.fenced and worker.runs:
             deadline = worker.deadline(now.mono_ms, self.limits)
         settled = worker.fenced and now.mono_ms - worker.answered_ms < self.limits.silent_ms
+        wait_ms = self.limits.hold_wait_ms
+        if any(run.step.fills for run in worker.runs.values()):
+            wait_ms = self.limits.paced_wait_ms
         worker.hold_number += 1
         worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
         self._out.append(
@@ -718,7 +752,7 @@
                 self.leader.epoch,
                 worker.acked,
                 deadline,
-                self.limits.hold_wait_ms if settled else 0,
+                wait_ms if settled else 0,
                 worker.hold_number,
             )
         )
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -45,8 +45,10 @@
     figure: float | None = None
     # When the progress of the run last rose.
     progress_ms: int = 0
-    # Time for which a serving task has been over its bound.
-    over_since_ms: int | None = None
+    # Share of its speed at which the run may work: wanted, confirmed, and when it was ordered.
+    pace: int = 100
+    pace_confirmed: int = 100
+    pace_sent_ms: int = 0
 
 
 @attrs.define
--- /dev/null
+++ b/packages/scheduler/tests/fake_machines.py
@@ -0,0 +1,84 @@
+"""The platform's service for machines: pools, moves and maintenance."""
+
+from typing import TYPE_CHECKING
+
+import attrs
+from fescuecrank_scheduler.effects import Effect, MaintainMachine
+from fescuecrank_scheduler.events import MachineRow, OrderResult
+
+if TYPE_CHECKING:
+    from fleet_simulation import Simulation
+
+MOVE_MS = 1_500
+MAINTENANCE_MS = 2_000
+
+
+@attrs.define
+class FakeMachine:
+    name: str
+    worker: str
+    pool: str
+    state: str = "up"
+    fence: int = 0
+    maintained: set[int] = attrs.field(factory=set)
+
+
+class FakeMachines:
+    """One machine for each worker of a simulation."""
+
+    def __init__(self, sim: "Simulation") -> None:
+        self._sim = sim
+        self.machines: dict[str, FakeMachine] = {}
+        for worker, entry in sim.entries.items():
+            self.machines[entry.machine] = FakeMachine(entry.machine, worker, entry.pool)
+        self.most_down = 0
+        self.moves = 0
+        # Lasting runs that an order has ended while they were at work.
+        self.ended_by_order: list[tuple[int, str]] = []
+
+    def rows(self) -> tuple[MachineRow, ...]:
+        return tuple(
+            MachineRow(
+                machine.name,
+                machine.pool,
+                machine.state,
+                machine.worker,
+                self._sim.entries[machine.worker].capacity,
+            )
+            for machine in self.machines.values()
+        )
+
+    def order(self, effect: Effect) -> OrderResult:
+        machine = self.machines[effect.machine]
+        if effect.fence < machine.fence:
+            return OrderResult.FENCED
+        machine.fence = effect.fence
+        if isinstance(effect, MaintainMachine):
+            if effect.wave in machine.maintained:
+                return OrderResult.OK
+            if machine.state != "up":
+                return OrderResult.BUSY
+            machine.maintained.add(effect.wave)
+            self._down(machine, "upkeep", machine.pool, MAINTENANCE_MS)
+        else:
+            if machine.pool == effect.pool:
+                return OrderResult.OK
+            if machine.state != "up":
+                return OrderResult.BUSY
+            self.moves += 1
+            self._down(machine, "moving", effect.pool, MOVE_MS)
+        down = sum(1 for each in self.machines.values() if each.state == "upkeep")
+        self.most_down = max(self.most_down, down)
+        return OrderResult.OK
+
+    def _down(self, machine: FakeMachine, state: str, pool: str, duration_ms: int) -> None:
+        worker = self._sim.workers[machine.worker]
+        for run in worker.runs.values():
+            self.ended_by_order.append((self._sim.now_ms, run.task.job))
+        worker.crash(self._sim.now_ms)
+        machine.state, machine.pool = state, pool
+        self._sim.at(duration_ms, lambda: self._up(machine))
+
+    def _up(self, machine: FakeMachine) -> None:
+        machine.state = "up"
+        machine.worker = self._sim.replace_worker(machine.worker, machine.pool)
--- a/packages/scheduler/tests/fleet_simulation.py
+++ b/packages/scheduler/tests/fleet_simulation.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import attrs
+from fake_machines import FakeMachines
 from fake_store import FakePartition
 from fake_worker import FakeWorker
 from fescuecrank_core.clock import Instant
@@ -63,6 +64,8 @@
         self.partitions = {topic: FakePartition() for topic in Topic}
         self.workers = {f"worker-{n}": FakeWorker(f"worker-{n}") for n in range(1, workers + 1)}
         self.entries = {name: entry(name) for name in self.workers}
+        self.machines = FakeMachines(self)
+        self.wave_states: dict[int, bool] = {}
         self.nodes: dict[str, Node] = {}
         self.lost_share = 0.0
         self.late_share = 0.0
@@ -236,6 +239,31 @@
                 self.at(LATENCY_MS, lambda: self._call(node, effect))
             case effects.Exit():
                 node.alive = False
+            case effects.StoreWaveState():
+                self.wave_states[effect.wave] = effect.completed
+            case effects.ListMachines():
+                sent_ms = self.now_ms
+                self.at(
+                    LATENCY_MS,
+                    lambda: self.post(node, events.MachinesListed(self.machines.rows(), sent_ms)),
+                )
+            case effects.MaintainMachine() | effects.MoveMachine():
+                self.at(LATENCY_MS, lambda: self._order_machine(node, effect))
+
+    def _order_machine(self, node: Node, effect: effects.Effect) -> None:
+        wave = effect.wave if isinstance(effect, effects.MaintainMachine) else None
+        result = self.machines.order(effect)
+        done = events.MachineOrderDone(effect.machine, wave, result)
+        self.at(LATENCY_MS, lambda: self.post(node, done))
+
+    def replace_worker(self, old: str, pool: str) -> str:
+        """Start a new worker on the machine of one that has ended."""
+        name = f"{old}+"
+        self.workers[name] = FakeWorker(name, born_ms=self.now_ms + 1)
+        self.entries[name] = attrs.evolve(
+            self.entries[old], id=name, address=f"{name}:80", pool=pool
+        )
+        return name
 
     def _call(self, node: Node, effect: effects.WorkerEffect) -> None:
         worker = self.workers[effect.worker]
--- /dev/null
+++ b/packages/scheduler/tests/test_decisions.py
@@ -0,0 +1,347 @@
+"""Decisions of the scheduler one at a time."""
+
+import random
+
+import attrs
+import pytest
+from fescuecrank_scheduler import ordering, placement, records
+from fescuecrank_scheduler.advice import AdviceBook
+from fescuecrank_scheduler.effects import Advise, PaceRun
+from fescuecrank_scheduler.events import Advised, HoldReply
+from fescuecrank_scheduler.fleet import Amounts, Team
+from fescuecrank_scheduler.job_table import JobTable
+from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Task, TaskId
+from fescuecrank_scheduler.leadership import Election, Role
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.pacing import Pacer
+from fescuecrank_scheduler.quotas import Usage
+from fescuecrank_scheduler.records import Leadership, Record, StoredRecord, WaveDone
+from fescuecrank_scheduler.workers import Run, RunState, Worker
+from hypothesis import given
+from hypothesis import strategies as st
+from scheduler_builders import WALL_MS, config, entry, instant, job, queue, schedule, step
+
+LIMITS = Limits()
+
+
+def worker(name: str = "worker-1", **fields: object) -> Worker:
+    made = Worker(name)
+    made.update(entry(name, **fields))
+    made.fenced, made.answered_ms = True, 0
+    return made
+
+
+def run_on(target: Worker, made: Job, place: int = 0, **fields: object) -> Run:
+    run = Run(TaskId(made.id, 0, 0, place), 1, made.steps[0], "team-a", "checks", RunState.RUNNING)
+    for name, value in fields.items():
+        setattr(run, name, value)
+    target.add(run)
+    return run
+
+
+class TestOrder:
+    """Which jobs get room first."""
+
+    def demands(self, *jobs: Job) -> list[ordering.Demand]:
+        for each in jobs:
+            each.occurrence(0)
+        return [ordering.demand(each, config()) for each in jobs]
+
+    def order(self, *jobs: Job, cores: float = 4.0, now_ms: int = WALL_MS) -> list[str]:
+        return [each.job.id for each in ordering.arrange(self.demands(*jobs), cores, now_ms)]
+
+    def test_overload_serves_the_largest_number_on_time(self):
+        # The objective is 1.6 x 1 s + 0.6 s; four cores do 8.8 s of work in this time.
+        small = [job(f"small-{n}", step(2)) for n in range(4)]
+        large = job("large", step(8))
+        order = self.order(large, *small)
+        assert order[-1] == "large"
+
+    def test_job_that_is_late_already_goes_last(self):
+        late = job("late", step(1), accepted_ms=WALL_MS - 10_000)
+        assert self.order(late, job("fresh", step(4)))[-1] == "late"
+
+    def test_urgent_queue_goes_before_all_others(self):
+        cfg = config(queues=(queue(), queue("urgent", priority=0), queue("later", priority=1)))
+        jobs = [job("b", step(1), queue="later"), job("a", step(6), queue="urgent")]
+        for each in jobs:
+            each.occurrence(0)
+        demands = [ordering.demand(each, cfg) for each in jobs]
+        assert [d.job.id for d in ordering.arrange(demands, 4.0, WALL_MS)] == ["a", "b"]
+
+    def test_lasting_jobs_go_first(self):
+        lasting = job("lasting", step(1, lasting=True), accepted_ms=WALL_MS - 60_000)
+        assert self.order(job("quick", step(1)), lasting)[0] == "lasting"
+
+    def test_due_time_of_an_occurrence_counts_from_its_own_time(self):
+        made = job("timed", step(1), schedule=schedule(WALL_MS, 5_000, 3))
+        made.occurrence(0)
+        made.tasks[0, 0][0].phase = Phase.DONE
+        made.occurrence(1)
+        assert ordering.due_ms(made, config()) == WALL_MS + 5_000 + 1_600 + 600
+
+
+class TestPlacement:
+    """Which worker a task gets."""
+
+    def test_task_goes_to_the_rack_of_its_data(self):
+        near = worker("near", labels=("kind-a", "rack-2"), cpu=2_000)
+        far = worker("far", cpu=8_000)
+        chosen = placement.choose([far, near], "j", 0, 0, step(1, affinity="rack-2"))
+        assert chosen is near
+
+    def test_full_worker_is_not_chosen(self):
+        assert placement.choose([worker(cpu=500)], "j", 0, 0, step(1, cpu=1_000)) is None
+
+    def test_filling_task_takes_memory_but_no_processor(self):
+        full = worker(cpu=0)
+        assert placement.choose([full], "j", 0, 0, step(1, fills=True)) is full
+        assert placement.choose([full], "j", 0, 0, step(1, fills=True, mem_mb=99_000)) is None
+
+    def test_gang_takes_one_rack_if_one_holds_it(self):
+        racks = [
+            worker(f"w{n}", labels=("kind-a", f"rack-{1 + n // 2}"), cpu=2_000) for n in range(4)
+        ]
+        chosen = placement.choose_gang(racks, "j", 0, 0, step(4, gang=True, same_rack=True))
+        assert chosen is not None
+        assert len({each.rack for each in chosen}) == 1
+
+    def test_gang_is_placed_whole_or_not_at_all(self):
+        assert placement.choose_gang([worker(cpu=3_000)], "j", 0, 0, step(4, gang=True)) is None
+
+
+class TestLeases:
+    """How long a task may run on a worker that does not answer."""
+
+    def test_lease_of_a_silent_worker_is_not_extended(self):
+        held = worker()
+        held.note_clock(HoldReply(1_000, 1, (), ()), 0)
+        first = held.deadline(0, LIMITS)
+        until = held.lease_until_ms
+        assert held.deadline(LIMITS.silent_ms + 1, LIMITS) == first
+        assert held.lease_until_ms == until
+
+    def test_lease_covers_a_slow_clock(self):
+        held = worker()
+        held.note_clock(HoldReply(1_000, 1, (), ()), 0)
+        deadline = held.deadline(0, LIMITS)
+        assert 1_000 + held.lease_until_ms * (1 - LIMITS.clock_drift) >= deadline
+
+    def test_lease_reported_as_not_renewed_is_not_renewed(self):
+        held = worker()
+        held.note_clock(HoldReply(1_000, 1, (), ()), 0)
+        first = held.deadline(0, LIMITS)
+        held.reported_silent = True
+        assert held.deadline(100, LIMITS) == first
+
+
+class TestElection:
+    """When an entry claims the leadership."""
+
+    def election(self) -> Election:
+        return Election("entry-1", LIMITS, random.Random(1))
+
+    def test_silent_leader_is_replaced_and_a_live_one_is_not(self):
+        election = self.election()
+        for beat in range(5):
+            leader = Leadership(1, "entry-2", beat, wall_ms=WALL_MS + 700 * beat)
+            election.observe(leader, 700 * beat, WALL_MS + 700 * beat)
+            assert not election.should_claim(700 * beat)
+        assert election.should_claim(2_800 + LIMITS.leader_silence_ms + LIMITS.claim_spread_ms)
+
+    def test_store_that_returns_gives_the_leader_time_to_renew(self):
+        election = self.election()
+        election.observe(Leadership(1, "entry-2", 1, wall_ms=WALL_MS), 0, WALL_MS)
+        election.store_returned(9_000)
+        assert not election.should_claim(9_000 + LIMITS.leader_silence_ms - 1)
+
+    def test_restarted_process_replaces_its_former_life_at_once(self):
+        election = self.election()
+        election.observe(Leadership(4, "entry-1", 9, wall_ms=WALL_MS), 100, WALL_MS)
+        assert election.should_claim(100 + LIMITS.claim_spread_ms)
+
+    def test_resigned_leader_is_replaced_at_once(self):
+        election = self.election()
+        election.observe(Leadership(1, "entry-2", 1, wall_ms=WALL_MS), 0, WALL_MS)
+        election.observe(Leadership(1, "", 2, wall_ms=WALL_MS), 100, WALL_MS + 100)
+        assert election.should_claim(100 + LIMITS.claim_spread_ms // 4)
+
+    def test_epoch_grows_with_each_claim(self):
+        election = self.election()
+        election.observe(Leadership(7, "", 1, wall_ms=WALL_MS), 0, WALL_MS)
+        assert election.claim(WALL_MS).epoch == 8
+        assert election.role is Role.CANDIDATE
+
+
+class TestPacing:
+    """Tasks that fill beside tasks that serve."""
+
+    def pair(self, figure: float) -> tuple[Worker, Run]:
+        target = worker()
+        serving = job("serving", step(1, lasting=True, target_ms=100))
+        filling = job("filling", step(1, fills=True))
+        run_on(target, serving, figure=figure)
+        return target, run_on(target, filling, 0)
+
+    def test_disturbed_serving_task_slows_the_filling_one(self):
+        target, filling = self.pair(figure=150)
+        orders = Pacer(1).adjust(target, instant(5_000))
+        assert [o.percent for o in orders if isinstance(o, PaceRun)] == [50]
+        assert filling.pace == 50
+
+    def test_pace_falls_to_nothing_within_the_time_that_counts_as_harm(self):
+        target, filling = self.pair(figure=300)
+        pacer = Pacer(1)
+        for now_ms in range(5_000, 9_000, 500):
+            pacer.adjust(target, instant(now_ms))
+        assert filling.pace == 0
+
+    def test_pace_rises_again_in_calm_times(self):
+        target, filling = self.pair(figure=10)
+        filling.pace = filling.pace_confirmed = 0
+        pacer = Pacer(1)
+        for now_ms in range(5_000, 20_000, 500):
+            pacer.adjust(target, instant(now_ms))
+        assert filling.pace == 100
+
+    def test_unanswered_order_is_repeated(self):
+        target, filling = self.pair(figure=150)
+        pacer = Pacer(1)
+        pacer.adjust(target, instant(5_000))
+        next(iter(target.runs.values())).figure = 80
+        again = pacer.adjust(target, instant(5_650))
+        assert [o.percent for o in again if isinstance(o, PaceRun)] == [50]
+
+
+class TestAdvice:
+    """Tickets for queues whose steps only some workers may run."""
+
+    def test_only_workers_with_a_valid_ticket_are_used(self):
+        book, made = AdviceBook(), job("0" * 16, step(1))
+        workers = [worker("w1"), worker("w2")]
+        assert book.allowed(made, 0, 0, workers, instant(0), LIMITS) == []
+        (call,) = book.take()
+        assert isinstance(call, Advise)
+        answer = Advised(call.job, 0, 0, call.workers, {"w2": "ticket"}, 3_000)
+        book.advised(answer, instant(100))
+        allowed = book.allowed(made, 0, 0, workers, instant(200), LIMITS)
+        assert [each.id for each in allowed] == ["w2"]
+        assert book.allowed(made, 0, 0, workers, instant(2_900), LIMITS) == []
+
+    def test_one_call_at_a_time(self):
+        book = AdviceBook()
+        for name in ("a" * 16, "b" * 16):
+            book.allowed(job(name, step(1)), 0, 0, [worker()], instant(0), LIMITS)
+        assert len(book.take()) == 1
+
+    def test_call_without_an_answer_is_made_again(self):
+        book, made = AdviceBook(), job("0" * 16, step(1))
+        book.allowed(made, 0, 0, [worker()], instant(0), LIMITS)
+        (call,) = book.take()
+        book.advised(Advised(call.job, 0, 0, call.workers, None), instant(100))
+        book.allowed(made, 0, 0, [worker()], instant(200), LIMITS)
+        assert len(book.take()) == 1
+
+
+class TestUsage:
+    """Upper limits of teams."""
+
+    def test_limit_counts_all_resources_and_zero_means_none(self):
+        usage = Usage()
+        team = Team("team-a", limit=Amounts(cpu=2_000))
+        usage.add("team-a", Amounts(1_500, 10**9))
+        assert usage.allows(team, Amounts(500, 10**9))
+        assert not usage.allows(team, Amounts(501))
+
+    def test_end_gives_the_room_back(self):
+        usage = Usage()
+        usage.add("team-a", Amounts(1_500))
+        usage.remove("team-a", Amounts(1_500))
+        assert usage.used("team-a") == Amounts()
+
+
+steps = st.builds(
+    step,
+    st.integers(1, 30),
+    cpu=st.integers(0, 9_000),
+    estimate_ms=st.integers(0, 90_000),
+    gang=st.booleans(),
+    requires=st.text(max_size=9),
+    lasting=st.booleans(),
+    may_miss=st.none() | st.integers(0, 9),
+)
+
+
+class TestRecords:
+    """The durable form of jobs."""
+
+    @given(st.lists(steps, min_size=1, max_size=4), st.text(max_size=50))
+    def test_job_survives_the_store(self, made, spec):
+        original = job("0" * 16, *made, spec=spec)
+        assert records.decode(records.encode_job(original)) == original
+
+    def test_progress_survives_the_store(self):
+        made = job("0" * 16, step(2))
+        made.occurrence(0)
+        first = made.tasks[0, 0][0]
+        first.phase, first.run, first.worker, first.checkpoint = Phase.ASSIGNED, 3, "w", "cp"
+        decoded = records.decode(records.encode_progress(made, None, 5))
+        assert decoded.tasks == (Task(first.id, Phase.ASSIGNED, 3, 0, "w", "cp"),)
+        ended = records.decode(records.encode_progress(made, Outcome.FAILED, 5))
+        assert (ended.outcome, ended.tasks) == (Outcome.FAILED, ())
+
+    def test_leadership_and_waves_survive_the_store(self):
+        leader = Leadership(3, "entry-1", 9, 77, WALL_MS, {"w": 5}, {"pool-a": 100})
+        assert records.decode(records.encode_leadership(leader)) == leader
+        done = WaveDone(4, ("m1", "m2"))
+        assert records.decode(records.encode_wave(done)) == done
+
+    @given(st.binary(max_size=40), st.sampled_from(["j/x", "p/x", "leader", "w/1", "other"]))
+    def test_foreign_bytes_raise_nothing_but_value_errors(self, value, key):
+        try:
+            records.decode(Record(key, value))
+        except ValueError:
+            return
+
+
+class TestTable:
+    """Every entry's copy of the records."""
+
+    def apply(self, *made: Record) -> Job:
+        table = JobTable()
+        for offset, record in enumerate(made):
+            table.apply(StoredRecord(offset, record))
+        return table.jobs["0" * 16]
+
+    def test_records_of_a_job_may_come_in_any_order(self):
+        made = job("0" * 16, step(1))
+        ended = records.encode_progress(made, Outcome.COMPLETED, 1)
+        accepted, cancelled = records.encode_job(made), records.encode_cancel(made.id)
+        assert self.apply(ended, accepted).outcome is Outcome.COMPLETED
+        assert self.apply(cancelled, accepted).cancelled
+
+    def test_first_record_of_an_id_counts(self):
+        first = records.encode_job(job("0" * 16, step(1), spec="first"))
+        second = records.encode_job(job("0" * 16, step(9), spec="second"))
+        assert self.apply(first, second).spec == "first"
+
+    def test_older_progress_does_not_replace_newer(self):
+        made, table = job("0" * 16, step(1)), JobTable()
+        made.occurrence(0)
+        made.tasks[0, 0][0].run = 2
+        newer = records.encode_progress(made, None, 1)
+        made.tasks[0, 0][0].run = 1
+        older = records.encode_progress(made, None, 1)
+        table.apply(StoredRecord(0, records.encode_job(made)))
+        table.apply(StoredRecord(7, newer))
+        table.apply(StoredRecord(5, older))
+        assert table.jobs[made.id].tasks[0, 0][0].run == 2
+
+
+@pytest.mark.parametrize("blocked", ["listed", "ready", "fenced"])
+def test_worker_that_may_not_be_used_is_not(blocked):
+    target = worker()
+    assert target.usable(0, LIMITS)
+    setattr(target, blocked, False)
+    assert not target.usable(0, LIMITS)
+    assert not attrs.evolve(target, cordoned=True).usable(0, LIMITS)
--- /dev/null
+++ b/packages/scheduler/tests/test_machines.py
@@ -0,0 +1,115 @@
+"""Maintenance waves and moves of machines, in virtual time."""
+
+import attrs
+from fescuecrank_scheduler.fleet import Pool, Wave
+from fleet_simulation import Simulation
+from scheduler_builders import config, entry, job, step
+
+JOB = "00000000000000aa"
+
+
+def wave(sim: Simulation, cap: int = 2, duration_ms: int = 20_000) -> Wave:
+    return Wave(1, tuple(sim.machines.machines), duration_ms, cap)
+
+
+def settled(workers: int = 4, **fields: object) -> Simulation:
+    sim = Simulation(workers=workers, **fields)
+    sim.run(2_000)
+    return sim
+
+
+def test_wave_is_done_in_time_and_within_its_cap():
+    sim = settled(6)
+    due = wave(sim)
+    sim.set_config(sim.config, (due,))
+    sim.run(due.duration_ms)
+    assert sim.wave_states == {1: True}
+    assert all(machine.maintained == {1} for machine in sim.machines.machines.values())
+    assert sim.machines.most_down <= due.cap
+
+
+def test_wave_ends_no_task():
+    sim = settled(4)
+    for number in range(8):
+        sim.submit(job(f"{number:016x}", step(3), step(2, after=(0,))))
+    sim.set_config(sim.config, (wave(sim),))
+    sim.run(20_000)
+    assert sim.machines.ended_by_order == []
+    assert all(sim.state(f"{number:016x}") == "completed" for number in range(8))
+
+
+def test_wave_moves_lasting_tasks_within_what_their_step_may_miss():
+    sim = settled(4)
+    sim.submit(job(JOB, step(3, lasting=True, may_miss=1, anti_affinity=1)))
+    sim.run(1_000)
+    sim.set_config(sim.config, (wave(sim, cap=4),))
+    for _ in range(400):
+        sim.run(50)
+        stopping = [
+            run
+            for worker in sim.workers.values()
+            for run in worker.runs.values()
+            if run.stop_at_ms is not None
+        ]
+        assert len(stopping) <= 1
+    assert sim.wave_states == {1: True}
+
+
+def test_wave_goes_on_under_a_new_leader():
+    sim = settled(6)
+    due = wave(sim)
+    sim.set_config(sim.config, (due,))
+    sim.run(5_000)
+    sim.kill(sim.leader().name)
+    sim.run(20_000)
+    assert sim.wave_states == {1: True}
+    assert sim.machines.most_down <= due.cap
+
+
+def test_wave_with_a_machine_that_has_left_is_completed():
+    sim = settled(3)
+    due = attrs.evolve(wave(sim), machines=("m-unknown", *sim.machines.machines))
+    sim.set_config(sim.config, (due,))
+    sim.run(20_000)
+    assert sim.wave_states == {1: True}
+
+
+def pools() -> Simulation:
+    """Return a fleet with two workers in a pool and two machines in the stand-by pool."""
+    cfg = config(pools=(Pool("pool-a"), Pool("spare", standby=True)))
+    sim = Simulation(workers=4, cfg=cfg)
+    for name in ("worker-3", "worker-4"):
+        sim.entries[name] = entry(name, pool="spare")
+        sim.machines.machines[f"m-{name}"].pool = "spare"
+    sim.run(2_000)
+    return sim
+
+
+def test_burst_brings_stand_by_machines_that_return_when_idle():
+    sim = pools()
+    for number in range(10):
+        sim.submit(job(f"{number:016x}", step(4)))
+    sim.run(3_500)
+    in_pool = [m for m in sim.machines.machines.values() if m.pool == "pool-a"]
+    assert len(in_pool) == 4
+    sim.run(20_000)
+    assert all(sim.state(f"{number:016x}") == "completed" for number in range(10))
+    in_pool = [m for m in sim.machines.machines.values() if m.pool == "pool-a"]
+    assert len(in_pool) == 2
+
+
+def test_light_load_moves_nothing():
+    sim = pools()
+    for number in range(10):
+        sim.submit(job(f"{number:016x}", step(4)))
+        sim.run(2_000)
+    assert sim.machines.moves == 0
+
+
+def test_move_ends_no_task():
+    sim = pools()
+    for number in range(30):
+        sim.submit(job(f"{number:016x}", step(2)))
+        sim.run(150)
+    sim.run(30_000)
+    assert sim.machines.ended_by_order == []
