--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -13,6 +13,7 @@
 from fescuecrank_scheduler.events import MachineRow, OrderResult
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.maintenance import Maintenance
+from fescuecrank_scheduler.records import encode_homes
 from fescuecrank_scheduler.scheduler import Scheduler
 from fescuecrank_scheduler.workers import Worker
 
@@ -71,8 +72,6 @@
     scheduler: Scheduler
     maintenance: Maintenance
     limits: Limits
-    # Pool of each machine when this leader first saw it.
-    homes: dict[str, str] = attrs.field(factory=dict)
     moves: dict[str, Move] = attrs.field(factory=dict)
     _idle_since: dict[str, int] = attrs.field(factory=dict)
     _out: list[Effect] = attrs.field(factory=list)
@@ -102,8 +101,12 @@
         return out
 
     def _follow_moves(self, now: Now) -> None:
+        homes = self.scheduler.table.homes
+        known = len(homes)
         for name, row in self.maintenance.rows.items():
-            self.homes.setdefault(name, row.pool)
+            homes.setdefault(name, row.pool)
+        if len(homes) > known:
+            self.scheduler.store(encode_homes(homes))
         for move in list(self.moves.values()):
             if move.done_ms is not None:
                 row = self.maintenance.rows.get(move.machine)
@@ -130,7 +133,7 @@
 
     def _pools(self) -> dict[str, PoolState]:
         pools = {
-            name: PoolState(waiting=self.scheduler.waiting_work.get(name, 0.0))
+            name: PoolState(waiting=self.scheduler.urgent_work.get(name, 0.0))
             for name, pool in self.scheduler.config.pools.items()
             if not pool.standby
         }
@@ -214,7 +217,7 @@
 
     def _park(self, pools: dict[str, PoolState], now: Now) -> None:
         for row in self.maintenance.rows.values():
-            home = self.homes.get(row.machine, row.pool)
+            home = self.scheduler.table.homes.get(row.machine, row.pool)
             if row.pool not in pools or row.pool == home or not self._free(row):
                 continue
             worker = self._worker(row.machine)
--- a/packages/scheduler/src/fescuecrank_scheduler/job_table.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/job_table.py
@@ -4,7 +4,7 @@
 
 from fescuecrank_scheduler import records
 from fescuecrank_scheduler.jobs import Job, Outcome
-from fescuecrank_scheduler.records import Leadership, Progress, StoredRecord, WaveDone
+from fescuecrank_scheduler.records import Homes, Leadership, Progress, StoredRecord, WaveDone
 
 
 @attrs.define
@@ -20,6 +20,8 @@
     leader_offset: int = -1
     # Machines of each maintenance wave that have gone down.
     waves_done: dict[int, tuple[str, ...]] = attrs.field(factory=dict)
+    # Pool to which each machine returns.
+    homes: dict[str, str] = attrs.field(factory=dict)
     # Progress and cancellations whose job record has not been read yet.
     _early_progress: dict[str, Progress] = attrs.field(factory=dict)
     _early_cancels: set[str] = attrs.field(factory=set)
@@ -41,6 +43,8 @@
                     self.leader, self.leader_offset = leader, stored.offset
             case WaveDone() as wave:
                 self.waves_done[wave.wave] = wave.machines
+            case Homes() as homes:
+                self.homes = homes.pools
             case str() as job_id:
                 self._cancel(job_id)
 
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -249,10 +249,10 @@
                 continue
             for run in list(worker.runs.values()):
                 movable = run.step.lasting and run.state is RunState.RUNNING
-                if movable and self._may_stop(run):
+                if movable and self._may_stop(run, now):
                     self.scheduler.stop_run(worker, run, now)
 
-    def _may_stop(self, run: Run) -> bool:
+    def _may_stop(self, run: Run, now: Now) -> bool:
         # Steps that state no bound are moved one task at a time.
         allowed = 1 if run.step.may_miss is None else run.step.may_miss
         job = self.scheduler.table.jobs.get(run.task.job)
@@ -260,11 +260,15 @@
             return True
         away = 0
         for task in job.tasks.get((run.task.occurrence, run.task.step), ()):
-            if task.id != run.task and not self._at_work(task.id):
+            if task.id != run.task and not self._at_work(task.id, now):
                 away += 1
         return away < allowed
 
-    def _at_work(self, task_id: TaskId) -> bool:
+    def _at_work(self, task_id: TaskId, now: Now) -> bool:
         worker = self.scheduler.workers.get(self.scheduler.placed.get(task_id, ""))
         run = worker.runs.get(task_id) if worker else None
-        return run is not None and run.state is RunState.RUNNING and run.percent >= AT_WORK
+        if worker is None or run is None:
+            return False
+        # What a worker said last tells nothing once it is silent.
+        answers = worker.listed and now.mono_ms - worker.answered_ms < self.limits.silent_ms
+        return answers and run.state is RunState.RUNNING and run.percent >= AT_WORK
--- a/packages/scheduler/src/fescuecrank_scheduler/ordering.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/ordering.py
@@ -13,7 +13,7 @@
 import attrs
 
 from fescuecrank_scheduler.fleet import FleetConfig
-from fescuecrank_scheduler.jobs import Job, Phase, Task
+from fescuecrank_scheduler.jobs import Job, Phase, Step, Task
 
 # Share of a run's work that is still to be done, on average, while it is under way.
 UNDER_WAY = 0.5
@@ -33,9 +33,8 @@
     """What a job still asks of its pool; it stays true until one of its tasks changes."""
 
     job: Job
-    # Work in milliseconds of a core: all that is left, and that whose turn has come.
+    # Work that is left, in milliseconds of a core.
     work: float
-    waiting_work: float
     # Longest chain of steps that are not done.
     chain_ms: float
     # Wall-clock time at which the job stops being on time.
@@ -70,10 +69,15 @@
     )
 
 
+def work_of(step: Step, tasks: float) -> float:
+    """Return the work of some tasks of a step, in milliseconds of a core; 0 if it lasts."""
+    return 0.0 if step.lasting else tasks * step.need.cpu / 1_000 * step.estimate_ms
+
+
 def demand(job: Job, config: FleetConfig) -> Demand:
     """Return what a job still asks for, from its estimates and its progress."""
     queue = config.queue(job.queue)
-    work = waiting_work = 0.0
+    work = 0.0
     ready: list[ReadyStep] = []
     waiting_any = False
     chains: dict[int, list[float]] = {}
@@ -81,8 +85,7 @@
         step = job.steps[number]
         waiting = tuple(task for task in tasks if task.phase is Phase.WAITING)
         under_way = sum(1 for task in tasks if task.phase is Phase.ASSIGNED)
-        each_work = step.need.cpu / 1_000 * step.estimate_ms
-        work += (len(waiting) + UNDER_WAY * under_way) * each_work
+        work += work_of(step, len(waiting) + UNDER_WAY * under_way)
         share = 1.0 if waiting else UNDER_WAY if under_way else 0.0
         lengths = chains.setdefault(occurrence, [])
         before = max((lengths[earlier] for earlier in step.after), default=0.0)
@@ -91,11 +94,9 @@
             waiting_any = True
             if job.step_ready(occurrence, number):
                 ready.append(ReadyStep(occurrence, number, waiting))
-                waiting_work += 0.0 if step.lasting else len(waiting) * each_work
     return Demand(
         job,
         work,
-        waiting_work,
         max((max(lengths) for lengths in chains.values()), default=0.0),
         due_ms(job, config),
         queue.priority if queue else 0,
--- a/packages/scheduler/src/fescuecrank_scheduler/records.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/records.py
@@ -18,6 +18,7 @@
 PROGRESS_PREFIX = "p/"
 LEADER_KEY = "leader"
 WAVE_PREFIX = "w/"
+HOMES_KEY = "homes"
 
 # Fields of a step in the order of its encoded row; `need` is spread over three numbers.
 STEP_FIELDS = (
@@ -96,6 +97,18 @@
     return Record(f"{WAVE_PREFIX}{done.wave}", orjson.dumps(done.machines))
 
 
+@attrs.frozen
+class Homes:
+    """The pool to which each machine returns."""
+
+    pools: dict[str, str]
+
+
+def encode_homes(pools: dict[str, str]) -> Record:
+    """Return the record of the machines' own pools."""
+    return Record(HOMES_KEY, orjson.dumps(pools))
+
+
 def encode_job(job: Job) -> Record:
     """Return the record of an accepted job."""
     rows = [
@@ -154,7 +167,7 @@
     return Record(LEADER_KEY, orjson.dumps(value))
 
 
-def decode(record: Record) -> Job | Progress | Leadership | WaveDone | str | None:
+def decode(record: Record) -> Job | Progress | Leadership | WaveDone | Homes | str | None:
     """Return what a record says; a string is the id of a cancelled job.
 
     Returns None for an unknown key or an empty value, and raises `ValueError` for a malformed one.
@@ -168,6 +181,8 @@
             return _progress(record.key[len(PROGRESS_PREFIX) :], orjson.loads(record.value))
         if record.key == LEADER_KEY:
             return Leadership(*orjson.loads(record.value))
+        if record.key == HOMES_KEY:
+            return Homes(dict(orjson.loads(record.value)))
         if record.key.startswith(WAVE_PREFIX):
             machines = tuple(orjson.loads(record.value))
             return WaveDone(int(record.key[len(WAVE_PREFIX) :]), machines)
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -83,8 +83,10 @@
     resigning: bool = False
     resigned: bool = False
     started_ms: int = 0
-    # Work that has not found room, by pool, in milliseconds of a core.
+    # Work that has not found room on usable workers, by pool, in milliseconds of a core: all of
+    # it, and that of jobs that can still end on time. Tasks over their team's limit do not count.
     waiting_work: dict[str, float] = attrs.field(factory=dict)
+    urgent_work: dict[str, float] = attrs.field(factory=dict)
     # Worker of each run that counts, by task.
     placed: dict[TaskId, str] = attrs.field(factory=dict)
     _flush: Flush | None = None
@@ -488,6 +490,7 @@
             elif queue is not None:
                 by_pool.setdefault(queue.pool, []).append(self._demand(job, now))
         self.waiting_work.clear()
+        self.urgent_work.clear()
         for pool, demands in by_pool.items():
             usable = [
                 worker
@@ -495,11 +498,14 @@
                 if worker.pool == pool and worker.usable(now.mono_ms, self.limits)
             ]
             cores = sum(worker.capacity.cpu for worker in usable) / 1_000
+            missed = missed_in_time = 0.0
             for demand in ordering.arrange(demands, cores, now.wall_ms):
-                self._schedule_job(demand, usable, now)
-            self.waiting_work[pool] = sum(
-                self._demand(demand.job, now).waiting_work for demand in demands
-            )
+                work = self._schedule_job(demand, usable, now)
+                missed += work
+                if now.wall_ms + demand.chain_ms <= demand.due_ms:
+                    missed_in_time += work
+            self.waiting_work[pool] = missed
+            self.urgent_work[pool] = missed_in_time
 
     def _demand(self, job: Job, now: Now) -> Demand:
         demand = self._demands.get(job.id)
@@ -508,7 +514,9 @@
             demand = self._demands[job.id] = ordering.demand(job, self.config)
         return demand
 
-    def _schedule_job(self, demand: Demand, usable: list[Worker], now: Now) -> None:
+    def _schedule_job(self, demand: Demand, usable: list[Worker], now: Now) -> float:
+        """Start what finds room; return the work that found none, in ms of a core."""
+        missed = 0.0
         job = demand.job
         if not demand.waiting and job.schedule is None:
             self._waiting.discard(job.id)
@@ -522,9 +530,10 @@
                 )
                 self._out.extend(self.advice.take())
             if step.gang:
-                self._start_gang(job, ready, workers, now)
+                missed += self._start_gang(job, ready, workers, now)
             else:
-                self._start_tasks(job, ready, workers, now)
+                missed += self._start_tasks(job, ready, workers, now)
+        return missed
 
     def _occurrences(self, job: Job, now: Now) -> None:
         if job.schedule is None:
@@ -538,28 +547,30 @@
                 break
             job.occurrence(number)
 
-    def _start_tasks(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> None:
+    def _start_tasks(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> float:
         step, team = job.steps[ready.number], self.config.teams.get(job.team)
-        for task in ready.tasks:
+        for place, task in enumerate(ready.tasks):
             if not self.usage.allows(team, step.need):
-                return
+                return 0.0
             worker = placement.choose(workers, job.id, ready.occurrence, ready.number, step)
             if worker is None:
-                return
+                return ordering.work_of(step, len(ready.tasks) - place)
             self._plan(worker, job, task, task.run + 1, now)
+        return 0.0
 
-    def _start_gang(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> None:
+    def _start_gang(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> float:
         step, team = job.steps[ready.number], self.config.teams.get(job.team)
         if len(ready.tasks) < step.count:
-            return
+            return 0.0
         if not self.usage.allows(team, step.need, step.count):
-            return
+            return 0.0
         chosen = placement.choose_gang(workers, job.id, ready.occurrence, ready.number, step)
         if chosen is None:
-            return
+            return ordering.work_of(step, step.count)
         run = max(task.run for task in ready.tasks) + 1
         for task, worker in zip(ready.tasks, chosen, strict=True):
             self._plan(worker, job, task, run, now)
+        return 0.0
 
     def _plan(self, worker: Worker, job: Job, task: Task, run: int, now: Now) -> None:
         task.run, task.worker, task.phase = run, worker.id, Phase.ASSIGNED
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -88,7 +88,7 @@
 def test_burst_brings_stand_by_machines_that_return_when_idle():
     sim = pools()
     for number in range(10):
-        sim.submit(job(f"{number:016x}", step(4)))
+        sim.submit(job(f"{number:016x}", step(4), accepted_ms=sim.now.wall_ms))
     sim.run(3_500)
     in_pool = [m for m in sim.machines.machines.values() if m.pool == "pool-a"]
     assert len(in_pool) == 4
@@ -113,3 +113,18 @@
         sim.run(150)
     sim.run(30_000)
     assert sim.machines.ended_by_order == []
+
+
+def test_lasting_task_on_a_silent_worker_counts_as_away():
+    sim = settled(5)
+    sim.submit(job(JOB, step(3, lasting=True, may_miss=1, anti_affinity=1)))
+    sim.run(1_500)
+    lost = next(worker for worker in sim.workers.values() if worker.runs)
+    lost.reachable = False
+    # The worker's last report, which still says that its task is at work, is too old by now.
+    sim.run(sim.limits.silent_ms + 500)
+    sim.set_config(sim.config, (wave(sim, cap=5),))
+    sim.run(1_500)
+    at_work = [worker for worker in sim.workers.values() if worker.runs and worker is not lost]
+    assert len(at_work) == 2
+    assert all(len(rows) == 1 for rows in sim.starts().values())
--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -144,19 +144,19 @@
         self._producer = producer
         self._clock = clock
         self._post = post
+        self._number = 0
         self._task: asyncio.Task[None] | None = None
 
     def append(self, effect: StoreProgress) -> None:
         """Start an append; one of an earlier leadership is abandoned."""
         self.stop()
-        self._task = asyncio.get_running_loop().create_task(self._run(effect))
+        self._task = asyncio.get_running_loop().create_task(self._run(self._number, effect))
 
     def stop(self) -> None:
-        """Abandon the append under way."""
-        if self._task is not None:
-            self._task.cancel()
+        """Make no further attempts for the append under way."""
+        self._number += 1
 
-    async def _run(self, effect: StoreProgress) -> None:
+    async def _run(self, number: int, effect: StoreProgress) -> None:
         attempt, pause_ms = 0, REFUSED_PAUSE_MS
         while True:
             answer = await self._stream.append(
@@ -168,10 +168,11 @@
                 attempt_timeout_ms(attempt),
             )
             attempt += 1
+            if number != self._number:
+                return
             if answer.result is StoreResult.REFUSED:
                 await asyncio.sleep(pause_ms / 1_000)
                 pause_ms = min(2 * pause_ms, REFUSED_PAUSE_MAX_MS)
             elif answer.result is not StoreResult.UNKNOWN:
                 break
-        self._task = None
         self._post(ProgressStored(effect.epoch, effect.sequence, answer.result, answer.offset))
--- a/packages/service/src/fescuecrank_service/topic_reader.py
+++ b/packages/service/src/fescuecrank_service/topic_reader.py
@@ -36,6 +36,8 @@
         self._failed = failed
         self._next: int | None = None
         self._task: asyncio.Task[None] | None = None
+        # Only the newest loop delivers; a read that an older one waits for runs out by itself.
+        self._loop_number = 0
         # Pause between two reads and longest wait of one; None stops reading.
         self._pace: tuple[int | None, int] | None = None
 
@@ -46,22 +48,25 @@
         if self._pace == (gap_ms, wait_ms) and not reload:
             return
         self._pace = (gap_ms, wait_ms)
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
+        self._loop_number += 1
         if gap_ms is not None:
-            self._task = asyncio.get_running_loop().create_task(self._run(gap_ms, wait_ms))
+            self._task = asyncio.get_running_loop().create_task(
+                self._run(self._loop_number, gap_ms, wait_ms)
+            )
 
-    async def _run(self, gap_ms: int, wait_ms: int) -> None:
-        while True:
-            read = await (self._newest() if self._next is None else self._tail(wait_ms))
+    async def _run(self, number: int, gap_ms: int, wait_ms: int) -> None:
+        while number == self._loop_number:
+            tail = self._next is not None
+            read = await (self._tail(number, wait_ms) if tail else self._newest(number))
+            if number != self._loop_number:
+                return
             if read.is_err():
                 self._failed(self._name, read.err_value)
                 await asyncio.sleep(RETRY_MS / 1_000)
             elif gap_ms:
                 await asyncio.sleep(gap_ms / 1_000)
 
-    async def _newest(self) -> Result[Any, Failure]:
+    async def _newest(self, number: int) -> Result[Any, Failure]:
         records: list[StoredRecord] = []
         after: str | None = None
         end: int | None = None
@@ -74,14 +79,15 @@
             if not page.ok_value.more or not page.ok_value.records:
                 break
             after = page.ok_value.records[-1].record.key
-        self._next = end
-        self._deliver(tuple(records), end, True)
+        if number == self._loop_number:
+            self._next = end
+            self._deliver(tuple(records), end, True)
         return page
 
-    async def _tail(self, wait_ms: int) -> Result[Any, Failure]:
+    async def _tail(self, number: int, wait_ms: int) -> Result[Any, Failure]:
         assert self._next is not None
         page = await self._stream.read(self._next, wait_ms)
-        if page.is_err():
+        if page.is_err() or number != self._loop_number:
             return page
         if isinstance(page.ok_value, Expired):
             self._next = None
