--- a/packages/daemon/src/fescuecrank_daemon/platform_main.py
+++ b/packages/daemon/src/fescuecrank_daemon/platform_main.py
@@ -25,6 +25,7 @@
 from fescuecrank_service.front import Front
 from fescuecrank_service.http_calls import HttpCaller
 from fescuecrank_service.log_lines import LineLog
+from fescuecrank_service.metrics import Metrics
 
 from fescuecrank_daemon.clock import SystemClock
 
@@ -35,6 +36,10 @@
 # Calls to workers that may be open at a time: one hold and some orders for each.
 WORKER_CALLS = 400
 
+# Where metrics are served; the deploy file names the same port and path.
+METRICS_PORT = 9_464
+METRICS_PATH = "/metrics"
+
 # After the process has decided to end, open answers are written for at most this long.
 LINGER_MS = 100
 
@@ -46,6 +51,7 @@
     rng = random.Random()
     log = LineLog(clock, cfg.node)
     caller = HttpCaller(STORE_CALLS)
+    metrics = Metrics(clock)
     engine = Engine(
         Reducer(cfg.node, cfg.limits(), rng),
         clock,
@@ -55,6 +61,7 @@
         # Each life of a process numbers its appends anew.
         f"{cfg.node}-{rng.getrandbits(48):x}",
         log,
+        metrics,
     )
     front = Front(
         PlatformRequests(),
@@ -62,9 +69,15 @@
         engine.post,
         lambda: engine.reducer.ready,
         lambda: engine.reducer.config.max_body_bytes,
+        answered=metrics.answers,
     )
     engine.front = front
     front.listen(cfg.front, cfg.ready)
+    try:
+        address = f"{cfg.front.rsplit(':', 1)[0]}:{METRICS_PORT}"
+        front.listen_metrics(address, METRICS_PATH, lambda: metrics.render(engine.reducer))
+    except OSError as exc:
+        log.write("metrics_not_served", {"port": METRICS_PORT, "reason": str(exc)})
 
     def shut_down() -> None:
         front.stopping = True
--- a/packages/platform/src/fescuecrank_platform/requests.py
+++ b/packages/platform/src/fescuecrank_platform/requests.py
@@ -87,6 +87,13 @@
     return value
 
 
+def _text(plain: dict[str, Any], name: str) -> str:
+    value = plain.get(name) or ""
+    if not isinstance(value, str):
+        raise ValueError(f"{name} must be a string")
+    return value
+
+
 def _step(plain: dict[str, Any], number: int) -> Step:
     after = tuple(plain.get("after") or ())
     if any(not isinstance(before, int) or not 0 <= before < number for before in after):
@@ -105,13 +112,13 @@
         after=after,
         gang=bool(plain.get("gang")),
         same_rack=bool(plain.get("same_rack")),
-        requires=plain.get("requires") or "",
-        affinity=plain.get("affinity") or "",
+        requires=_text(plain, "requires"),
+        affinity=_text(plain, "affinity"),
         anti_affinity=_number(plain, "anti_affinity"),
         speculative=bool(plain.get("speculative")),
         lasting=lasting,
         checkpointing=bool(plain.get("checkpointing")),
-        image=plain.get("image") or "",
+        image=_text(plain, "image"),
         target_ms=_number(plain, "target_ms"),
         fills=bool(plain.get("fills")),
         may_miss=may_miss,
--- /dev/null
+++ b/packages/platform/tests/test_platform.py
@@ -0,0 +1,423 @@
+"""Translation of the platform's names and formats."""
+
+import asyncio
+import struct
+
+import attrs
+import orjson
+import pytest
+from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_platform import requests, settings, store, worker_calls
+from fescuecrank_platform.configuration import decode_operators
+from fescuecrank_platform.fleet_calls import HttpFleetCalls
+from fescuecrank_platform.settings import Endpoints
+from fescuecrank_platform.worker_list import decode_workers
+from fescuecrank_scheduler import effects
+from fescuecrank_scheduler.effects import Reply
+from fescuecrank_scheduler.events import (
+    CallResult,
+    Cancel,
+    Lookup,
+    OrderResult,
+    StoreResult,
+    Submit,
+    Topic,
+)
+from fescuecrank_scheduler.jobs import TaskId
+from fescuecrank_scheduler.records import Record, StoredRecord
+from fescuecrank_service.clients import Expired
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+JOB = "5c0e7a21d94b36f8"
+TASK = TaskId(JOB, 0, 1, 17)
+
+
+@attrs.define
+class Response:
+    code: int
+    body: bytes = b"{}"
+
+
+class Wire:
+    """Records calls and gives prepared answers."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def call(self, step, address, method, path, timeout_ms, body=None, headers=None):
+        self.calls.append((address, method, path, body, headers or {}))
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        return Ok(answer) if isinstance(answer, Response) else Err(answer)
+
+
+def failure(kind=FailureKind.TIMEOUT):
+    return Failure(kind, "step", "peer", "no answer")
+
+
+ENDPOINTS = Endpoints("store:1", "machines:2", "advice:3")
+
+
+class TestSettings:
+    """The settings file."""
+
+    TEXT = """
+node_name: "edge-1"
+zone: "dc-1"
+listen_addrs: {front: "10.0.0.1:1", ready: "10.0.0.1:2"}
+platform: {address: "10.0.0.9:3"}
+cloud: {address: "10.0.0.8:4"}
+bounds: {hold_max_ms: 5000, maintenance_s: 2.5}
+unknown_field: 1
+"""
+
+    def read(self, tmp_path, text):
+        path = tmp_path / "settings.yaml"
+        path.write_text(text)
+        return settings.read_settings(path)
+
+    def test_fields_are_typed_and_unknown_ones_are_ignored(self, tmp_path):
+        cfg = self.read(tmp_path, self.TEXT).ok_value
+        assert (cfg.node, cfg.data_centre, cfg.store) == ("edge-1", "dc-1", "10.0.0.9:3")
+        assert cfg.limits().lease_ms == 5_000
+        assert cfg.limits().maintenance_ms == 2_500
+
+    @pytest.mark.parametrize(
+        ("old", "new", "named"),
+        [
+            ('zone: "dc-1"', "zone: 7", "zone"),
+            ("hold_max_ms: 5000", "hold_max_ms: soon", "bounds.hold_max_ms"),
+            ('platform: {address: "10.0.0.9:3"}', "platform: {}", "platform.address"),
+            ("node_name", "{", "settings.yaml"),
+        ],
+    )
+    def test_error_names_file_and_field(self, tmp_path, old, new, named):
+        read = self.read(tmp_path, self.TEXT.replace(old, new))
+        assert named in str(read.err_value)
+        assert "settings.yaml" in str(read.err_value)
+
+
+def test_configuration_is_decoded_into_the_project_names():
+    config = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h",
+                "path_prefix": "/p/",
+                "backend": "b",
+                "slo_ms": 600,
+                "priority": 1,
+                "max_attempts": 4,
+                "stretch": 1.6,
+                "public": True,
+            }
+        ],
+        "backends": [{"name": "b", "admission_check": True, "standby": True}],
+        "tenants": [{"name": "t", "api_keys": ["k"], "weight": 25, "cap": {"cpu": 9}}],
+    }
+    wave = {"wave": 1, "machines": ["m"], "duration_s": 20, "cap": 1}
+    values = {"config": orjson.dumps(config), "wave/1": orjson.dumps(wave)}
+    decoded, waves = decode_operators(values).ok_value
+    queue = decoded.queue_at("h", "/p/x")
+    assert (queue.pool, queue.objective_ms, queue.is_open) == ("b", 600, True)
+    assert decoded.pools["b"].standby
+    assert decoded.team_of("k").limit.cpu == 9
+    assert (waves[0].duration_ms, waves[0].cap) == (20_000, 1)
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version": 1, "routes": [{}]}'])
+def test_unreadable_configuration_is_an_error(value):
+    assert decode_operators({"config": value}).is_err()
+
+
+class TestWorkerList:
+    """Entries that workers and others write."""
+
+    ENTRY = {
+        "backend": "b",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 16_000, "mem_mb": 1},
+        "labels": ["a", "r1"],
+        "born": 5,
+    }
+
+    def read(self, value):
+        raw = value if isinstance(value, bytes) else orjson.dumps(value)
+        return decode_workers((StoredRecord(0, Record("i-1", raw)),), whole=False)
+
+    def test_entry_is_decoded(self):
+        (entry,) = self.read(self.ENTRY).entries
+        assert (entry.id, entry.pool, entry.ready, entry.born_ms) == ("i-1", "b", True, 5)
+
+    def test_dropped_key_means_that_the_worker_has_left(self):
+        assert self.read(b"").gone == ("i-1",)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "dancing"},
+            {"capacity": 5},
+            {"capacity": {"cpu": "many"}},
+            {"address": 7},
+            {"address": "nowhere"},
+            {"labels": [1]},
+            {"backend": None},
+            {"born": "today"},
+        ],
+    )
+    def test_foreign_entry_names_no_worker(self, change):
+        read = self.read(self.ENTRY | change)
+        assert read.entries == ()
+        assert read.gone == ()
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_survived(self, value):
+        self.read(value)
+
+
+class TestRequests:
+    """Callers' requests."""
+
+    HEADERS = {"Host": "h", "Authorization": "Bearer key"}
+
+    def decode(self, method="POST", body=b"", headers=None):
+        formats = requests.PlatformRequests()
+        return formats.decode(1, method, "/p/" + JOB, headers or self.HEADERS, body)
+
+    def test_methods_become_requests(self):
+        assert isinstance(self.decode("GET"), Lookup)
+        assert isinstance(self.decode("DELETE"), Cancel)
+        assert self.decode("PUT").status == 405
+        assert self.decode("GET", headers={"Host": "h"}).key is None
+
+    def test_job_is_decoded(self):
+        steps = [
+            {"count": 2, "cpu": 500, "affinity": "r1"},
+            {"count": 1, "after": [0], "long_running": True, "may_miss": 1},
+        ]
+        body = orjson.dumps({"spec": "s", "steps": steps, "repeat_count": 3, "first_ms": 9})
+        made = self.decode(body=body).job
+        assert made.steps[0].affinity == "r1"
+        assert (made.steps[1].after, made.steps[1].may_miss) == ((0,), 1)
+        assert (made.schedule.times, made.schedule.first_ms) == (3, 9)
+
+    @pytest.mark.parametrize(
+        "plain",
+        [
+            {},
+            {"steps": []},
+            {"steps": [{"after": [0]}]},
+            {"steps": [{"count": 1, "after": [1]}, {"count": 1}]},
+            {"steps": [{"cpu": -1}]},
+            {"steps": [{"count": 0}]},
+            {"steps": [{"affinity": 7}]},
+            {"steps": [{"after": 3}]},
+            {"spec": "x" * 4_001, "steps": [{}]},
+            {"spec": 5, "steps": [{}]},
+            {"steps": [{"count": 10**9}]},
+            [],
+        ],
+    )
+    def test_impossible_job_is_a_problem_not_a_crash(self, plain):
+        decoded = self.decode(body=orjson.dumps(plain))
+        assert isinstance(decoded, Submit)
+        assert decoded.job is None
+        assert decoded.problem
+
+    @given(st.binary(max_size=60))
+    def test_any_body_is_survived(self, body):
+        self.decode(body=body)
+
+    def test_refusal_says_when_to_come_back(self):
+        answer = requests.PlatformRequests().encode(Reply(1, 429, {"error": "full"}, 2_100))
+        assert (answer.status, answer.headers["Retry-After"]) == (429, "3")
+
+
+class TestStore:
+    """The store's calls."""
+
+    def stream(self, *answers):
+        wire = Wire(*answers)
+        return wire, store.LogStore(wire, ENDPOINTS).shared(Topic.INTAKE)
+
+    @given(st.lists(st.tuples(st.text(max_size=20), st.binary(max_size=50)), max_size=5))
+    def test_records_survive_framing(self, rows):
+        records = tuple(Record(key, value) for key, value in rows)
+        read = store.unframe(bytes(16) + store.frame(records), 40)
+        assert tuple(each.record for each in read) == records
+        assert [each.offset for each in read] == list(range(40, 40 + len(records)))
+
+    def test_record_that_is_cut_short_is_an_error(self):
+        body = bytes(16) + store.frame((Record("k", b"value"),))[:-1]
+        with pytest.raises(ValueError, match="cut short"):
+            store.unframe(body, 0)
+
+    @pytest.mark.parametrize(
+        ("answer", "result"),
+        [
+            (Response(200, b'{"offset": 4, "end": 5}'), StoreResult.STORED),
+            (Response(409), StoreResult.FENCED),
+            (Response(412), StoreResult.CONFLICT),
+            (Response(503), StoreResult.REFUSED),
+            (Response(429), StoreResult.REFUSED),
+            (Response(500), StoreResult.UNKNOWN),
+            (failure(), StoreResult.UNKNOWN),
+            (failure(FailureKind.UNAVAILABLE), StoreResult.REFUSED),
+        ],
+    )
+    def test_outcome_of_an_append(self, answer, result):
+        wire, stream = self.stream(answer)
+        done = asyncio.run(stream.append((Record("k", b"v"),), "p q", 3, 9, 7, 100))
+        assert done.result is result
+        query = wire.calls[0][2]
+        assert "at=7" in query
+        assert "producer=p%20q&epoch=3&sequence=9" in query
+
+    def test_read_and_expiry(self):
+        body = struct.pack(">QQ", 9, 3) + store.frame((Record("k", b"v"),))
+        _, stream = self.stream(Response(200, body))
+        page = asyncio.run(stream.read(8, 100)).ok_value
+        assert (page.records[0].offset, page.end) == (8, 9)
+        _, stream = self.stream(Response(410))
+        assert asyncio.run(stream.read(8, 100)).ok_value == Expired()
+        _, stream = self.stream(Response(503))
+        assert asyncio.run(stream.read(8, 100)).is_err()
+
+    def test_newest_page(self):
+        items = [{"key": "k", "value": "dg==", "offset": 4}]
+        answer = Response(200, orjson.dumps({"items": items, "has_more": True, "end": 6}))
+        wire, stream = self.stream(answer)
+        page = asyncio.run(stream.newest("a/b")).ok_value
+        assert page.records[0].record == Record("k", b"v")
+        assert (page.more, page.end) == (True, 6)
+        assert "after=a%2Fb" in wire.calls[0][2]
+
+    def test_reloaded_settings_change_the_address(self):
+        endpoints = Endpoints("old:1", "m:1", "a:1")
+        wire = Wire(Response(503))
+        stream = store.LogStore(wire, endpoints).shared(Topic.INTAKE)
+        endpoints.store = "new:1"
+        asyncio.run(stream.read(0, 0))
+        assert wire.calls[0][0] == "new:1"
+
+
+class TestWorkerCalls:
+    """Orders to workers."""
+
+    START = effects.StartRun("i-1", "10.0.0.1:80", 7, TASK, 2, "spec", 486_000, "cp", "", 500)
+
+    def start(self, answer):
+        wire = Wire(answer)
+        done = asyncio.run(worker_calls.HttpWorkerCalls(wire).start(self.START))
+        return wire, done.result
+
+    def test_start_names_task_run_fence_and_life(self):
+        wire, result = self.start(Response(200))
+        _, method, path, body, headers = wire.calls[0]
+        assert (method, path) == ("POST", "/api/run-start")
+        assert orjson.loads(body) == {
+            "task": f"{JOB}.0.1.17",
+            "run": 2,
+            "spec": "spec",
+            "deadline_ms": 486_000,
+            "fencing_token": 7,
+            "checkpoint": "cp",
+        }
+        assert headers["X-Expect-Instance"] == "i-1"
+        assert result is CallResult.OK
+
+    @pytest.mark.parametrize(
+        ("answer", "result"),
+        [
+            (Response(409, b'{"reason": "fence"}'), CallResult.FENCED),
+            (Response(409, b'{"reason": "old"}'), CallResult.OLD),
+            (Response(409, b'{"reason": "late"}'), CallResult.LATE),
+            (Response(409, b'{"reason": "room"}'), CallResult.NO_ROOM),
+            (Response(409, b'{"reason": "ticket"}'), CallResult.BAD_TICKET),
+            (Response(409, b"?"), CallResult.INVALID),
+            (Response(421), CallResult.OTHER_LIFE),
+            (Response(503), CallResult.UNHEALTHY),
+            (Response(500), CallResult.NO_ANSWER),
+            (failure(), CallResult.NO_ANSWER),
+            (failure(FailureKind.UNAVAILABLE), CallResult.REFUSED),
+        ],
+    )
+    def test_answers_become_results(self, answer, result):
+        assert self.start(answer)[1] is result
+
+    def test_hold_returns_both_lists(self):
+        plain = {
+            "clock_ms": 482_113,
+            "born": 5,
+            "running": [[f"{JOB}.0.1.17", 2, "cp", 41, 900]],
+            "finished": [[58, f"{JOB}.0.1.9", 1, "done", ""]],
+        }
+        wire = Wire(Response(200, orjson.dumps(plain)))
+        hold = effects.HoldWorker("i-1", "10.0.0.1:80", 7, 57, 486_000, 1_000, 3)
+        done = asyncio.run(worker_calls.HttpWorkerCalls(wire).hold(hold))
+        assert done.number == 3
+        assert done.reply.running[0].task == TASK
+        assert (done.reply.running[0].percent, done.reply.running[0].figure) == (41, 900)
+        assert (done.reply.ended[0].number, done.reply.ended[0].how) == (58, "done")
+
+    def test_malformed_hold_is_invalid(self):
+        wire = Wire(Response(200, b'{"clock_ms": 1, "running": [["x"]]}'))
+        hold = effects.HoldWorker("i-1", "10.0.0.1:80", 7, 57, None, 0, 3)
+        done = asyncio.run(worker_calls.HttpWorkerCalls(wire).hold(hold))
+        assert done.result is CallResult.INVALID
+
+
+class TestFleetCalls:
+    """Machines and advice."""
+
+    def calls(self, *answers):
+        wire = Wire(*answers)
+        return wire, HttpFleetCalls(wire, ENDPOINTS, "edge-1")
+
+    def test_all_pages_of_the_list_are_read(self):
+        row = {"machine": "m1", "pool": "b", "state": "up", "id": "i-1"}
+        pages = [
+            Response(200, orjson.dumps({"machines": [row], "next_token": "t"})),
+            Response(200, orjson.dumps({"machines": [row | {"id": None}]})),
+        ]
+        wire, calls = self.calls(*pages)
+        rows = asyncio.run(calls.machines())
+        assert [row.worker for row in rows] == ["i-1", ""]
+        assert wire.calls[1][2] == "/api/machines?page_token=t"
+
+    def test_list_that_is_not_whole_is_no_list(self):
+        _, calls = self.calls(Response(503))
+        assert asyncio.run(calls.machines()) is None
+
+    @pytest.mark.parametrize(
+        ("answer", "result"),
+        [
+            (Response(200), OrderResult.OK),
+            (Response(409, b'{"reason": "fence"}'), OrderResult.FENCED),
+            (Response(409, b'{"reason": "busy"}'), OrderResult.BUSY),
+            (Response(409, b'{"reason": "wave"}'), OrderResult.REJECTED),
+            (Response(400), OrderResult.REJECTED),
+            (Response(429), OrderResult.THROTTLED),
+            (failure(), OrderResult.NO_ANSWER),
+        ],
+    )
+    def test_orders_carry_holder_and_fence(self, answer, result):
+        wire, calls = self.calls(answer)
+        done = asyncio.run(calls.maintain(effects.MaintainMachine("m1", 4, 12)))
+        assert done.result is result
+        headers = wire.calls[0][4]
+        assert (headers["X-Lease-Holder"], headers["X-Fencing-Token"]) == ("edge-1", "12")
+
+    def test_tickets(self):
+        answer = Response(200, b'{"good": [["i-1", "t"]], "validity_ms": 3000}')
+        wire, calls = self.calls(answer)
+        done = asyncio.run(calls.advise(effects.Advise(JOB, 0, 1, ("i-1", "i-2"))))
+        assert done.tickets == {"i-1": "t"}
+        assert orjson.loads(wire.calls[0][3])["step"] == f"{JOB}.0.1"
+        _, calls = self.calls(Response(429))
+        assert asyncio.run(calls.advise(effects.Advise(JOB, 0, 1, ("i-1",)))).tickets is None
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -17,6 +17,7 @@
 from fescuecrank_service.clients import FleetCalls, Store, WorkerCalls
 from fescuecrank_service.front import Front
 from fescuecrank_service.log_lines import LineLog
+from fescuecrank_service.metrics import Metrics
 from fescuecrank_service.topic_reader import WAIT_MS, TopicReader
 
 # The leader acts on timers; the others only watch the leader's renewals.
@@ -58,6 +59,7 @@
         fleet: FleetCalls,
         producer: str,
         log: LineLog,
+        metrics: Metrics,
     ) -> None:
         self.reducer = reducer
         self.front: Front | None = None
@@ -67,6 +69,7 @@
         self._worker_calls: WorkerCalls | None = None
         self._fleet = fleet
         self._log = log
+        self._metrics = metrics
         self._intake = IntakeAppender(store.shared(Topic.INTAKE), producer, clock, self.post)
         self._progress = ProgressAppender(store.shared(Topic.PROGRESS), "leader", clock, self.post)
         self._operator_values: dict[str, bytes] = {}
@@ -108,7 +111,9 @@
     def post(self, event: Event) -> None:
         """Give one event to the reducer and carry out what it asks for."""
         now = self._clock.now()
+        self._metrics.events[type(event).__name__] += 1
         for effect in self.reducer.handle(event, now):
+            self._metrics.effects[type(effect).__name__] += 1
             self._carry_out(effect)
         self._arm_wake(now)
 
@@ -150,15 +155,15 @@
             case effects.StoreWaveState():
                 self._start(self._put_wave_state(effect))
             case effects.WorkerEffect():
-                self._start(self._call(self._worker_call(effect)))
+                self._start(self._call(effect, self._worker_call(effect)))
             case effects.ListMachines():
                 self._start(self._list_machines())
             case effects.MoveMachine():
-                self._start(self._call(self._fleet.move(effect)))
+                self._start(self._call(effect, self._fleet.move(effect)))
             case effects.MaintainMachine():
-                self._start(self._call(self._fleet.maintain(effect)))
+                self._start(self._call(effect, self._fleet.maintain(effect)))
             case effects.Advise():
-                self._start(self._call(self._fleet.advise(effect)))
+                self._start(self._call(effect, self._fleet.advise(effect)))
 
     def _worker_call(self, effect: effects.WorkerEffect) -> Awaitable[Event]:
         if self._worker_calls is None:
@@ -184,8 +189,12 @@
         if not task.cancelled() and task.exception() is not None:
             self._log.write("call_broke", {"error": repr(task.exception())})
 
-    async def _call(self, call: Awaitable[Event]) -> None:
-        self.post(await call)
+    async def _call(self, effect: Effect, call: Awaitable[Event]) -> None:
+        begun_ms = self._clock.now().mono_ms
+        event = await call
+        result = str(getattr(event, "result", "ok"))
+        self._metrics.called(type(effect).__name__, result, begun_ms)
+        self.post(event)
 
     async def _list_machines(self) -> None:
         sent_ms = self._clock.now().mono_ms
--- a/packages/service/src/fescuecrank_service/front.py
+++ b/packages/service/src/fescuecrank_service/front.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -58,7 +59,7 @@
     is_ready: Callable[[], bool]
     max_body_bytes: Callable[[], int]
     stopping: bool = False
-    answered: dict[int, int] = attrs.field(factory=dict)
+    answered: Counter = attrs.field(factory=Counter)
     _tokens: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     _open: dict[int, HTTPServerRequest] = attrs.field(factory=dict)
     _servers: list[HTTPServer] = attrs.field(factory=list)
@@ -76,6 +77,20 @@
             server.listen(int(port), host)
             self._servers.append(server)
 
+    def listen_metrics(self, address: str, path: str, render: Callable[[], bytes]) -> None:
+        """Serve metrics as text; an address that is taken only costs the metrics."""
+
+        def handle(req: HTTPServerRequest) -> None:
+            found = req.path == path
+            body = render() if found else b""
+            text = {"Content-Type": "text/plain; version=0.0.4"}
+            write_answer(req, HttpAnswer(200 if found else 404, body, text), close=False)
+
+        host, port = address.rsplit(":", 1)
+        server = HTTPServer(handle)
+        server.listen(int(port), host)
+        self._servers.append(server)
+
     def stop_listening(self) -> None:
         """Take no further connections."""
         for server in self._servers:
@@ -109,7 +124,7 @@
             self._answer(req, self.formats.encode(reply))
 
     def _answer(self, req: HTTPServerRequest, answer: HttpAnswer) -> None:
-        self.answered[answer.status] = self.answered.get(answer.status, 0) + 1
+        self.answered[answer.status] += 1
         write_answer(req, answer, close=self.stopping)
 
 
--- /dev/null
+++ b/packages/service/tests/test_service.py
@@ -0,0 +1,316 @@
+"""The I/O shell: appends, streams, logs, files and the HTTP front."""
+
+import asyncio
+import json
+import os
+
+import pytest
+from fescuecrank_core.clock import ManualClock
+from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_scheduler.effects import Reply, StoreIntake, StoreProgress
+from fescuecrank_scheduler.events import (
+    IntakeStored,
+    Lookup,
+    ProgressStored,
+    StoreHealth,
+    StoreResult,
+)
+from fescuecrank_scheduler.records import Record, StoredRecord
+from fescuecrank_service.appenders import IntakeAppender, ProgressAppender
+from fescuecrank_service.clients import Appended, Expired, NewestPage, Page, Stream
+from fescuecrank_service.file_watch import FileWatch
+from fescuecrank_service.front import Front, retry_after_seconds
+from fescuecrank_service.http_calls import HttpCaller
+from fescuecrank_service.log_lines import LINES_PER_SECOND, LineLog
+from fescuecrank_service.topic_reader import TopicReader
+from result import Err, Ok
+from service_builders import PlainRequests, free_port
+
+RECORD = Record("j/1", b"x")
+LOST = Failure(FailureKind.TIMEOUT, "store.read", "store", "timed out")
+
+
+class ScriptedStream(Stream):
+    """Answers appends and reads from lists; the last answer repeats."""
+
+    def __init__(self, appends=(), reads=(), newest=()):
+        self.appends, self.reads, self.pages = list(appends), list(reads), list(newest)
+        self.calls = []
+
+    @staticmethod
+    def next_of(answers):
+        return answers.pop(0) if len(answers) > 1 else answers[0]
+
+    async def append(self, records, producer, epoch, sequence, at, timeout_ms):
+        self.calls.append((len(records), epoch, sequence))
+        await asyncio.sleep(0.002)
+        return Appended(self.next_of(self.appends), 7)
+
+    async def read(self, first, wait_ms):
+        self.calls.append(("read", first))
+        await asyncio.sleep(0.002)
+        return self.next_of(self.reads)
+
+    async def newest(self, after):
+        self.calls.append(("newest", after))
+        await asyncio.sleep(0.002)
+        return self.next_of(self.pages)
+
+
+async def until(condition, seconds=5.0):
+    """Wait until a condition holds; the limit only ends a test that has failed."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    while not condition():
+        assert loop.time() < end, "the condition did not come to hold"
+        await asyncio.sleep(0.002)
+
+
+def intake(stream):
+    posted = []
+    return IntakeAppender(stream, "entry-1", ManualClock(), posted.append), posted
+
+
+class TestIntakeAppender:
+    """Records of callers' requests."""
+
+    def run(self, stream, count=1, clock_step_ms=0):
+        async def body():
+            clock = ManualClock()
+            posted = []
+            appender = IntakeAppender(stream, "entry-1", clock, posted.append)
+            for token in range(count):
+                appender.add(StoreIntake(token, RECORD))
+            results = [p for p in posted if isinstance(p, IntakeStored)]
+            while len(results) < count:
+                clock.advance(clock_step_ms)
+                await asyncio.sleep(0.002)
+                results = [p for p in posted if isinstance(p, IntakeStored)]
+            return posted, [result.result for result in results]
+
+        return asyncio.run(body())
+
+    def test_requests_that_arrive_together_share_an_append(self):
+        stream = ScriptedStream([StoreResult.STORED])
+        _, results = self.run(stream, count=5)
+        assert results == [StoreResult.STORED] * 5
+        assert stream.calls == [(5, 1, 0)]
+
+    def test_unanswered_append_is_repeated_under_the_same_number(self):
+        stream = ScriptedStream([StoreResult.UNKNOWN, StoreResult.STORED])
+        _, results = self.run(stream)
+        assert results == [StoreResult.STORED]
+        assert stream.calls == [(1, 1, 0), (1, 1, 0)]
+
+    def test_outcome_that_stays_unknown_is_no_refusal_and_is_fenced_off(self):
+        stream = ScriptedStream([StoreResult.UNKNOWN, StoreResult.REFUSED])
+        posted, results = self.run(stream, clock_step_ms=100)
+        assert results == [StoreResult.UNKNOWN]
+        assert StoreHealth(True) in posted
+
+    def test_refusals_alone_are_a_refusal(self):
+        stream = ScriptedStream([StoreResult.REFUSED])
+        _, results = self.run(stream, clock_step_ms=100)
+        assert results == [StoreResult.REFUSED]
+
+    def test_probe_tells_when_appends_work_again(self):
+        async def body():
+            stream = ScriptedStream([StoreResult.REFUSED])
+            clock, posted = ManualClock(), []
+            appender = IntakeAppender(stream, "entry-1", clock, posted.append)
+            appender.add(StoreIntake(1, RECORD))
+            while StoreHealth(True) not in posted:
+                clock.advance(50)
+                await asyncio.sleep(0.002)
+            stream.appends = [StoreResult.STORED]
+            await until(lambda: StoreHealth(False) in posted)
+
+        asyncio.run(body())
+
+
+class TestProgressAppender:
+    """Records of the leader."""
+
+    def run(self, answers):
+        async def body():
+            posted = []
+            stream = ScriptedStream(answers)
+            appender = ProgressAppender(stream, "leader", ManualClock(), posted.append)
+            appender.append(StoreProgress(3, 11, (RECORD,)))
+            await until(lambda: posted)
+            return stream.calls, posted
+
+        return asyncio.run(body())
+
+    def test_append_is_repeated_until_the_store_decides(self):
+        calls, posted = self.run([StoreResult.UNKNOWN, StoreResult.REFUSED, StoreResult.STORED])
+        assert calls == [(1, 3, 11)] * 3
+        assert posted == [ProgressStored(3, 11, StoreResult.STORED, 7)]
+
+    def test_fence_ends_the_append(self):
+        calls, posted = self.run([StoreResult.FENCED])
+        assert len(calls) == 1
+        assert posted[0].result is StoreResult.FENCED
+
+
+class TestTopicReader:
+    """Copies of streams."""
+
+    def stored(self, offset, key="k"):
+        return StoredRecord(offset, Record(key, b"v"))
+
+    def follow(self, stream, enough):
+        async def body():
+            delivered, failed = [], []
+            reader = TopicReader(
+                "intake",
+                stream,
+                lambda *args: delivered.append(args),
+                lambda *args: failed.append(args),
+            )
+            reader.follow(1, 0)
+            await until(lambda: enough(delivered, failed))
+            reader.follow(None, 0)
+            return delivered, failed
+
+        return asyncio.run(body())
+
+    def test_tail_is_read_from_the_end_of_the_first_page(self):
+        pages = [
+            Ok(NewestPage((self.stored(3, "a"),), 9, True)),
+            Ok(NewestPage((self.stored(11, "b"),), 12, False)),
+        ]
+        stream = ScriptedStream(reads=[Ok(Page((), 9))], newest=pages)
+        delivered, _ = self.follow(stream, lambda done, _: len(done) >= 2)
+        assert stream.calls[:3] == [("newest", None), ("newest", "a"), ("read", 9)]
+        assert delivered[0][1:] == (9, True)
+
+    def test_expired_tail_is_read_anew(self):
+        stream = ScriptedStream(
+            reads=[Ok(Expired()), Ok(Page((), 5))], newest=[Ok(NewestPage((), 5, False))]
+        )
+        self.follow(stream, lambda done, _: len(done) >= 3)
+        assert stream.calls[:4] == [
+            ("newest", None),
+            ("read", 5),
+            ("newest", None),
+            ("read", 5),
+        ]
+
+    def test_failed_read_is_reported_and_repeated(self):
+        stream = ScriptedStream(
+            reads=[Err(LOST), Ok(Page((self.stored(5),), 6))],
+            newest=[Ok(NewestPage((), 5, False))],
+        )
+        delivered, failed = self.follow(stream, lambda done, _: len(done) >= 2)
+        assert failed == [("intake", LOST)]
+        assert delivered[1][1] == 6
+
+
+class TestLineLog:
+    """Log lines."""
+
+    def lines(self, write):
+        read_fd, write_fd = os.pipe()
+        log = LineLog(ManualClock(), "entry-1", write_fd)
+        write(log)
+        os.set_blocking(read_fd, False)
+        text = os.read(read_fd, 1_000_000)
+        os.close(read_fd)
+        os.close(write_fd)
+        return log, [json.loads(line) for line in text.splitlines()]
+
+    def test_line_names_its_event_and_process(self):
+        _, (line,) = self.lines(lambda log: log.write("job_ended", {"job": "1"}))
+        assert (line["event"], line["node"], line["job"]) == ("job_ended", "entry-1", "1")
+
+    def test_volume_of_one_kind_is_bounded_and_others_go_on(self):
+        def write(log):
+            for _ in range(3 * LINES_PER_SECOND):
+                log.write("run_ended", {})
+            log.write("job_ended", {})
+
+        _, lines = self.lines(write)
+        assert [line["event"] for line in lines].count("run_ended") == LINES_PER_SECOND
+        assert lines[-1]["event"] == "job_ended"
+
+    def test_full_pipe_never_blocks_and_keeps_lines_whole(self):
+        def write(log):
+            for number in range(4_000):
+                log.write(f"kind-{number}", {"text": "x" * 100})
+
+        log, lines = self.lines(write)
+        assert log.dropped > 0
+        assert lines
+
+
+def test_file_watch_reports_changes_with_and_without_a_signal(tmp_path):
+    path, seen = tmp_path / "settings.yaml", []
+    path.write_text("a")
+    watch = FileWatch(path, lambda: seen.append(path.read_text()))
+    watch.check()
+    path.write_text("bb")
+    watch.check()
+    watch.check(force=True)
+    path.unlink()
+    watch.check()
+    assert seen == ["bb", "bb"]
+
+
+@pytest.mark.parametrize(("ms", "seconds"), [(0, "1"), (999, "1"), (1_001, "2")])
+def test_retry_after_is_never_too_early(ms, seconds):
+    assert retry_after_seconds(ms) == seconds
+
+
+class TestFront:
+    """HTTP towards callers, over real sockets."""
+
+    def test_request_becomes_an_event_and_its_reply_an_answer(self):
+        async def body():
+            posted = []
+            ready = [False]
+            front = Front(
+                PlainRequests(), ManualClock(), posted.append, lambda: ready[0], lambda: 100
+            )
+            address, probe = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+            front.listen(address, probe)
+            caller = HttpCaller(8)
+
+            async def get(where, path):
+                answer = await caller.call("test", where, "GET", path, 2_000)
+                return answer.ok_value
+
+            pending = asyncio.ensure_future(get(address, "/checks/1"))
+            await until(lambda: posted)
+            assert isinstance(posted[0], Lookup)
+            front.reply(Reply(posted[0].token, 429, {"error": "full"}, 1_500))
+            response = await pending
+            assert response.code == 429
+            assert response.headers["Retry-After"] == "2"
+            assert (await get(probe, "/ready")).code == 503
+            ready[0] = True
+            assert (await get(probe, "/ready")).code == 200
+            body = await caller.call("test", address, "POST", "/checks/2", 2_000, b"x" * 101)
+            assert body.ok_value.code == 413
+            front.stop_listening()
+
+        asyncio.run(body())
+
+    def test_connection_to_a_closed_port_was_not_sent(self):
+        async def body():
+            answer = await HttpCaller(2).call(
+                "worker.start", f"127.0.0.1:{free_port()}", "POST", "/", 500, b""
+            )
+            assert answer.err_value.kind is FailureKind.UNAVAILABLE
+
+        asyncio.run(body())
+
+    def test_silent_peer_is_a_time_out(self):
+        async def body():
+            server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            answer = await HttpCaller(2).call("x", f"127.0.0.1:{port}", "GET", "/", 100)
+            assert answer.err_value.kind is FailureKind.TIMEOUT
+            server.close()
+
+        asyncio.run(body())
