--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -1,9 +1,9 @@
 """Moves machines between pools as demand moves.
 
 Load pattern: each pool in turn is asked for several times its room for some seconds and is almost
-idle in between. Machines without runs go from the stand-by pool, or from a pool with room to spare,
-to the pool whose waiting work is longest. A borrowed machine that has been idle for some time is
-switched off again, or returns to its own pool where there is no stand-by pool.
+idle in between. Machines of the stand-by pool go to the pool whose waiting work is longest. A
+borrowed machine gets work only when the pool's own machines are full, and is switched off again
+when it has been idle for some time.
 """
 
 import attrs
@@ -27,9 +27,6 @@
 # two moves.
 IDLE_MS = 2_000
 
-# A pool lends a machine only while it uses less than this share of its processors.
-LENDER_USE = 0.4
-
 # Time in which a moved machine's new worker has appeared and answered, besides the move itself.
 SETTLE_MS = 4_000
 
@@ -53,7 +50,6 @@
     """Load of one pool."""
 
     cores: float = 0.0
-    used: float = 0.0
     # Cores on their way here.
     coming: float = 0.0
     # Waiting work in milliseconds of a core.
@@ -94,6 +90,7 @@
         """Start the moves that are worth their price."""
         if self.maintenance.rows_ms >= 0:
             self._follow_moves(now)
+            self._mark_borrowed()
             pools = self._pools()
             self._relieve(pools, now)
             self._park(pools, now)
@@ -119,6 +116,12 @@
                 move.sent_ms = now.mono_ms
                 self._order(move)
 
+    def _mark_borrowed(self) -> None:
+        rows = self.maintenance.rows
+        for worker in self.scheduler.workers.values():
+            row = rows.get(worker.machine)
+            worker.borrowed = row is not None and self._borrowed(row)
+
     def _order(self, move: Move) -> None:
         epoch = self.scheduler.leader.epoch
         self._out.append(MoveMachine(move.machine, move.pool, epoch))
@@ -141,7 +144,6 @@
             state = pools.get(worker.pool)
             if state is not None and worker.listed and worker.ready and not worker.cordoned:
                 state.cores += worker.capacity.cpu / 1_000
-                state.used += worker.used.cpu / 1_000
         for move in self.moves.values():
             if move.pool in pools:
                 pools[move.pool].coming += self._cores(move.machine)
@@ -164,31 +166,33 @@
                 return
             missing = state.waiting / RELIEF_MS - state.cores - state.coming
             while missing > 0:
-                machine = self._lendable(name, pools)
+                machine = self._lendable(name)
                 if machine is None:
                     return
                 self._move(machine, name, "pressure", now)
                 missing -= max(1.0, self._cores(machine))
 
-    def _lendable(self, target: str, pools: dict[str, PoolState]) -> str | None:
-        """Return a machine that can go to `target`, best from the stand-by pool."""
+    def _lendable(self, target: str) -> str | None:
+        """Return a machine that can go to `target`: a switched-off one, else an idle borrowed one.
+
+        Machines never leave their own pool for another one: its next burst would find it smaller,
+        and the machine's way back takes as long as the pressure lasts.
+        """
         rows = [row for row in self.maintenance.rows.values() if self._free(row)]
         standby = self._standby()
         for row in rows:
             if row.pool == standby:
                 return row.machine
         for row in rows:
-            state = pools.get(row.pool)
-            if state is None or row.pool == target:
-                continue
-            left = state.cores - self._cores(row.machine)
             worker = self._worker(row.machine)
             idle = worker is not None and not worker.runs
-            if idle and not state.waiting and left > 0 and state.used < LENDER_USE * left:
-                state.cores = left
+            if idle and row.pool != target and self._borrowed(row):
                 return row.machine
         return None
 
+    def _borrowed(self, row: MachineRow) -> bool:
+        return self.scheduler.table.homes.get(row.machine, row.pool) != row.pool
+
     def _free(self, row: MachineRow) -> bool:
         return (
             row.state == "up"
@@ -217,8 +221,7 @@
 
     def _park(self, pools: dict[str, PoolState], now: Now) -> None:
         for row in self.maintenance.rows.values():
-            home = self.scheduler.table.homes.get(row.machine, row.pool)
-            if row.pool not in pools or row.pool == home or not self._free(row):
+            if row.pool not in pools or not self._borrowed(row) or not self._free(row):
                 continue
             worker = self._worker(row.machine)
             if worker is None or worker.runs or pools[row.pool].waiting:
@@ -226,4 +229,5 @@
                 continue
             since = self._idle_since.setdefault(row.machine, now.mono_ms)
             if now.mono_ms - since >= IDLE_MS:
+                home = self.scheduler.table.homes[row.machine]
                 self._move(row.machine, home, "idle", now)
--- a/packages/scheduler/src/fescuecrank_scheduler/placement.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/placement.py
@@ -30,11 +30,11 @@
 ) -> Worker | None:
     """Return the worker for one task, or None if none has room.
 
-    Prefers the rack of the data, then the worker with the most free processor: tasks that share a
-    worker slow each other down.
+    Prefers the rack of the data, then the pool's own machines, so that borrowed ones can return,
+    then the worker with the most free processor.
     """
     best: Worker | None = None
-    best_rank: tuple[bool, int] | None = None
+    best_rank: tuple[bool, bool, int] | None = None
     need = step.room
     for worker in workers:
         room = worker.room
@@ -44,7 +44,8 @@
             here = peers_on(worker, job, occurrence, step_number) if step.anti_affinity else 0
             if not may_run(worker, step, here):
                 continue
-        rank = (not step.affinity or step.affinity in worker.labels, room.cpu)
+        near = not step.affinity or step.affinity in worker.labels
+        rank = (near, not worker.borrowed, room.cpu)
         if best_rank is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -86,6 +86,8 @@
     acked: int = 0
     # No new runs: the machine is about to go down.
     cordoned: bool = False
+    # The machine belongs to another pool and returns there when it is idle.
+    borrowed: bool = False
     blocked_until_ms: int = 0
     failure_streak: int = 0
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
