Trace a job through the logs of several entries

Log lines of stored requests had their time replaced by a duration of the same name; the fields that every line has now win. One line for each change of what is placed of a step and what it waits for.

--- a/packages/cli/src/fescuecrank_cli/main.py
+++ b/packages/cli/src/fescuecrank_cli/main.py
@@ -32,6 +32,7 @@
     read_key,
     stop,
 )
+from fescuecrank_cli.trace_lines import trace
 from fescuecrank_cli.transport import TlsOptions
 
 OPERATORS = "For operators"
@@ -502,6 +503,20 @@
     ctx.obj.write(_plain_report(report))
 
 
+@app.command(name="trace", rich_help_panel=OPERATORS)
+def trace_job(
+    job: Annotated[str, typer.Argument(help="Id of the job.")],
+    files: Annotated[list[Path], typer.Argument(help="Logs of the entries.", exists=True)],
+) -> None:
+    """Show what the logs of several entries say of one job, in order."""
+    found = trace(job, files)
+    for line in found.lines:
+        fields = " ".join(f"{name}={value}" for name, value in line.fields.items())
+        typer.echo(f"{line.ms} {line.node} {line.event} {fields}".rstrip())
+    for each in found.missing:
+        typer.echo(f"missing: {each}")
+
+
 def _request(text: str) -> tuple[str, str]:
     service, slash, request_id = text.partition("/")
     if not (service and slash and request_id) or "/" in request_id:
--- /dev/null
+++ b/packages/cli/tests/test_trace.py
@@ -0,0 +1,123 @@
+"""Finding the cause of a failure from logs alone, in logs that the scheduler itself wrote."""
+
+import orjson
+import pytest
+from fescuecrank_cli.main import app
+from fescuecrank_cli.trace_lines import trace
+from fescuecrank_scheduler.events import Submit
+from fescuecrank_scheduler.records import Leadership
+from fleet_simulation import Simulation
+from scheduler_builders import KEY, job, step
+from typer.testing import CliRunner
+
+JOB = "00000000000000aa"
+
+
+def logs(sim, folder):
+    """Write the log of each entry to a file of its own, with a prefix as collectors add it."""
+    files = {}
+    for ms, node, event, fields in sim.log:
+        line = orjson.dumps({"ms": ms, "node": node, "event": event} | fields).decode()
+        files.setdefault(node, []).append(f"{ms / 1000} {node} {line}")
+    paths = []
+    for node, lines in files.items():
+        path = folder / f"{node}.log"
+        path.write_text("\n".join(["not a log line", "{broken", *lines]))
+        paths.append(path)
+    return paths
+
+
+def settled(**fields):
+    sim = Simulation(**fields)
+    sim.run(2_000)
+    return sim
+
+
+def events(found):
+    return [line.event for line in found.lines]
+
+
+def submit(sim, name="entry-1"):
+    sim.jobs[JOB] = job(JOB, step(1, estimate_ms=1_000))
+    wanted = job("", step(1, estimate_ms=1_000))
+    path = f"/checks/{JOB}"
+    return sim.request(
+        sim.nodes[name], lambda token: Submit(token, "host.example", path, KEY, wanted)
+    )
+
+
+def test_refused_job_names_reason_and_time(tmp_path):
+    sim = settled()
+    for node in sim.nodes.values():
+        table = node.reducer.table
+        table.leader = Leadership(
+            9, "entry-9", 1, wall_ms=sim.now.wall_ms, waits={"pool-a": 60_000}
+        )
+    token = submit(sim)
+    sim.run(50)
+    assert sim.replies[token].status == 429
+    found = trace(JOB, logs(sim, tmp_path))
+    (line,) = [line for line in found.lines if line.event == "job_refused"]
+    assert line.fields["reason"] == "pool_full"
+    assert line.fields["retry_ms"] > 0
+    assert found.missing == ()
+
+
+def test_job_of_a_dead_leader_shows_the_change_of_leader(tmp_path):
+    sim = settled()
+    for worker in sim.workers.values():
+        worker.work_ms = 4_000
+    other = next(name for name, node in sim.nodes.items() if node is not sim.leader())
+    submit(sim, other)
+    sim.run(500)
+    sim.kill(sim.leader().name)
+    sim.run(8_000)
+    found = trace(JOB, logs(sim, tmp_path))
+    order = events(found)
+    assert order.index("runs_planned") < order.index("leadership_started")
+    assert order.index("leadership_started") < order.index("job_ended")
+
+
+def test_job_on_failing_workers_shows_each_failed_run(tmp_path):
+    sim = settled()
+    for worker in sim.workers.values():
+        worker.fails_all = True
+    submit(sim)
+    sim.run(20_000)
+    found = trace(JOB, logs(sim, tmp_path))
+    failed = [line for line in found.lines if line.fields.get("how") == "failed"]
+    assert len(failed) == 3
+    assert found.lines[-1].fields["outcome"] == "failed"
+
+
+def test_missing_logs_are_named(tmp_path):
+    sim = settled()
+    other = next(name for name, node in sim.nodes.items() if node is not sim.leader())
+    submit(sim, other)
+    sim.run(500)
+    paths = [path for path in logs(sim, tmp_path) if other not in path.name]
+    found = trace(JOB, paths)
+    assert [each.split(":")[0] for each in found.missing] == [
+        "the entry that took the job",
+        "the end of the job",
+    ]
+    assert trace("ffff", paths).missing == ("no file has a line about ffff",)
+
+
+def test_command_prints_lines_in_order(tmp_path):
+    sim = settled()
+    submit(sim)
+    sim.run(4_000)
+    files = [str(path) for path in logs(sim, tmp_path)]
+    result = CliRunner().invoke(app, ["--entry", "127.0.0.1:1", "trace", JOB, *files])
+    assert result.exit_code == 0
+    times = [int(line.split()[0]) for line in result.stdout.splitlines()]
+    assert times == sorted(times)
+    assert "job_ended" in result.stdout
+
+
+@pytest.mark.parametrize("word", ["", "{}", '{"ms": 1}', '{"ms": "x", "node": [], "event": 3}'])
+def test_unreadable_lines_are_skipped(tmp_path, word):
+    path = tmp_path / "a.log"
+    path.write_text(f"{JOB} {word}")
+    trace(JOB, [path])
--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -167,7 +167,7 @@
                 "job": waiting.job_id,
                 "request": waiting.step,
                 "result": result.value,
-                "ms": now.mono_ms - waiting.since_ms,
+                "took_ms": now.mono_ms - waiting.since_ms,
             },
         )
         match result:
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -96,6 +96,8 @@
     _planned: list[tuple[str, TaskId, int]] = attrs.field(factory=list)
     _waiting: set[str] = attrs.field(factory=set)
     _demands: dict[str, Demand] = attrs.field(factory=dict)
+    # What each step of a job waits for, as last logged.
+    _wait_reasons: dict[tuple[str, int, int], str] = attrs.field(factory=dict)
     _extra: list[Record] = attrs.field(factory=list)
     _pass_due: bool = True
     _pass_ms: int = 0
@@ -549,14 +551,41 @@
 
     def _start_tasks(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> float:
         step, team = job.steps[ready.number], self.config.teams.get(job.team)
-        for place, task in enumerate(ready.tasks):
+        chosen: list[str] = []
+        reason = ""
+        for task in ready.tasks:
             if not self.usage.allows(team, step.need):
-                return 0.0
+                reason = "team_limit"
+                break
             worker = placement.choose(workers, job.id, ready.occurrence, ready.number, step)
             if worker is None:
-                return ordering.work_of(step, len(ready.tasks) - place)
+                reason = "no_room"
+                break
             self._plan(worker, job, task, task.run + 1, now)
-        return 0.0
+            chosen.append(worker.id)
+        left = len(ready.tasks) - len(chosen)
+        self._log_plan(job, ready, chosen, left, reason)
+        return ordering.work_of(step, left) if reason == "no_room" else 0.0
+
+    def _log_plan(
+        self, job: Job, ready: ReadyStep, chosen: list[str], left: int, reason: str
+    ) -> None:
+        """Write one line for each change of what is placed of a step and what it waits for."""
+        key = (job.id, ready.occurrence, ready.number)
+        if not chosen and self._wait_reasons.get(key) == reason:
+            return
+        self._wait_reasons[key] = reason
+        self._log(
+            "runs_planned",
+            job=job.id,
+            occurrence=ready.occurrence,
+            step=ready.number,
+            workers=chosen,
+            left=left,
+            reason=reason,
+            epoch=self.leader.epoch,
+            config=self.config.version,
+        )
 
     def _start_gang(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> float:
         step, team = job.steps[ready.number], self.config.teams.get(job.team)
@@ -566,10 +595,12 @@
             return 0.0
         chosen = placement.choose_gang(workers, job.id, ready.occurrence, ready.number, step)
         if chosen is None:
+            self._log_plan(job, ready, [], step.count, "no_room")
             return ordering.work_of(step, step.count)
         run = max(task.run for task in ready.tasks) + 1
         for task, worker in zip(ready.tasks, chosen, strict=True):
             self._plan(worker, job, task, run, now)
+        self._log_plan(job, ready, [worker.id for worker in chosen], 0, "")
         return 0.0
 
     def _plan(self, worker: Worker, job: Job, task: Task, run: int, now: Now) -> None:
@@ -625,6 +656,8 @@
             self.table.set_outcome(job, outcome)
             self._outcomes.pop(job_id, None)
             self._demands.pop(job_id, None)
+            for key in [key for key in self._wait_reasons if key[0] == job_id]:
+                del self._wait_reasons[key]
             self.advice.forget(job_id)
         for worker_id, task, number in flush.starts:
             worker = self.workers.get(worker_id)
--- a/packages/service/src/fescuecrank_service/log_lines.py
+++ b/packages/service/src/fescuecrank_service/log_lines.py
@@ -61,10 +61,9 @@
             budget.left_out += 1
             return
         budget.written += 1
-        line: dict[str, Any] = {"ms": now.wall_ms, "node": self._node, "event": event}
+        line = fields | {"ms": now.wall_ms, "node": self._node, "event": event}
         if budget.left_out:
             line["left_out"], budget.left_out = budget.left_out, 0
-        line.update(fields)
         self._send(orjson.dumps(line, default=str) + b"\n")
 
     def _send(self, line: bytes) -> None:
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -221,8 +221,10 @@
         return log, [json.loads(line) for line in text.splitlines()]
 
     def test_line_names_its_event_and_process(self):
-        _, (line,) = self.lines(lambda log: log.write("job_ended", {"job": "1"}))
+        _, (line,) = self.lines(lambda log: log.write("job_ended", {"job": "1", "ms": 3}))
         assert (line["event"], line["node"], line["job"]) == ("job_ended", "entry-1", "1")
+        # Fields of an event never replace those that every line has.
+        assert line["ms"] == ManualClock().now().wall_ms
 
     def test_volume_of_one_kind_is_bounded_and_others_go_on(self):
         def write(log):
