--- a/packages/scheduler/src/fescuecrank_scheduler/advice.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/advice.py
@@ -9,6 +9,9 @@
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.workers import Worker
 
+# Pause after a call that was refused or not answered.
+RETRY_MS = 150
+
 StepKey = tuple[str, int, int]
 
 
@@ -30,6 +33,8 @@
     steps: dict[StepKey, StepAdvice] = attrs.field(factory=dict)
     _queue: list[Advise] = attrs.field(factory=list)
     _busy: bool = False
+    # No call before this time, after one without an answer.
+    _pause_until_ms: int = 0
     _out: list[Effect] = attrs.field(factory=list)
 
     def allowed(
@@ -50,6 +55,8 @@
             for worker in usable
             if worker.id in advice.tickets and advice.tickets[worker.id][1] > least
         ]
+        if now.mono_ms < self._pause_until_ms:
+            return with_ticket
         if not with_ticket and not any(self._key(call) == key for call in self._queue):
             renew = [worker.id for worker in usable if worker.id in advice.good]
             fresh = [worker.id for worker in usable if worker.id not in advice.asked]
@@ -60,7 +67,9 @@
         return with_ticket
 
     def advised(self, event: Advised, now: Now) -> None:
-        """Take note of an answer; `sent` calls without answer are repeated on demand."""
+        """Take note of an answer; a call without one is repeated on demand after a pause."""
+        if event.tickets is None:
+            self._pause_until_ms = now.mono_ms + RETRY_MS
         self._busy = False
         if self._queue:
             self._queue.pop(0)
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -236,12 +236,22 @@
                 self._not_started(worker, run, event.result, now)
 
     def _unanswered(self, worker: Worker, run: Run, now: Now) -> None:
-        """Repeat a start that may have been carried out; the run number makes it idempotent."""
+        """Note a start that may have been carried out; the run number makes it idempotent."""
         worker.blocked_until_ms = now.mono_ms + self.limits.start_timeout_ms
-        if self._wanted(run):
-            self._send_start(worker, run, now)
-        else:
-            self._stop(worker, run, now)
+        run.unanswered = True
+
+    def _retry_starts(self, now: Now) -> None:
+        """Repeat unanswered starts, at a pace that a refused connection does not set."""
+        for worker in self.workers.values():
+            for run in list(worker.runs.values()):
+                if not run.unanswered or run.state is not RunState.SENT:
+                    continue
+                if now.mono_ms - run.sent_ms < self.limits.start_timeout_ms:
+                    continue
+                if self._wanted(run):
+                    self._send_start(worker, run, now)
+                else:
+                    self._stop(worker, run, now)
 
     def _not_started(self, worker: Worker, run: Run, result: CallResult, now: Now) -> None:
         self._log(
@@ -624,7 +634,7 @@
             self._run_ended(worker, run, "withdrawn", "", now)
             return
         run.state, run.sent_ms = RunState.SENT, now.mono_ms
-        run.attempts += 1
+        run.unanswered = False
         self._out.append(
             StartRun(
                 worker.id,
@@ -842,6 +852,7 @@
         if again or now.wall_ms >= self._next_due_ms:
             self._pass_due = True
         self._expire_leases(now)
+        self._retry_starts(now)
         self._retry_stops(now)
         self._stop_stalled(now)
         return self.advance(now)
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -39,7 +39,8 @@
     settled_ms: int | None = None
     # When the run was first known to be running.
     began_ms: int = 0
-    attempts: int = 0
+    # Whether the latest start was not answered.
+    unanswered: bool = False
     # Progress of a task that ends; a lasting task is at work at 100.
     percent: int = 0
     figure: float | None = None
--- a/packages/scheduler/tests/fake_worker.py
+++ b/packages/scheduler/tests/fake_worker.py
@@ -27,6 +27,8 @@
     born_ms: int = 1
     alive: bool = True
     reachable: bool = True
+    # Nothing listens at the worker's address.
+    refusing: bool = False
     fence: int = 0
     lease_ms: int | None = None
     runs: dict[TaskId, FakeRun] = attrs.field(factory=dict)
--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -336,3 +336,13 @@
         sim = settle(Simulation())
         path = f"/checks/{JOB}"
         assert self.send(sim, lambda t: Cancel(t, "host.example", path, KEY)).status == 410
+
+
+def test_refused_connections_are_not_tried_again_at_once():
+    sim = settle(Simulation(workers=2))
+    for worker in sim.workers.values():
+        worker.refusing = True
+    sim.submit(job(JOB, step(2)))
+    sim.run(3_000)
+    starts = sum(count for (call, _), count in sim.calls.items() if call == "StartRun")
+    assert 2 <= starts <= 2 * (1 + 3_000 // sim.limits.start_timeout_ms)
