--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/health.py
@@ -0,0 +1,36 @@
+"""Whether a run makes the progress that its estimate promises.
+
+Estimates are off by a factor of two at most for nine tasks in ten; a worker in trouble is several
+times slower, or its tasks stand still.
+"""
+
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.workers import Run
+
+
+def stall_reason(run: Run, answered_ms: int, now_ms: int, limits: Limits) -> str:
+    """Return why a run should be started elsewhere, or the empty string.
+
+    `answered_ms` is when the worker last reported; a report that says nothing new since the
+    progress rose shows that the run stands still.
+    """
+    if not run.began_ms or not run.progress_ms:
+        return ""
+    if answered_ms - run.progress_ms > limits.idle_ms:
+        return "idle"
+    # A task that is longer than estimated gets more time with each run.
+    patience = 1 << min(run.number - 1, 4)
+    bound_ms = patience * max(
+        limits.overdue_min_ms, int(run.step.estimate_ms * limits.overdue_factor)
+    )
+    if now_ms - run.began_ms > bound_ms:
+        return "overdue"
+    seen_ms = run.progress_ms - run.began_ms
+    if run.percent and seen_ms >= limits.slow_look_ms:
+        whole_ms = seen_ms * 100 / run.percent
+        left_ms = whole_ms - (now_ms - run.began_ms)
+        slow = whole_ms > patience * limits.slow_factor * run.step.estimate_ms
+        # Starting again costs the whole time once more.
+        if slow and left_ms > limits.slow_gain * run.step.estimate_ms:
+            return "slow"
+    return ""
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -27,11 +27,11 @@
     start_timeout_ms: int = 500
     stop_timeout_ms: int = 500
     # A leader renews its leadership in the store this often.
-    renew_ms: int = 700
+    renew_ms: int = 500
     # A leader that was not renewed for this long is replaced.
-    leader_silence_ms: int = 2_400
+    leader_silence_ms: int = 1_700
     # Spread of the claims of several candidates.
-    claim_spread_ms: int = 400
+    claim_spread_ms: int = 300
     # A leader without a renewal for this long stops renewing leases of workers.
     leader_validity_ms: int = 3_500
     # Copies of the store older than this answer no negative look-ups.
@@ -45,6 +45,11 @@
     # A run that takes this many times its estimate is started elsewhere; estimates are far off.
     overdue_factor: float = 6.0
     overdue_min_ms: int = 4_000
+    # A run that would take this many times its estimate, judged after this time, is started
+    # elsewhere if that saves time.
+    slow_factor: float = 2.5
+    slow_look_ms: int = 700
+    slow_gain: float = 1.5
     # A run whose progress does not rise for this long is started elsewhere; on a worker that is
     # several times slower than usual it still rises.
     idle_ms: int = 1_400
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from fescuecrank_scheduler import ordering, placement
+from fescuecrank_scheduler import health, ordering, placement
 from fescuecrank_scheduler.advice import AdviceBook
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.effects import (
@@ -820,27 +820,21 @@
                     self._stop(worker, run, now)
 
     def _stop_stalled(self, now: Now) -> None:
-        """Start a task elsewhere if its run does nothing, or takes far longer than estimated."""
+        """Start tasks elsewhere whose runs stand still or are far slower than estimated."""
         for worker in self.workers.values():
             for run in list(worker.runs.values()):
                 if run.state is not RunState.RUNNING or run.step.lasting or run.step.gang:
                     continue
-                age_ms = now.mono_ms - run.began_ms
-                # A task that is longer than estimated gets more time with each run.
-                bound_ms = max(
-                    self.limits.overdue_min_ms,
-                    int(run.step.estimate_ms * self.limits.overdue_factor),
-                ) << min(run.number - 1, 4)
-                looked = run.progress_ms and worker.answered_ms > run.progress_ms
-                idle_ms = worker.answered_ms - run.progress_ms if looked else 0
-                if idle_ms <= self.limits.idle_ms and age_ms <= bound_ms:
+                reason = health.stall_reason(run, worker.answered_ms, now.mono_ms, self.limits)
+                if not reason:
                     continue
                 self._log(
                     "run_stalled",
                     task=_name(run.task),
                     worker=worker.id,
-                    age_ms=age_ms,
-                    idle_ms=idle_ms,
+                    reason=reason,
+                    age_ms=now.mono_ms - run.began_ms,
+                    percent=run.percent,
                 )
                 worker.blocked_until_ms = now.mono_ms + self.limits.quarantine_ms
                 self._stop(worker, run, now)
--- a/packages/scheduler/tests/test_decisions.py
+++ b/packages/scheduler/tests/test_decisions.py
@@ -4,7 +4,7 @@
 
 import attrs
 import pytest
-from fescuecrank_scheduler import ordering, placement, records
+from fescuecrank_scheduler import health, ordering, placement, records
 from fescuecrank_scheduler.advice import AdviceBook
 from fescuecrank_scheduler.effects import Advise, PaceRun
 from fescuecrank_scheduler.events import Advised, HoldReply
@@ -345,3 +345,33 @@
     setattr(target, blocked, False)
     assert not target.usable(0, LIMITS)
     assert not attrs.evolve(target, cordoned=True).usable(0, LIMITS)
+
+
+class TestHealth:
+    """Runs that do not make the progress that they should."""
+
+    def reason(self, began_ms=1, progress_ms=1, percent=0, answered_ms=1, now_ms=1, number=1):
+        run = run_on(worker(), job("0" * 16, step(1, estimate_ms=1_000)))
+        run.began_ms, run.progress_ms, run.percent = began_ms, progress_ms, percent
+        run.number = number
+        return health.stall_reason(run, answered_ms, now_ms, LIMITS)
+
+    def test_usual_run_is_left_alone(self):
+        assert not self.reason(progress_ms=800, percent=50, answered_ms=801, now_ms=900)
+
+    def test_run_without_progress_is_idle(self):
+        late_ms = LIMITS.idle_ms + 10
+        assert self.reason(answered_ms=late_ms, now_ms=late_ms) == "idle"
+
+    def test_silence_of_the_worker_is_not_idleness_of_the_run(self):
+        assert not self.reason(progress_ms=900, percent=90, answered_ms=900, now_ms=3_000)
+
+    def test_run_on_a_slow_worker_is_moved_while_that_saves_time(self):
+        assert self.reason(progress_ms=1_000, percent=15, answered_ms=1_001, now_ms=1_100) == "slow"
+        # A tenth of the work is left: starting again would take longer.
+        assert not self.reason(progress_ms=5_400, percent=90, answered_ms=5_401, now_ms=5_500)
+
+    def test_task_that_is_longer_than_estimated_gets_more_time_with_each_run(self):
+        looks = {"progress_ms": 5_900, "percent": 60, "answered_ms": 5_901, "now_ms": 6_100}
+        assert self.reason(**looks) == "overdue"
+        assert not self.reason(**looks, number=3)
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -41,8 +41,9 @@
 
 
 PACES = {
-    Follow.FOLLOWER: {Topic.INTAKE: Pace(200), Topic.PROGRESS: Pace(120)},
-    Follow.CANDIDATE: {Topic.INTAKE: Pace(0), Topic.PROGRESS: Pace(0)},
+    Follow.FOLLOWER: {Topic.INTAKE: Pace(350), Topic.PROGRESS: Pace(150)},
+    # A candidate's read may reach the store just before its claim and wait in vain.
+    Follow.CANDIDATE: {Topic.INTAKE: Pace(0), Topic.PROGRESS: Pace(0, 60)},
     Follow.LEADER: {Topic.INTAKE: Pace(0), Topic.PROGRESS: Pace(None)},
 }
 
