--- a/packages/scheduler/src/fescuecrank_scheduler/health.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/health.py
@@ -29,7 +29,10 @@
     if run.percent and seen_ms >= limits.slow_look_ms:
         whole_ms = seen_ms * 100 / run.percent
         left_ms = whole_ms - (now_ms - run.began_ms)
-        slow = whole_ms > patience * limits.slow_factor * run.step.estimate_ms
+        slow = whole_ms > patience * max(
+            limits.slow_factor * run.step.estimate_ms,
+            run.step.estimate_ms + limits.slow_least_ms,
+        )
         # Starting again costs the whole time once more.
         if slow and left_ms > limits.slow_gain * run.step.estimate_ms:
             return "slow"
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -49,6 +49,8 @@
     # elsewhere if that saves time.
     slow_factor: float = 2.5
     slow_look_ms: int = 700
+    # Short tasks often take several times their estimate; this much more is not usual.
+    slow_least_ms: int = 2_500
     slow_gain: float = 1.5
     # A run whose progress does not rise for this long is started elsewhere; on a worker that is
     # several times slower than usual it still rises.
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -822,6 +822,7 @@
     def _stop_stalled(self, now: Now) -> None:
         """Start tasks elsewhere whose runs stand still or are far slower than estimated."""
         for worker in self.workers.values():
+            stalled = 0
             for run in list(worker.runs.values()):
                 if run.state is not RunState.RUNNING or run.step.lasting or run.step.gang:
                     continue
@@ -836,7 +837,11 @@
                     age_ms=now.mono_ms - run.began_ms,
                     percent=run.percent,
                 )
-                worker.blocked_until_ms = now.mono_ms + self.limits.quarantine_ms
+                stalled += 1
+                # One run may be at fault itself; several, or one that does nothing, speak against
+                # the worker.
+                if stalled > 1 or reason == "idle":
+                    worker.blocked_until_ms = now.mono_ms + self.limits.quarantine_ms
                 self._stop(worker, run, now)
 
     def tick(self, now: Now) -> list[Effect]:
--- a/packages/scheduler/tests/test_decisions.py
+++ b/packages/scheduler/tests/test_decisions.py
@@ -368,6 +368,8 @@
 
     def test_run_on_a_slow_worker_is_moved_while_that_saves_time(self):
         assert self.reason(progress_ms=1_000, percent=15, answered_ms=1_001, now_ms=1_100) == "slow"
+        # A short task that takes three times its estimate is nothing unusual.
+        assert not self.reason(progress_ms=1_000, percent=33, answered_ms=1_001, now_ms=1_100)
         # A tenth of the work is left: starting again would take longer.
         assert not self.reason(progress_ms=5_400, percent=90, answered_ms=5_401, now_ms=5_500)
 
