--- a/packages/daemon/src/fescuecrank_daemon/platform_main.py
+++ b/packages/daemon/src/fescuecrank_daemon/platform_main.py
@@ -11,6 +11,7 @@
 from fescuecrank_platform.fleet_calls import HttpFleetCalls
 from fescuecrank_platform.requests import PlatformRequests
 from fescuecrank_platform.settings import (
+    ORDERS_BY_CALL,
     SETTINGS_ENV,
     Endpoints,
     PlatformSettings,
@@ -40,6 +41,10 @@
 METRICS_PORT = 9_464
 METRICS_PATH = "/metrics"
 
+# Only checks the settings. The option is read by hand: a parser of options would be loaded on every
+# machine at every start.
+CHECK_OPTION = "--check"
+
 # After the process has decided to end, open answers are written for at most this long.
 LINGER_MS = 100
 
@@ -98,6 +103,8 @@
         loop.add_signal_handler(number, shut_down)
     loop.add_signal_handler(signal.SIGHUP, watch.check, True)
     log.write("started", {"store": cfg.store, "front": cfg.front})
+    if cfg.orders != ORDERS_BY_CALL:
+        log.write("orders_not_supported", {"orders": cfg.orders})
     watching = loop.create_task(watch.run())
     await engine.run()
     watching.cancel()
@@ -114,6 +121,9 @@
     if cfg.is_err():
         print(cfg.err_value, file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    if CHECK_OPTION in sys.argv[1:]:
+        print(f"{path}: valid settings of entry {cfg.ok_value.node}")
+        return 0
     asyncio.run(run(path, cfg.ok_value))
     return 0
 
--- a/packages/platform/src/fescuecrank_platform/requests.py
+++ b/packages/platform/src/fescuecrank_platform/requests.py
@@ -15,7 +15,8 @@
 
 MAX_SPEC_BYTES = 4_000
 MAX_STEPS = 1_000
-MAX_TASKS = 100_000
+# The progress of all tasks of a job, occurrences included, fits one record of the store.
+MAX_TASKS = 3_000
 
 JSON = {"Content-Type": "application/json"}
 
@@ -68,8 +69,6 @@
     if not isinstance(rows, list) or not 0 < len(rows) <= MAX_STEPS:
         raise ValueError("steps must be a list of at least one step")
     steps = tuple(_step(row, number) for number, row in enumerate(rows))
-    if sum(step.count for step in steps) > MAX_TASKS:
-        raise ValueError("the job has too many tasks")
     schedule = None
     if plain.get("repeat_count"):
         schedule = Schedule(
@@ -77,6 +76,9 @@
             _number(plain, "interval_ms"),
             _number(plain, "repeat_count"),
         )
+    times = schedule.times if schedule else 1
+    if times * sum(step.count for step in steps) > MAX_TASKS:
+        raise ValueError(f"a job may have {MAX_TASKS} tasks at most")
     return Job("", "", "", spec, steps, 0, schedule)
 
 
--- a/packages/platform/src/fescuecrank_platform/settings.py
+++ b/packages/platform/src/fescuecrank_platform/settings.py
@@ -11,6 +11,9 @@
 
 SETTINGS_ENV = "FESCUECRANK_NODE_FILE"
 
+# Workers are called with their orders; fetching them by heartbeat is not built.
+ORDERS_BY_CALL = "call"
+
 STEP = "settings.read"
 
 
@@ -25,8 +28,7 @@
     store: str
     machines: str
     advice: str
-    record_bytes: int
-    call_bytes: int
+    orders: str
     lease_max_ms: int
     maintenance_ms: int
     status_ms: int
@@ -76,8 +78,7 @@
                 store=fields.text("platform.address"),
                 machines=fields.text("cloud.address", ""),
                 advice=fields.text("advice", ""),
-                record_bytes=fields.number("platform.record_bytes", 262_144),
-                call_bytes=fields.number("platform.call_bytes", 2_097_152),
+                orders=fields.text("orders", ORDERS_BY_CALL),
                 lease_max_ms=fields.number("bounds.hold_max_ms", 10_000),
                 maintenance_ms=int(1_000 * fields.number("bounds.maintenance_s", 2)),
                 status_ms=int(1_000 * fields.number("bounds.status_s", 120)),
--- a/packages/platform/tests/test_platform.py
+++ b/packages/platform/tests/test_platform.py
@@ -220,6 +220,7 @@
             {"spec": "x" * 4_001, "steps": [{}]},
             {"spec": 5, "steps": [{}]},
             {"steps": [{"count": 10**9}]},
+            {"steps": [{"count": 10}], "repeat_count": 1_000},
             [],
         ],
     )
--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -11,10 +11,9 @@
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.effects import Effect, LogLine, MoveMachine
 from fescuecrank_scheduler.events import MachineRow, OrderResult
-from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.maintenance import Maintenance
 from fescuecrank_scheduler.records import encode_homes
-from fescuecrank_scheduler.scheduler import Scheduler
 from fescuecrank_scheduler.workers import Worker
 
 # Waiting work that the pool itself does within this time needs no help: a move takes longer.
@@ -65,9 +64,8 @@
 class Balancer:
     """Moves of one leadership."""
 
-    scheduler: Scheduler
+    state: LeaderState
     maintenance: Maintenance
-    limits: Limits
     moves: dict[str, Move] = attrs.field(factory=dict)
     _idle_since: dict[str, int] = attrs.field(factory=dict)
     _out: list[Effect] = attrs.field(factory=list)
@@ -82,7 +80,7 @@
         if result is OrderResult.OK:
             move.done_ms = now.mono_ms
         elif result is OrderResult.FENCED:
-            self.scheduler.fenced = True
+            self.state.fenced = True
         elif result is not OrderResult.NO_ANSWER:
             self.moves.pop(machine)
 
@@ -98,12 +96,12 @@
         return out
 
     def _follow_moves(self, now: Now) -> None:
-        homes = self.scheduler.table.homes
+        homes = self.state.table.homes
         known = len(homes)
         for name, row in self.maintenance.rows.items():
             homes.setdefault(name, row.pool)
         if len(homes) > known:
-            self.scheduler.store(encode_homes(homes))
+            self.state.store(encode_homes(homes))
         for move in list(self.moves.values()):
             if move.done_ms is not None:
                 row = self.maintenance.rows.get(move.machine)
@@ -118,29 +116,29 @@
 
     def _mark_borrowed(self) -> None:
         rows = self.maintenance.rows
-        for worker in self.scheduler.workers.values():
+        for worker in self.state.workers.values():
             row = rows.get(worker.machine)
             worker.borrowed = row is not None and self._borrowed(row)
 
     def _order(self, move: Move) -> None:
-        epoch = self.scheduler.leader.epoch
+        epoch = self.state.leader.epoch
         self._out.append(MoveMachine(move.machine, move.pool, epoch))
 
     def _usable_on(self, machine: str, pool: str, now: Now) -> bool:
         return any(
             worker.machine == machine
             and worker.pool == pool
-            and worker.usable(now.mono_ms, self.limits)
-            for worker in self.scheduler.workers.values()
+            and worker.usable(now.mono_ms, self.state.limits)
+            for worker in self.state.workers.values()
         )
 
     def _pools(self) -> dict[str, PoolState]:
         pools = {
-            name: PoolState(waiting=self.scheduler.urgent_work.get(name, 0.0))
-            for name, pool in self.scheduler.config.pools.items()
+            name: PoolState(waiting=self.state.urgent_work.get(name, 0.0))
+            for name, pool in self.state.config.pools.items()
             if not pool.standby
         }
-        for worker in self.scheduler.workers.values():
+        for worker in self.state.workers.values():
             state = pools.get(worker.pool)
             if state is not None and worker.listed and worker.ready and not worker.cordoned:
                 state.cores += worker.capacity.cpu / 1_000
@@ -154,7 +152,7 @@
         return row.capacity.cpu / 1_000 if row else 0.0
 
     def _standby(self) -> str | None:
-        names = [name for name, pool in self.scheduler.config.pools.items() if pool.standby]
+        names = [name for name, pool in self.state.config.pools.items() if pool.standby]
         return min(names) if names else None
 
     # Help for a pool under pressure.
@@ -191,7 +189,7 @@
         return None
 
     def _borrowed(self, row: MachineRow) -> bool:
-        return self.scheduler.table.homes.get(row.machine, row.pool) != row.pool
+        return self.state.table.homes.get(row.machine, row.pool) != row.pool
 
     def _free(self, row: MachineRow) -> bool:
         return (
@@ -201,7 +199,7 @@
         )
 
     def _worker(self, machine: str) -> Worker | None:
-        for worker in self.scheduler.workers.values():
+        for worker in self.state.workers.values():
             if worker.machine == machine and worker.listed:
                 return worker
         return None
@@ -229,5 +227,5 @@
                 continue
             since = self._idle_since.setdefault(row.machine, now.mono_ms)
             if now.mono_ms - since >= IDLE_MS:
-                home = self.scheduler.table.homes[row.machine]
+                home = self.state.table.homes[row.machine]
                 self._move(row.machine, home, "idle", now)
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
@@ -0,0 +1,174 @@
+"""Which waiting tasks start where."""
+
+import attrs
+
+from fescuecrank_scheduler import ordering, placement
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.jobs import Job, Phase, Task
+from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.ordering import Demand, ReadyStep
+from fescuecrank_scheduler.runs import Runs
+from fescuecrank_scheduler.workers import RunState, Worker
+
+NEVER = float("inf")
+
+
+@attrs.define
+class Dispatcher:
+    """Gives out room, at most once in a short time."""
+
+    state: LeaderState
+    runs: Runs
+    pass_ms: int = 0
+    # Wall clock of the next occurrence of any job.
+    next_due_ms: float = NEVER
+
+    def tick(self, now: Now) -> None:
+        """Look for room again when time alone may have brought some."""
+        state = self.state
+        # Workers become usable again without any event.
+        again = state.waiting and now.mono_ms - self.pass_ms >= state.limits.pass_ms
+        if again or now.wall_ms >= self.next_due_ms:
+            state.request_pass()
+
+    def advance(self, now: Now) -> None:
+        """Place waiting tasks if room or work has changed and the last time is not too recent."""
+        state = self.state
+        rested = now.mono_ms - self.pass_ms >= state.limits.pass_gap_ms
+        if state.pass_due and rested and state.listed and not state.resigning:
+            self._run_pass(now)
+
+    def next_due(self, now: Now) -> int | None:
+        """Return when waiting tasks may be placed again; None if nothing has changed."""
+        return self.pass_ms + self.state.limits.pass_gap_ms if self.state.pass_due else None
+
+    def _run_pass(self, now: Now) -> None:
+        self.state.pass_due = False
+        self.pass_ms = now.mono_ms
+        self.next_due_ms = NEVER
+        by_pool: dict[str, list[Demand]] = {}
+        for job_id in list(self.state.waiting):
+            job = self.state.table.jobs[job_id]
+            queue = self.state.config.queue(job.queue)
+            if not job.open or job_id in self.state.outcomes:
+                self.state.waiting.discard(job_id)
+            elif queue is not None:
+                by_pool.setdefault(queue.pool, []).append(self._demand(job, now))
+        self.state.waiting_work.clear()
+        self.state.urgent_work.clear()
+        for pool, demands in by_pool.items():
+            usable = [
+                worker
+                for worker in self.state.workers.values()
+                if worker.pool == pool and worker.usable(now.mono_ms, self.state.limits)
+            ]
+            cores = sum(worker.capacity.cpu for worker in usable) / 1_000
+            missed = missed_in_time = 0.0
+            for demand in ordering.arrange(demands, cores, now.wall_ms):
+                work = self._schedule_job(demand, usable, now)
+                missed += work
+                if now.wall_ms + demand.chain_ms <= demand.due_ms:
+                    missed_in_time += work
+            self.state.waiting_work[pool] = missed
+            self.state.urgent_work[pool] = missed_in_time
+
+    def _demand(self, job: Job, now: Now) -> Demand:
+        demand = self.state.demands.get(job.id)
+        if demand is None or job.schedule is not None:
+            self._occurrences(job, now)
+            demand = self.state.demands[job.id] = ordering.demand(job, self.state.config)
+        return demand
+
+    def _schedule_job(self, demand: Demand, usable: list[Worker], now: Now) -> float:
+        """Start what finds room; return the work that found none, in ms of a core."""
+        missed = 0.0
+        job = demand.job
+        if not demand.waiting and job.schedule is None:
+            self.state.waiting.discard(job.id)
+        queue = self.state.config.queue(job.queue)
+        for ready in demand.ready if usable else ():
+            step = job.steps[ready.number]
+            workers = usable
+            if queue is not None and queue.needs_advice:
+                workers = self.state.advice.allowed(
+                    job, ready.occurrence, ready.number, usable, now, self.state.limits
+                )
+                self.state.out.extend(self.state.advice.take())
+            if step.gang:
+                missed += self._start_gang(job, ready, workers, now)
+            else:
+                missed += self._start_tasks(job, ready, workers, now)
+        return missed
+
+    def _occurrences(self, job: Job, now: Now) -> None:
+        if job.schedule is None:
+            job.occurrence(0)
+            return
+        times = job.schedule
+        for number in range(times.times):
+            due = times.first_ms + number * times.interval_ms
+            if now.wall_ms < due:
+                self.next_due_ms = min(self.next_due_ms, due)
+                break
+            job.occurrence(number)
+
+    def _start_tasks(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> float:
+        step, team = job.steps[ready.number], self.state.config.teams.get(job.team)
+        chosen: list[str] = []
+        reason = ""
+        for task in ready.tasks:
+            if not self.state.usage.allows(team, step.need):
+                reason = "team_limit"
+                break
+            worker = placement.choose(workers, job.id, ready.occurrence, ready.number, step)
+            if worker is None:
+                reason = "no_room"
+                break
+            self._plan(worker, job, task, task.run + 1, now)
+            chosen.append(worker.id)
+        left = len(ready.tasks) - len(chosen)
+        self._log_plan(job, ready, chosen, left, reason)
+        return ordering.work_of(step, left) if reason == "no_room" else 0.0
+
+    def _log_plan(
+        self, job: Job, ready: ReadyStep, chosen: list[str], left: int, reason: str
+    ) -> None:
+        """Write one line for each change of what is placed of a step and what it waits for."""
+        key = (job.id, ready.occurrence, ready.number)
+        if not chosen and self.state.wait_reasons.get(key) == reason:
+            return
+        self.state.wait_reasons[key] = reason
+        self.state.log(
+            "runs_planned",
+            job=job.id,
+            occurrence=ready.occurrence,
+            step=ready.number,
+            workers=chosen,
+            left=left,
+            reason=reason,
+            epoch=self.state.leader.epoch,
+            config=self.state.config.version,
+        )
+
+    def _start_gang(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> float:
+        step, team = job.steps[ready.number], self.state.config.teams.get(job.team)
+        if len(ready.tasks) < step.count:
+            return 0.0
+        if not self.state.usage.allows(team, step.need, step.count):
+            return 0.0
+        chosen = placement.choose_gang(workers, job.id, ready.occurrence, ready.number, step)
+        if chosen is None:
+            self._log_plan(job, ready, [], step.count, "no_room")
+            return ordering.work_of(step, step.count)
+        run = max(task.run for task in ready.tasks) + 1
+        for task, worker in zip(ready.tasks, chosen, strict=True):
+            self._plan(worker, job, task, run, now)
+        self._log_plan(job, ready, [worker.id for worker in chosen], 0, "")
+        return 0.0
+
+    def _plan(self, worker: Worker, job: Job, task: Task, run: int, now: Now) -> None:
+        task.run, task.worker, task.phase = run, worker.id, Phase.ASSIGNED
+        job.begun = True
+        self.state.mark(job)
+        self.runs.place(worker, job, task, RunState.PLANNED, now)
+        self.state.planned.append((worker.id, task.id, run))
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -0,0 +1,96 @@
+"""State of one leadership, shared by the parts that decide."""
+
+import attrs
+
+from fescuecrank_scheduler.advice import AdviceBook
+from fescuecrank_scheduler.effects import Effect, LogLine
+from fescuecrank_scheduler.fleet import FleetConfig
+from fescuecrank_scheduler.job_table import JobTable
+from fescuecrank_scheduler.jobs import Job, Outcome, TaskId
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.ordering import Demand
+from fescuecrank_scheduler.quotas import Usage
+from fescuecrank_scheduler.records import Leadership, Record
+from fescuecrank_scheduler.workers import Run, Worker
+
+
+@attrs.define
+class LeaderState:
+    """What one leader knows; a new leader starts a new one."""
+
+    limits: Limits
+    table: JobTable
+    config: FleetConfig
+    leader: Leadership
+    # The record that this leadership replaced.
+    leader_before: Leadership | None = None
+    started_ms: int = 0
+    # When this leadership was renewed in the store.
+    renewed_ms: int = 0
+    # A newer leader has acted; this one ends.
+    fenced: bool = False
+    # The last append of this leadership gives it up, and has done so.
+    resigning: bool = False
+    resigned: bool = False
+    workers: dict[str, Worker] = attrs.field(factory=dict)
+    # Whether the list of workers has been read.
+    listed: bool = False
+    # Time left of leases that the leader before did not renew any more.
+    inherited: dict[str, int] = attrs.field(factory=dict)
+    usage: Usage = attrs.field(factory=Usage)
+    advice: AdviceBook = attrs.field(factory=AdviceBook)
+    # Worker of each run that counts, by task.
+    placed: dict[TaskId, str] = attrs.field(factory=dict)
+    # Jobs that may have tasks to start, and what they ask for.
+    waiting: set[str] = attrs.field(factory=set)
+    demands: dict[str, Demand] = attrs.field(factory=dict)
+    # Room or work has changed since tasks were last placed.
+    pass_due: bool = True
+    # Work that has not found room on usable workers, by pool, in milliseconds of a core: all of
+    # it, and that of jobs that can still end on time. Tasks over their team's limit do not count.
+    waiting_work: dict[str, float] = attrs.field(factory=dict)
+    urgent_work: dict[str, float] = attrs.field(factory=dict)
+    # What each step of a job waits for, as last logged.
+    wait_reasons: dict[tuple[str, int, int], str] = attrs.field(factory=dict)
+    # What the next append holds: changed jobs, decided outcomes, planned starts, other records.
+    dirty: set[str] = attrs.field(factory=set)
+    outcomes: dict[str, Outcome] = attrs.field(factory=dict)
+    planned: list[tuple[str, TaskId, int]] = attrs.field(factory=list)
+    extra: list[Record] = attrs.field(factory=list)
+    # Whether an append is under way.
+    flushing: bool = False
+    out: list[Effect] = attrs.field(factory=list)
+
+    def take(self) -> list[Effect]:
+        """Return the effects since the last call."""
+        out, self.out = self.out, []
+        return out
+
+    def log(self, event: str, **fields: object) -> None:
+        """Write one log line."""
+        self.out.append(LogLine(event, fields))
+
+    def mark(self, job: Job) -> None:
+        """Note that the progress of a job has changed."""
+        self.dirty.add(job.id)
+        self.demands.pop(job.id, None)
+
+    def store(self, record: Record) -> None:
+        """Append a further record with the next append."""
+        self.extra.append(record)
+
+    def worker(self, worker_id: str) -> Worker:
+        """Return a worker, which may be one that is only known from a record."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            worker = self.workers[worker_id] = Worker(worker_id)
+        return worker
+
+    def wanted(self, run: Run) -> bool:
+        """Return whether a run's job still needs it."""
+        job = self.table.jobs.get(run.task.job)
+        return job is not None and job.open and job.id not in self.outcomes
+
+    def request_pass(self) -> None:
+        """Look for room again at the next step."""
+        self.pass_due = True
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -0,0 +1,222 @@
+"""Workers towards the leader: who is there, what runs there, and until when it may run."""
+
+import attrs
+
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.effects import HoldWorker, StopRun
+from fescuecrank_scheduler.events import (
+    CallResult,
+    EndRow,
+    HoldDone,
+    HoldReply,
+    PaceDone,
+    WorkerEntry,
+    WorkersRead,
+)
+from fescuecrank_scheduler.jobs import TaskId
+from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.pacing import Pacer
+from fescuecrank_scheduler.runs import Runs, task_label
+from fescuecrank_scheduler.workers import RunState, Worker
+
+
+@attrs.define
+class Leases:
+    """Leases of one leadership; each worker has one hold open at a time."""
+
+    state: LeaderState
+    runs: Runs
+    pacer: Pacer = attrs.field(init=False)
+    _foreign_stops: dict[tuple[str, TaskId], int] = attrs.field(factory=dict)
+
+    @pacer.default
+    def _make_pacer(self) -> Pacer:
+        return Pacer(self.state.leader.epoch)
+
+    def workers_read(self, event: WorkersRead, now: Now) -> None:
+        """Take over changes of the list of workers."""
+        self.state.listed = True
+        named = set()
+        for entry in event.entries:
+            named.add(entry.id)
+            self._entry(entry, now)
+        gone = set(event.gone)
+        if event.whole:
+            gone |= {worker.id for worker in self.state.workers.values()} - named
+        for worker_id in gone:
+            worker = self.state.workers.get(worker_id)
+            if worker is not None and worker.listed:
+                worker.listed = False
+                self.state.log("worker_unlisted", worker=worker_id, runs=len(worker.runs))
+
+    def _entry(self, entry: WorkerEntry, now: Now) -> None:
+        worker = self.state.worker(entry.id)
+        known = worker.listed
+        if worker.address and worker.address != entry.address:
+            self.runs.lose_all(worker, "moved_address", now)
+            worker.fenced = False
+        was_ready = worker.ready
+        worker.update(entry)
+        if entry.born_ms and worker.born_ms and entry.born_ms > worker.born_ms:
+            self._new_life(worker, entry.born_ms, now)
+        if not known or was_ready != entry.ready:
+            self.state.log("worker_listed", worker=entry.id, pool=entry.pool, ready=entry.ready)
+            self.state.request_pass()
+        if not worker.hold_open:
+            worker.hold_next_ms = min(worker.hold_next_ms, now.mono_ms)
+
+    def hold_done(self, event: HoldDone, now: Now) -> None:
+        """Compare what a worker says with what should run there."""
+        worker = self.state.workers.get(event.worker)
+        if worker is None or not worker.hold_open or event.number != worker.hold_number:
+            return
+        worker.hold_open = False
+        if event.result is CallResult.OK and event.reply is not None:
+            # Ends that follow each other closely share one answer.
+            worker.hold_next_ms = now.mono_ms + self.state.limits.hold_gap_ms
+            self._compare(worker, event.reply, now)
+        else:
+            worker.hold_next_ms = now.mono_ms + self.state.limits.hold_retry_ms
+            self.runs.call_failed(worker, event.result, now)
+
+    def pace_done(self, event: PaceDone) -> None:
+        """Take note of the answer to a change of pace; without one it is ordered again."""
+        worker = self.state.workers.get(event.worker)
+        run = worker.runs.get(event.task) if worker else None
+        if run is not None and event.result is CallResult.OK:
+            run.pace_confirmed = event.percent
+        elif event.result is CallResult.FENCED:
+            self.state.fenced = True
+
+    def _new_life(self, worker: Worker, born_ms: int, now: Now) -> None:
+        self.runs.lose_all(worker, "restarted", now)
+        worker.born_ms, worker.fenced = born_ms, False
+        worker.seen = worker.acked = 0
+        worker.clock_ms = worker.granted_ms = None
+        worker.lease_until_ms = now.mono_ms + int(
+            self.state.limits.lease_max_ms / (1 - self.state.limits.clock_drift)
+        )
+
+    def _compare(self, worker: Worker, reply: HoldReply, now: Now) -> None:
+        sent_ms = worker.hold_sent_ms
+        if reply.born_ms and reply.born_ms != worker.born_ms:
+            if worker.born_ms:
+                self._new_life(worker, reply.born_ms, now)
+            worker.born_ms = reply.born_ms
+        worker.note_clock(reply, now.mono_ms)
+        worker.answered_ms = now.mono_ms
+        if not worker.fenced:
+            worker.fenced = True
+            self.state.request_pass()
+        for row in reply.ended:
+            if row.number > worker.seen:
+                worker.seen = row.number
+                self._end_listed(worker, row, now)
+        self._compare_running(worker, reply, sent_ms, now)
+        self.state.out += self.pacer.adjust(worker, now)
+        if worker.seen > worker.acked and not self.state.dirty and not self.state.flushing:
+            worker.acked = worker.seen
+
+    def _compare_running(self, worker: Worker, reply: HoldReply, sent_ms: int, now: Now) -> None:
+        """Compare the runs that a worker lists with those that should be there."""
+        ended = {(row.task, row.run) for row in reply.ended}
+        listed = {row.task: row for row in reply.running}
+        for task, run in list(worker.runs.items()):
+            row = listed.get(task)
+            if row is not None and row.run == run.number:
+                run.checkpoint = row.checkpoint or run.checkpoint
+                if row.percent != run.percent or not run.progress_ms:
+                    run.progress_ms = now.mono_ms
+                run.percent, run.figure = row.percent, row.figure
+                if run.state is RunState.SENT:
+                    run.state = RunState.RUNNING
+                run.began_ms = run.began_ms or now.mono_ms
+            elif (
+                run.settled_ms is not None
+                and run.settled_ms < sent_ms
+                and (task, run.number) not in ended
+            ):
+                self.state.log(
+                    "run_missing", task=task_label(task), run=run.number, worker=worker.id
+                )
+                self.runs.ended(worker, run, "lapsed", "", now)
+        for row in reply.running:
+            run = worker.runs.get(row.task)
+            if run is None or run.number != row.run:
+                self._stop_foreign(worker, row.task, row.run, now)
+
+    def _stop_foreign(self, worker: Worker, task: TaskId, run: int, now: Now) -> None:
+        """Stop a run that this leader has given up or does not know."""
+        key = (worker.id, task)
+        if now.mono_ms - self._foreign_stops.get(key, -(10**9)) < self.state.limits.stop_retry_ms:
+            return
+        self._foreign_stops[key] = now.mono_ms
+        self.state.log("foreign_run_stopped", task=task_label(task), run=run, worker=worker.id)
+        self.state.out.append(
+            StopRun(
+                worker.id,
+                worker.address,
+                self.state.leader.epoch,
+                task,
+                run,
+                self.state.limits.stop_timeout_ms,
+            )
+        )
+
+    def _end_listed(self, worker: Worker, row: EndRow, now: Now) -> None:
+        run = worker.runs.get(row.task)
+        if run is None or run.number != row.run:
+            return
+        self.runs.ended(worker, run, row.how, row.checkpoint, now)
+
+    def expire(self, now: Now) -> None:
+        """Give up the runs of workers whose leases have run out."""
+        for worker in list(self.state.workers.values()):
+            started = any(run.state is not RunState.PLANNED for run in worker.runs.values())
+            if started and now.mono_ms > worker.lease_until_ms:
+                self.runs.lose_all(worker, "lease_over", now)
+            if not worker.listed and not worker.runs:
+                self.state.workers.pop(worker.id, None)
+
+    def next_due(self, now: Now) -> int | None:
+        """Return when the next hold is due; None if all workers have one open."""
+        return min(
+            (
+                worker.hold_next_ms
+                for worker in self.state.workers.values()
+                if not worker.hold_open and worker.address
+            ),
+            default=None,
+        )
+
+    def renew(self, now: Now) -> None:
+        """Open the holds that are due, unless this leader may have been replaced."""
+        state = self.state
+        unsure = now.mono_ms - state.renewed_ms >= state.limits.leader_validity_ms
+        if state.resigned or unsure:
+            return
+        for worker in self.state.workers.values():
+            if not worker.hold_open and worker.address and now.mono_ms >= worker.hold_next_ms:
+                self._hold(worker, now)
+
+    def _hold(self, worker: Worker, now: Now) -> None:
+        deadline = None
+        if worker.fenced and worker.runs:
+            deadline = worker.deadline(now.mono_ms, self.state.limits)
+        settled = worker.fenced and now.mono_ms - worker.answered_ms < self.state.limits.silent_ms
+        wait_ms = self.state.limits.hold_wait_ms
+        if any(run.step.fills for run in worker.runs.values()):
+            wait_ms = self.state.limits.paced_wait_ms
+        worker.hold_number += 1
+        worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
+        self.state.out.append(
+            HoldWorker(
+                worker.id,
+                worker.address,
+                self.state.leader.epoch,
+                worker.acked,
+                deadline,
+                wait_ms if settled else 0,
+                worker.hold_number,
+            )
+        )
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -20,9 +20,9 @@
 from fescuecrank_scheduler.events import MachineRow, MachinesListed, OrderResult
 from fescuecrank_scheduler.fleet import Wave
 from fescuecrank_scheduler.jobs import TaskId
-from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.records import WaveDone, encode_wave
-from fescuecrank_scheduler.scheduler import Scheduler
+from fescuecrank_scheduler.runs import Runs
 from fescuecrank_scheduler.workers import Run, RunState, Worker
 
 # An order without an answer is repeated after this time; it has no effect the second time.
@@ -86,8 +86,8 @@
 class Maintenance:
     """Waves of one leadership."""
 
-    scheduler: Scheduler
-    limits: Limits
+    state: LeaderState
+    runs: Runs
     waves: dict[int, WaveProgress] = attrs.field(factory=dict)
     rows: dict[str, MachineRow] = attrs.field(factory=dict)
     rows_ms: int = -1
@@ -128,9 +128,9 @@
         match result:
             case OrderResult.OK:
                 each.step, each.since_ms = Step.DOWN, now.mono_ms
-                self.scheduler.store(encode_wave(WaveDone(wave, progress.done())))
+                self.state.store(encode_wave(WaveDone(wave, progress.done())))
             case OrderResult.FENCED:
-                self.scheduler.fenced = True
+                self.state.fenced = True
             case OrderResult.REJECTED:
                 each.step = Step.DONE
             case _:
@@ -148,7 +148,7 @@
         """Advance all waves; the machines in `moving` are on their way to another pool."""
         active = [wave for wave in self.waves.values() if not wave.completed]
         wanted: set[str] = set()
-        if active or any(pool.standby for pool in self.scheduler.config.pools.values()):
+        if active or any(pool.standby for pool in self.state.config.pools.values()):
             self._read(now)
         for wave in active:
             if self.rows_ms >= 0:
@@ -156,19 +156,19 @@
             wanted.update(
                 name for name, each in wave.machines.items() if each.step is not Step.DONE
             )
-        for worker in self.scheduler.workers.values():
+        for worker in self.state.workers.values():
             cordoned = bool(worker.machine) and (
                 worker.machine in wanted or worker.machine in moving
             )
             if worker.cordoned and not cordoned:
-                self.scheduler.request_pass()
+                self.state.request_pass()
             worker.cordoned = cordoned
         self._move_lasting(now)
         out, self._out = self._out, []
         return out
 
     def _read(self, now: Now) -> None:
-        if not self._reading and now.mono_ms - self._read_ms >= self.limits.machines_read_ms:
+        if not self._reading and now.mono_ms - self._read_ms >= self.state.limits.machines_read_ms:
             self._reading, self._read_ms = True, now.mono_ms
             self._out.append(ListMachines())
 
@@ -198,10 +198,8 @@
                 each.step, each.since_ms, each.next_ms = Step.ORDERED, now.mono_ms, now.mono_ms
         if each.step is Step.ORDERED and now.mono_ms >= each.next_ms:
             each.next_ms = now.mono_ms + 4 * ORDER_RETRY_MS
-            self._out.append(
-                MaintainMachine(name, progress.wave.number, self.scheduler.leader.epoch)
-            )
-        read_later = self.rows_ms >= each.since_ms + self.limits.maintenance_ms // 2
+            self._out.append(MaintainMachine(name, progress.wave.number, self.state.leader.epoch))
+        read_later = self.rows_ms >= each.since_ms + self.state.limits.maintenance_ms // 2
         if each.step is Step.DOWN and row.state == "up" and read_later:
             each.step = Step.DONE
 
@@ -224,7 +222,7 @@
         open_count = len(progress.left()) + progress.busy()
         planned_ms = int(progress.wave.duration_ms * PLANNED_SHARE)
         left_ms = max(1, progress.begun_ms + planned_ms - now.mono_ms)
-        each_ms = EMPTY_MS + self.limits.maintenance_ms
+        each_ms = EMPTY_MS + self.state.limits.maintenance_ms
         return -(-open_count * each_ms // left_ms)
 
     def _load(self, name: str) -> tuple[int, int]:
@@ -236,7 +234,7 @@
 
     def _worker_on(self, machine: str) -> Worker | None:
         row = self.rows.get(machine)
-        for worker in self.scheduler.workers.values():
+        for worker in self.state.workers.values():
             if worker.machine == machine or (row is not None and worker.id == row.worker):
                 worker.machine = machine
                 return worker
@@ -244,18 +242,18 @@
 
     def _move_lasting(self, now: Now) -> None:
         """Stop lasting tasks on workers that go away, as far as their steps may miss them."""
-        for worker in list(self.scheduler.workers.values()):
+        for worker in list(self.state.workers.values()):
             if not worker.cordoned and (worker.ready or not worker.listed):
                 continue
             for run in list(worker.runs.values()):
                 movable = run.step.lasting and run.state is RunState.RUNNING
                 if movable and self._may_stop(run, now):
-                    self.scheduler.stop_run(worker, run, now)
+                    self.runs.stop(worker, run, now)
 
     def _may_stop(self, run: Run, now: Now) -> bool:
         # Steps that state no bound are moved one task at a time.
         allowed = 1 if run.step.may_miss is None else run.step.may_miss
-        job = self.scheduler.table.jobs.get(run.task.job)
+        job = self.state.table.jobs.get(run.task.job)
         if job is None:
             return True
         away = 0
@@ -265,10 +263,10 @@
         return away < allowed
 
     def _at_work(self, task_id: TaskId, now: Now) -> bool:
-        worker = self.scheduler.workers.get(self.scheduler.placed.get(task_id, ""))
+        worker = self.state.workers.get(self.state.placed.get(task_id, ""))
         run = worker.runs.get(task_id) if worker else None
         if worker is None or run is None:
             return False
         # What a worker said last tells nothing once it is silent.
-        answers = worker.listed and now.mono_ms - worker.answered_ms < self.limits.silent_ms
+        answers = worker.listed and now.mono_ms - worker.answered_ms < self.state.limits.silent_ms
         return answers and run.state is RunState.RUNNING and run.percent >= AT_WORK
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -0,0 +1,162 @@
+"""The leader's appends: what becomes true only once it is stored.
+
+Every run is recorded before its start is sent, so that a successor knows on which worker each task
+may run. Every end is recorded before the worker is allowed to forget it and before callers see its
+effect.
+"""
+
+import attrs
+
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.effects import StoreProgress
+from fescuecrank_scheduler.jobs import Outcome, TaskId
+from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.records import encode_leadership, encode_progress
+from fescuecrank_scheduler.runs import Runs
+from fescuecrank_scheduler.workers import RunState
+
+
+@attrs.define
+class Flush:
+    """One append under way: what becomes true when it is stored."""
+
+    sequence: int
+    starts: list[tuple[str, TaskId, int]]
+    outcomes: dict[str, Outcome]
+    acks: dict[str, int]
+    # Workers that a renewal reports as silent; None if the append holds no renewal.
+    silent: dict[str, int] | None
+
+
+@attrs.define
+class ProgressLog:
+    """Appends of one leadership, one at a time."""
+
+    state: LeaderState
+    runs: Runs
+    # Sequence number of the next append under this epoch.
+    sequence: int
+    flush: Flush | None = None
+    flushed_ms: int = 0
+    _beat_sent_ms: int = 0
+
+    def stored(self, sequence: int, now: Now) -> None:
+        """The append under way is durable: send its starts, let workers forget its ends."""
+        flush = self.flush
+        if flush is None or flush.sequence != sequence:
+            return
+        self.flush, self.state.flushing = None, False
+        self.state.renewed_ms = now.mono_ms
+        self.state.resigned = not self.state.leader.holder
+        for job_id, outcome in flush.outcomes.items():
+            self._show_outcome(job_id, outcome)
+        for worker_id, task, number in flush.starts:
+            self._send_planned(worker_id, task, number, now)
+        if flush.silent is not None:
+            for worker in self.state.workers.values():
+                worker.reported_silent = worker.id in flush.silent
+        for worker_id, number in flush.acks.items():
+            worker = self.state.workers.get(worker_id)
+            if worker is not None and worker.seen >= number:
+                worker.acked = max(worker.acked, number)
+
+    def _show_outcome(self, job_id: str, outcome: Outcome) -> None:
+        """Show a job as ended and forget what was kept for placing it."""
+        state = self.state
+        state.log("job_ended", job=job_id, outcome=outcome.value)
+        state.table.set_outcome(state.table.jobs[job_id], outcome)
+        state.outcomes.pop(job_id, None)
+        state.demands.pop(job_id, None)
+        for key in [key for key in state.wait_reasons if key[0] == job_id]:
+            del state.wait_reasons[key]
+        state.advice.forget(job_id)
+
+    def _send_planned(self, worker_id: str, task: TaskId, number: int, now: Now) -> None:
+        worker = self.state.workers.get(worker_id)
+        run = worker.runs.get(task) if worker else None
+        if worker is None or run is None or run.number != number:
+            return
+        if run.state is not RunState.PLANNED:
+            return
+        if self.state.wanted(run) and not self.state.resigned:
+            self.runs.send_start(worker, run, now)
+        else:
+            self.runs.ended(worker, run, "withdrawn", "", now)
+
+    def _waits(self) -> dict[str, int]:
+        """Return how long each pool needs for its waiting work, in ms."""
+        waits = {}
+        for pool, work in self.state.waiting_work.items():
+            cores = sum(
+                worker.capacity.cpu
+                for worker in self.state.workers.values()
+                if worker.pool == pool and worker.listed and worker.ready
+            )
+            if work and cores:
+                waits[pool] = int(1_000 * work / cores)
+        return waits
+
+    def _silent_workers(self, now: Now) -> dict[str, int]:
+        """Return the time left of each lease that is not renewed since its worker is silent.
+
+        A successor then need not assume that this leader has renewed it up to its end.
+        """
+        silent = {}
+        for worker in self.state.workers.values():
+            if not worker.runs or now.mono_ms - worker.answered_ms < self.state.limits.silent_ms:
+                continue
+            fresh = now.mono_ms - self.state.started_ms < self.state.limits.renew_ms
+            if worker.answered_ms or not fresh or worker.id in self.state.inherited:
+                silent[worker.id] = max(0, worker.lease_until_ms - now.mono_ms)
+                worker.reported_silent = True
+        return silent
+
+    def next_due(self, now: Now) -> int | None:
+        """Return when an append may start; None if there is nothing to append."""
+        waiting = self.flush is None and (self.state.dirty or self.state.extra)
+        return self.flushed_ms + self.state.limits.flush_gap_ms if waiting else None
+
+    def start(self, now: Now) -> None:
+        """Append what has changed, and a renewal when one is due."""
+        since_ms = now.mono_ms - self._beat_sent_ms
+        beat_due = self.state.resigning or since_ms >= self.state.limits.renew_ms
+        if self.flush is not None or not (self.state.dirty or self.state.extra or beat_due):
+            return
+        if now.mono_ms - self.flushed_ms < self.state.limits.flush_gap_ms:
+            return
+        records = []
+        outcomes = {}
+        for job_id in sorted(self.state.dirty):
+            job, outcome = self.state.table.jobs[job_id], self.state.outcomes.get(job_id)
+            if job.outcome is not None:
+                continue
+            if outcome is not None:
+                outcomes[job_id] = outcome
+            records.append(encode_progress(job, outcome, self.state.leader.epoch))
+        records.extend(self.state.extra)
+        if beat_due:
+            self._beat_sent_ms = now.mono_ms
+            self.state.leader = attrs.evolve(
+                self.state.leader,
+                holder="" if self.state.resigning else self.state.leader.holder,
+                beat=self.state.leader.beat + 1,
+                wall_ms=now.wall_ms,
+                waits=self._waits(),
+                silent=self._silent_workers(now),
+            )
+            records.append(encode_leadership(self.state.leader))
+        acks = {
+            worker.id: worker.seen
+            for worker in self.state.workers.values()
+            if worker.seen > worker.acked
+        }
+        silent = self.state.leader.silent if beat_due else None
+        self.flush = Flush(self.sequence, self.state.planned, outcomes, acks, silent)
+        self.state.flushing = True
+        self.state.planned, self.state.dirty, self.state.extra = [], set(), []
+        self.flushed_ms = now.mono_ms
+        if not records:
+            self.stored(self.sequence, now)
+            return
+        self.state.out.append(StoreProgress(self.state.leader.epoch, self.sequence, tuple(records)))
+        self.sequence += 1
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -19,6 +19,7 @@
 from fescuecrank_scheduler.fleet import EMPTY_CONFIG, FleetConfig, Wave
 from fescuecrank_scheduler.intake import Intake
 from fescuecrank_scheduler.job_table import JobTable
+from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.leadership import Election, Role
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.maintenance import Maintenance
@@ -96,7 +97,7 @@
                 self._to_scheduler(event, now)
         if self.scheduler is not None:
             self._out += self.scheduler.advance(now)
-            if self.scheduler.fenced:
+            if self.scheduler.state.fenced:
                 self._step_down("fenced", now)
         out, self._out = self._out, []
         return out
@@ -106,26 +107,14 @@
         if scheduler is None or maintenance is None:
             return
         match event:
-            case events.WorkersRead():
-                scheduler.workers_read(event, now)
-            case events.HoldDone():
-                scheduler.hold_done(event, now)
-            case events.StartDone():
-                scheduler.start_done(event, now)
-            case events.StopDone():
-                scheduler.stop_done(event, now)
-            case events.PaceDone():
-                scheduler.pace_done(event)
-            case events.Advised():
-                scheduler.advice.advised(event, now)
-                self._out += scheduler.advice.take()
-                scheduler.request_pass()
             case events.MachinesListed():
                 maintenance.listed(event, now)
             case events.MachineOrderDone() if event.wave is not None:
                 maintenance.order_done(event.machine, event.wave, event.result, now)
             case events.MachineOrderDone() if self.balancer is not None:
                 self.balancer.order_done(event.machine, event.result, now)
+            case _:
+                scheduler.handle(event, now)
 
     def _configure(self, event: events.ConfigRead, now: Now) -> None:
         if event.config.version < self.config.version:
@@ -199,12 +188,10 @@
         leader = self.table.leader
         assert leader is not None
         self.election.role = Role.LEADER
-        self.scheduler = Scheduler(
-            self.name, self.limits, self.table, self.config, leader, self._claim_sequence + 1
-        )
-        self.scheduler.leader_before = self._leader_before
-        self.maintenance = Maintenance(self.scheduler, self.limits)
-        self.balancer = Balancer(self.scheduler, self.maintenance, self.limits)
+        state = LeaderState(self.limits, self.table, self.config, leader, self._leader_before)
+        self.scheduler = Scheduler(state, self._claim_sequence + 1)
+        self.maintenance = Maintenance(state, self.scheduler.runs)
+        self.balancer = Balancer(state, self.maintenance)
         self._out.append(SetFollow(Follow.LEADER))
         self.table.take_changed()
         self._out += self.scheduler.begin(now)
@@ -236,8 +223,8 @@
         elif self.scheduler is not None:
             if event.result is StoreResult.STORED:
                 self._read_ms[Topic.PROGRESS] = now.mono_ms
-                self.scheduler.progress_stored(event.sequence, now)
-                if self.scheduler.resigned:
+                self.scheduler.progress.stored(event.sequence, now)
+                if self.scheduler.state.resigned:
                     self._step_down("resigned", now)
             else:
                 self._step_down(event.result.value, now)
@@ -246,7 +233,7 @@
 
     def _tick(self, now: Now) -> None:
         if self.scheduler is not None and self.maintenance and self.balancer:
-            self._out += self.scheduler.tick(now)
+            self.scheduler.tick(now)
             self._out += self.maintenance.tick(now, self.balancer.moves)
             self._out += self.balancer.tick(now)
         elif self._may_claim(now):
@@ -273,7 +260,7 @@
         self.intake.draining = True
         self._log("stopping", leader=self.scheduler is not None)
         if self.scheduler is not None:
-            self.scheduler.resign(now)
+            self.scheduler.resign()
 
     def _check_exit(self, now: Now) -> None:
         assert self._stopping_ms is not None
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -0,0 +1,298 @@
+"""Runs of tasks: how they start, stop and end, and what their ends mean for a job."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from fescuecrank_scheduler import health
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.effects import StartRun, StopRun
+from fescuecrank_scheduler.events import CallResult, StartDone, StopDone
+from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Step, Task, TaskId
+from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.workers import Run, RunState, Worker
+
+# Ends of a run; only `failed` counts against the attempts of a task.
+DONE, FAILED = "done", "failed"
+
+
+def all_tasks(job: Job) -> Iterator[Task]:
+    """Yield the tasks of a job that exist."""
+    for tasks in list(job.tasks.values()):
+        yield from tasks
+
+
+def task_label(task: TaskId) -> str:
+    """Return the name of a task in log lines."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+
+
+@attrs.define
+class Runs:
+    """All runs of one leadership."""
+
+    state: LeaderState
+
+    # Starts.
+
+    def place(self, worker: Worker, job: Job, task: Task, state: RunState, now: Now) -> None:
+        """Count a run of `task` on `worker` from now on."""
+        step = job.steps[task.id.step]
+        run = Run(task.id, task.run, step, job.team, job.queue, state, checkpoint=task.checkpoint)
+        run.sent_ms = now.mono_ms
+        worker.add(run)
+        self.state.usage.add(job.team, step.need)
+        self.state.placed[task.id] = worker.id
+
+    def send_start(self, worker: Worker, run: Run, now: Now) -> None:
+        """Send the start of a run whose record is stored, for the first time or again."""
+        deadline = worker.deadline(now.mono_ms, self.state.limits)
+        if deadline is None:
+            self.ended(worker, run, "withdrawn", "", now)
+            return
+        run.state, run.sent_ms = RunState.SENT, now.mono_ms
+        run.unanswered = False
+        self.state.out.append(
+            StartRun(
+                worker.id,
+                worker.address,
+                self.state.leader.epoch,
+                run.task,
+                run.number,
+                self.state.table.jobs[run.task.job].spec,
+                deadline,
+                run.checkpoint,
+                self.state.advice.ticket(run.task, worker.id),
+                self.state.limits.start_timeout_ms,
+            )
+        )
+
+    def start_done(self, event: StartDone, now: Now) -> None:
+        """Take note of the answer to a start."""
+        worker = self.state.workers.get(event.worker)
+        run = worker.runs.get(event.task) if worker else None
+        if worker is None or run is None or run.number != event.run:
+            return
+        if run.state is not RunState.SENT:
+            return
+        match event.result:
+            case CallResult.OK:
+                run.state, run.settled_ms = RunState.RUNNING, now.mono_ms
+                run.began_ms = run.began_ms or now.mono_ms
+                worker.answered_ms = now.mono_ms
+                worker.hold_next_ms = now.mono_ms
+            case CallResult.NO_ANSWER | CallResult.REFUSED:
+                self._unanswered(worker, run, now)
+            case CallResult.OLD:
+                # The run is there or has been; the next hold lists it or its end.
+                run.settled_ms = now.mono_ms
+            case CallResult.FENCED:
+                self.call_failed(worker, event.result, now)
+            case _:
+                self._not_started(worker, run, event.result, now)
+
+    def _unanswered(self, worker: Worker, run: Run, now: Now) -> None:
+        """Note a start that may have been carried out; the run number makes it idempotent."""
+        worker.blocked_until_ms = now.mono_ms + self.state.limits.start_timeout_ms
+        run.unanswered = True
+
+    def retry_starts(self, now: Now) -> None:
+        """Repeat unanswered starts, at a pace that a refused connection does not set."""
+        for worker in self.state.workers.values():
+            for run in list(worker.runs.values()):
+                if not run.unanswered or run.state is not RunState.SENT:
+                    continue
+                if now.mono_ms - run.sent_ms < self.state.limits.start_timeout_ms:
+                    continue
+                if self.state.wanted(run):
+                    self.send_start(worker, run, now)
+                else:
+                    self.stop(worker, run, now)
+
+    def _not_started(self, worker: Worker, run: Run, result: CallResult, now: Now) -> None:
+        self.state.log(
+            "start_refused",
+            task=task_label(run.task),
+            run=run.number,
+            worker=worker.id,
+            reason=result.value,
+        )
+        if result is CallResult.OTHER_LIFE:
+            self.call_failed(worker, result, now)
+            return
+        if result is CallResult.NO_ROOM:
+            # Its own count of what runs differs from ours until the next hold.
+            worker.blocked_until_ms = now.mono_ms + self.state.limits.hold_retry_ms
+        elif result is CallResult.BAD_TICKET:
+            self.state.advice.drop(run.task, worker.id)
+        else:
+            worker.blocked_until_ms = now.mono_ms + 4 * self.state.limits.hold_retry_ms
+        self.ended(worker, run, "refused", "", now)
+
+    # Stops.
+
+    def stop_done(self, event: StopDone, now: Now) -> None:
+        """Take note of the answer to a stop; the end itself is listed by a hold."""
+        worker = self.state.workers.get(event.worker)
+        run = worker.runs.get(event.task) if worker else None
+        if worker is None or run is None or run.number != event.run:
+            return
+        if event.result is CallResult.OK:
+            run.settled_ms = now.mono_ms
+            worker.hold_next_ms = now.mono_ms
+        else:
+            self.call_failed(worker, event.result, now)
+
+    def retry_stops(self, now: Now) -> None:
+        """Repeat stops that were not answered."""
+        for worker in self.state.workers.values():
+            for run in list(worker.runs.values()):
+                if run.state is not RunState.STOPPING or run.settled_ms is not None:
+                    continue
+                if now.mono_ms - run.sent_ms >= self.state.limits.stop_retry_ms:
+                    self.stop(worker, run, now)
+
+    def stop(self, worker: Worker, run: Run, now: Now) -> None:
+        """Stop a run; its task starts again elsewhere if its job still needs it."""
+        if run.state is RunState.PLANNED:
+            self.ended(worker, run, "withdrawn", "", now)
+            return
+        run.state, run.sent_ms = RunState.STOPPING, now.mono_ms
+        run.settled_ms = None
+        self.state.out.append(
+            StopRun(
+                worker.id,
+                worker.address,
+                self.state.leader.epoch,
+                run.task,
+                run.number,
+                self.state.limits.stop_timeout_ms,
+            )
+        )
+
+    def stop_stalled(self, now: Now) -> None:
+        """Start tasks elsewhere whose runs stand still or are far slower than estimated."""
+        for worker in self.state.workers.values():
+            stalled = 0
+            for run in list(worker.runs.values()):
+                if run.state is not RunState.RUNNING or run.step.lasting or run.step.gang:
+                    continue
+                reason = health.stall_reason(
+                    run, worker.answered_ms, now.mono_ms, self.state.limits
+                )
+                if not reason:
+                    continue
+                self.state.log(
+                    "run_stalled",
+                    task=task_label(run.task),
+                    worker=worker.id,
+                    reason=reason,
+                    age_ms=now.mono_ms - run.began_ms,
+                    percent=run.percent,
+                )
+                stalled += 1
+                # One run may be at fault itself; several, or one that does nothing, speak against
+                # the worker.
+                if stalled > 1 or reason == "idle":
+                    worker.blocked_until_ms = now.mono_ms + self.state.limits.quarantine_ms
+                self.stop(worker, run, now)
+
+    def lose_all(self, worker: Worker, reason: str, now: Now) -> None:
+        """The worker's life is over, or its leases have run out: nothing runs there any more."""
+        if worker.runs:
+            self.state.log("runs_lost", worker=worker.id, runs=len(worker.runs), reason=reason)
+        for run in list(worker.runs.values()):
+            self.ended(worker, run, "lapsed", "", now)
+
+    # Ends.
+
+    def ended(self, worker: Worker, run: Run, how: str, checkpoint: str, now: Now) -> None:
+        """Free the room of a run and decide what its end means; `how` is the kind of end."""
+        worker.remove(run.task)
+        self.state.usage.remove(run.team, run.step.need)
+        self.state.placed.pop(run.task, None)
+        self.state.pass_due = True
+        job = self.state.table.jobs.get(run.task.job)
+        task = job.task(run.task) if job else None
+        if job is None or task is None or job.outcome is not None or task.run != run.number:
+            return
+        if task.phase is Phase.DONE:
+            return
+        task.checkpoint = checkpoint or run.checkpoint or task.checkpoint
+        task.phase = Phase.WAITING
+        self.state.mark(job)
+        if how == DONE:
+            worker.failure_streak = 0
+        elif how == FAILED:
+            worker.failure_streak += 1
+            task.failures += 1
+            if worker.failure_streak >= self.state.limits.failure_streak:
+                worker.blocked_until_ms = now.mono_ms + self.state.limits.quarantine_ms
+                self.state.log("worker_quarantined", worker=worker.id, streak=worker.failure_streak)
+        if how != DONE:
+            self.state.log(
+                "run_ended", task=task_label(run.task), run=run.number, worker=worker.id, how=how
+            )
+        if job.id in self.state.outcomes:
+            return
+        if run.step.gang:
+            self._gang_ended(job, run, how, now)
+        elif how == DONE and not run.step.lasting:
+            task.phase = Phase.DONE
+        if not job.open:
+            return
+        if how == FAILED and not run.step.lasting and self._attempts_used(job, task, run.step):
+            self.end_job(job, Outcome.FAILED, now)
+        elif job.all_done():
+            self.end_job(job, Outcome.COMPLETED, now)
+        else:
+            self.state.waiting.add(job.id)
+
+    def _gang_ended(self, job: Job, run: Run, how: str, now: Now) -> None:
+        """One good end stands for the whole gang; any other end breaks it."""
+        members = job.tasks[run.task.occurrence, run.task.step]
+        if how == DONE and not run.step.lasting:
+            for member in members:
+                member.phase = Phase.DONE
+            return
+        for member in members:
+            worker = self.state.workers.get(self.state.placed.get(member.id, ""))
+            other = worker.runs.get(member.id) if worker else None
+            if worker is not None and other is not None:
+                self.stop(worker, other, now)
+        newest = max((member.checkpoint for member in members), default="")
+        for member in members:
+            member.checkpoint = newest
+
+    def _attempts_used(self, job: Job, task: Task, step: Step) -> bool:
+        queue = self.state.config.queue(job.queue)
+        if queue is None:
+            return False
+        failures = task.failures
+        if step.gang:
+            members = job.tasks[task.id.occurrence, task.id.step]
+            failures = sum(member.failures for member in members)
+        return failures >= queue.max_attempts
+
+    def end_job(self, job: Job, outcome: Outcome, now: Now) -> None:
+        """Decide the outcome of a job, which callers see once it is stored, and stop its runs."""
+        self.state.outcomes[job.id] = outcome
+        self.state.mark(job)
+        self.state.waiting.discard(job.id)
+        for task in all_tasks(job):
+            worker = self.state.workers.get(self.state.placed.get(task.id, ""))
+            run = worker.runs.get(task.id) if worker else None
+            if worker is not None and run is not None:
+                self.stop(worker, run, now)
+
+    # Calls that show more than the state of one run.
+
+    def call_failed(self, worker: Worker, result: CallResult, now: Now) -> None:
+        """Take note of a call that was refused because of another leader or another life."""
+        if result is CallResult.FENCED:
+            self.state.fenced = True
+        elif result is CallResult.OTHER_LIFE:
+            self.lose_all(worker, result.value, now)
+            worker.fenced = False
+            if not worker.listed:
+                self.state.workers.pop(worker.id, None)
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -79,11 +79,12 @@
 
 def gauges(reducer: Reducer, now_ms: int) -> dict[str, tuple[str, Rows]]:
     """Return the present state of the reducer, by name of the gauge."""
-    table, scheduler = reducer.table, reducer.scheduler
+    table = reducer.table
+    state = reducer.scheduler.state if reducer.scheduler is not None else None
     open_jobs = Counter(job.queue for job in table.jobs.values() if job.open)
     fresh_ms = reducer.intake.fresh_ms
     rows: dict[str, tuple[str, Rows]] = {
-        "leader": ("Whether this process leads.", [({}, float(scheduler is not None))]),
+        "leader": ("Whether this process leads.", [({}, float(state is not None))]),
         "epoch": ("Newest epoch seen.", [({}, table.leader.epoch if table.leader else 0)]),
         "ready": ("Whether this process takes new connections.", [({}, float(reducer.ready))]),
         "config_version": ("Configuration in force.", [({}, reducer.config.version)]),
@@ -100,11 +101,11 @@
             [({}, reducer.intake.open_requests)],
         ),
     }
-    if scheduler is None:
+    if state is None:
         return rows
     workers: Counter = Counter()
     free: Counter = Counter()
-    for worker in scheduler.workers.values():
+    for worker in state.workers.values():
         usable = worker.usable(now_ms, reducer.limits)
         workers[worker.pool, "usable" if usable else "unusable"] += 1
         free[worker.pool] += worker.room.cpu if usable else 0
@@ -118,11 +119,11 @@
     )
     rows["waiting_work_ms"] = (
         "Work without room, in milliseconds of a core.",
-        [({"pool": pool}, work) for pool, work in scheduler.waiting_work.items()],
+        [({"pool": pool}, work) for pool, work in state.waiting_work.items()],
     )
-    rows["running"] = ("Runs that count.", [({}, len(scheduler.placed))])
+    rows["running"] = ("Runs that count.", [({}, len(state.placed))])
     rows["team_cpu"] = (
         "Thousandths of a core that teams have running.",
-        [({"team": name}, scheduler.usage.used(name).cpu) for name in reducer.config.teams],
+        [({"team": name}, state.usage.used(name).cpu) for name in reducer.config.teams],
     )
     return rows
