--- /dev/null
+++ b/packages/bench/src/fescuecrank_bench/leader_slopes.py
@@ -0,0 +1,107 @@
+"""How the leader's costs grow with workers and waiting jobs.
+
+Run as `python -m fescuecrank_bench.leader_slopes`.
+"""
+
+import time
+from collections.abc import Callable
+
+from fescuecrank_core.clock import Instant
+from fescuecrank_scheduler import events
+from fescuecrank_scheduler.events import CallResult, HoldReply, WorkerEntry
+from fescuecrank_scheduler.fleet import Amounts, FleetConfig, Pool, Queue
+from fescuecrank_scheduler.job_table import JobTable
+from fescuecrank_scheduler.jobs import Job, Step
+from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.records import Leadership, encode_job, encode_progress
+from fescuecrank_scheduler.scheduler import Scheduler
+
+WORKERS = (30, 300, 3_000)
+WAITING_JOBS = (10, 100, 1_000)
+TASKS_PER_JOB = 10
+WALL_MS = 1_700_000_000_000
+REPEATS = 200
+WARM_UP = 5
+
+
+def make_leader(workers: int, jobs: int) -> Scheduler:
+    """Return a leader whose workers have no room and whose jobs all wait."""
+    cfg = FleetConfig(1, (Queue("q", "h", "/q/", "p"),), {"p": Pool("p")})
+    table = JobTable()
+    need = Amounts(1_000, 100)
+    for number in range(jobs):
+        steps = (Step(TASKS_PER_JOB, need, 1_000),)
+        table.jobs[f"{number:016x}"] = Job(f"{number:016x}", "q", "", "", steps, WALL_MS)
+    leader = Scheduler(LeaderState(Limits(), table, cfg, Leadership(1, "entry", 0)), 1)
+    leader.begin(Instant(0, WALL_MS))
+    entries = tuple(
+        WorkerEntry(f"w{n}", f"w{n}:1", "p", "dc", True, Amounts(0, 10**6), ("a", "r"))
+        for n in range(workers)
+    )
+    leader.handle(events.WorkersRead(entries, whole=True), Instant(0, WALL_MS))
+    leader.advance(Instant(1, WALL_MS))
+    return leader
+
+
+def answer_hold(leader: Scheduler, worker: str, now: Instant) -> None:
+    """Let one worker answer its open hold."""
+    held = leader.state.worker(worker)
+    reply = HoldReply(now.mono_ms, 1, (), ())
+    leader.handle(events.HoldDone(worker, held.hold_number, CallResult.OK, reply), now)
+    leader.advance(now)
+
+
+def mean_us(work: Callable[[int], None]) -> float:
+    """Return the mean time of `work` in microseconds."""
+    for number in range(WARM_UP):
+        work(number)
+    begun = time.perf_counter()
+    for number in range(WARM_UP, WARM_UP + REPEATS):
+        work(number)
+    return (time.perf_counter() - begun) / REPEATS * 1e6
+
+
+def hold_us(workers: int) -> float:
+    """Return the time that one answer of a worker takes, without waiting jobs."""
+    leader = make_leader(workers, 0)
+
+    def work(number: int) -> None:
+        now = 2 + number
+        answer_hold(leader, f"w{number % workers}", Instant(now, WALL_MS + now))
+
+    return mean_us(work)
+
+
+def pass_us(jobs: int) -> float:
+    """Return the time of one look for room with 30 full workers."""
+    leader = make_leader(30, jobs)
+    for number in range(30):
+        answer_hold(leader, f"w{number}", Instant(2, WALL_MS + 2))
+
+    def work(number: int) -> None:
+        now = 100 + 20 * number
+        leader.state.request_pass()
+        leader.advance(Instant(now, WALL_MS + now))
+
+    return mean_us(work)
+
+
+def main() -> None:
+    """Print the slopes."""
+    for workers in WORKERS:
+        print(f"answer of a worker, {workers} workers: {hold_us(workers):.0f} us")
+    for jobs in WAITING_JOBS:
+        print(f"look for room, {jobs} waiting jobs: {pass_us(jobs):.0f} us")
+    leader = make_leader(1, 1)
+    (job,) = leader.state.table.jobs.values()
+    job.occurrence(0)
+    for task in job.tasks[0, 0]:
+        task.run, task.worker = 1, "i-0123456789"
+    print(f"record of a job of {TASKS_PER_JOB} tasks: {len(encode_job(job).value)} bytes")
+    progress = encode_progress(job, None, 1)
+    print(f"record of its progress: {len(progress.value)} bytes")
+
+
+if __name__ == "__main__":
+    main()
