--- a/packages/daemon/src/fescuecrank_daemon/platform_main.py
+++ b/packages/daemon/src/fescuecrank_daemon/platform_main.py
@@ -8,6 +8,8 @@
 import sys
 from pathlib import Path
 
+import attrs
+from fescuecrank_core.clock import Clock
 from fescuecrank_platform.fleet_calls import HttpFleetCalls
 from fescuecrank_platform.requests import PlatformRequests
 from fescuecrank_platform.settings import (
@@ -49,19 +51,83 @@
 LINGER_MS = 100
 
 
-async def run(path: Path, cfg: PlatformSettings) -> None:
-    """Run one entry until it is told to stop."""
-    endpoints = Endpoints.of(cfg)
-    clock = SystemClock()
+@attrs.define
+class Entry:
+    """One entry with all its parts."""
+
+    path: Path
+    cfg: PlatformSettings
+    endpoints: Endpoints
+    engine: Engine
+    front: Front
+    metrics: Metrics
+    log: LineLog
+    callers: list[HttpCaller]
+    watch: FileWatch = attrs.field(init=False)
+
+    @watch.default
+    def _make_watch(self) -> FileWatch:
+        return FileWatch(self.path, self._reload)
+
+    async def run(self) -> None:
+        """Serve until told to stop; `OSError` if an address is taken."""
+        self.front.listen(self.cfg.front, self.cfg.ready)
+        self._serve_metrics()
+        self.log.write("started", {"store": self.cfg.store, "front": self.cfg.front})
+        if self.cfg.orders != ORDERS_BY_CALL:
+            self.log.write("orders_not_supported", {"orders": self.cfg.orders})
+        watching = asyncio.get_running_loop().create_task(self.watch.run())
+        try:
+            await self.engine.run()
+            self.front.stop_listening()
+            await asyncio.sleep(LINGER_MS / 1_000)
+            self.log.write("stopped", {})
+        finally:
+            watching.cancel()
+            self.engine.close()
+            for caller in self.callers:
+                caller.close()
+
+    def shut_down(self) -> None:
+        """Stop gracefully."""
+        self.front.stopping = True
+        self.engine.post(ShutDown())
+
+    def _serve_metrics(self) -> None:
+        address = f"{self.cfg.front.rsplit(':', 1)[0]}:{METRICS_PORT}"
+        reducer = self.engine.reducer
+        try:
+            self.front.listen_metrics(address, METRICS_PATH, lambda: self.metrics.render(reducer))
+        except OSError as exc:
+            self.log.write("metrics_not_served", {"address": address, "reason": str(exc)})
+
+    def _reload(self) -> None:
+        read = read_settings(self.path)
+        if read.is_err():
+            self.log.write("settings_rejected", {"reason": str(read.err_value)})
+            return
+        self.endpoints.update(read.ok_value)
+        self.log.write("settings_reloaded", attrs.asdict(self.endpoints))
+
+
+def make_entry(path: Path, cfg: PlatformSettings, clock: Clock, log: LineLog) -> Entry:
+    """Wire the parts of one entry."""
     rng = random.Random()
-    log = LineLog(clock, cfg.node)
+    endpoints = Endpoints.of(cfg)
     caller = HttpCaller(STORE_CALLS)
+    callers = [caller]
+
+    def worker_calls() -> HttpWorkerCalls:
+        # Only the leader calls workers.
+        callers.append(HttpCaller(WORKER_CALLS))
+        return HttpWorkerCalls(callers[-1])
+
     metrics = Metrics(clock)
     engine = Engine(
         Reducer(cfg.node, cfg.limits(), rng),
         clock,
         LogStore(caller, endpoints),
-        lambda: HttpWorkerCalls(HttpCaller(WORKER_CALLS)),
+        worker_calls,
         HttpFleetCalls(caller, endpoints, cfg.node),
         # Each life of a process numbers its appends anew.
         f"{cfg.node}-{rng.getrandbits(48):x}",
@@ -77,40 +143,18 @@
         answered=metrics.answers,
     )
     engine.front = front
-    front.listen(cfg.front, cfg.ready)
-    try:
-        address = f"{cfg.front.rsplit(':', 1)[0]}:{METRICS_PORT}"
-        front.listen_metrics(address, METRICS_PATH, lambda: metrics.render(engine.reducer))
-    except OSError as exc:
-        log.write("metrics_not_served", {"port": METRICS_PORT, "reason": str(exc)})
-
-    def shut_down() -> None:
-        front.stopping = True
-        engine.post(ShutDown())
-
-    def reload() -> None:
-        read = read_settings(path)
-        if read.is_err():
-            log.write("settings_rejected", {"reason": str(read.err_value)})
-            return
-        endpoints.update(read.ok_value)
-        same = {"store": endpoints.store, "machines": endpoints.machines}
-        log.write("settings_reloaded", same)
+    return Entry(path, cfg, endpoints, engine, front, metrics, log, callers)
 
+
+async def run(path: Path, cfg: PlatformSettings) -> None:
+    """Run one entry until a signal stops it."""
+    clock = SystemClock()
+    entry = make_entry(path, cfg, clock, LineLog(clock, cfg.node))
     loop = asyncio.get_running_loop()
-    watch = FileWatch(path, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, shut_down)
-    loop.add_signal_handler(signal.SIGHUP, watch.check, True)
-    log.write("started", {"store": cfg.store, "front": cfg.front})
-    if cfg.orders != ORDERS_BY_CALL:
-        log.write("orders_not_supported", {"orders": cfg.orders})
-    watching = loop.create_task(watch.run())
-    await engine.run()
-    watching.cancel()
-    front.stop_listening()
-    await asyncio.sleep(LINGER_MS / 1_000)
-    log.write("stopped", {})
+        loop.add_signal_handler(number, entry.shut_down)
+    loop.add_signal_handler(signal.SIGHUP, entry.watch.check, True)
+    await entry.run()
 
 
 def main() -> int:
--- /dev/null
+++ b/packages/daemon/tests/test_platform_entries.py
@@ -0,0 +1,191 @@
+"""Whole entries on the users' platform, over real sockets on loopback."""
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+import orjson
+from fescuecrank_daemon.clock import SystemClock
+from fescuecrank_daemon.platform_main import main, make_entry
+from fescuecrank_platform.settings import SETTINGS_ENV, PlatformSettings, read_settings
+from fescuecrank_service.http_calls import HttpCaller
+from platform_servers import StoreServer, WorkerServer
+from service_builders import free_port
+
+JOB = "5c0e7a21d94b36f8"
+KEY = "key-of-team-a"
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "checks",
+            "host": "host.example",
+            "path_prefix": "/checks/",
+            "backend": "pool-a",
+            "max_attempts": 3,
+            "stretch": 1.6,
+            "slo_ms": 600,
+        }
+    ],
+    "backends": [{"name": "pool-a", "admission_check": True}],
+    "tenants": [{"name": "team-a", "api_keys": [KEY], "weight": 1, "cap": {}}],
+}
+SPEC = {"spec": "s", "steps": [{"count": 3, "cpu": 500, "estimate_ms": 100}]}
+SPEC["steps"].append({"count": 2, "cpu": 500, "estimate_ms": 100, "after": [0]})
+LIMIT_S = 15.0
+
+
+class ListLog:
+    """Keeps log lines instead of writing them."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict]] = []
+
+    def write(self, event: str, fields: dict) -> None:
+        self.lines.append((event, fields))
+
+
+class Fleet:
+    """A store, workers and entries in one loop."""
+
+    def __init__(self, entries: int = 3, workers: int = 2, work_ms: int = 100) -> None:
+        self.store = StoreServer()
+        self.store.put("keyed.op", "config", CONFIG)
+        self.workers = [WorkerServer(f"i-{n}", work_ms) for n in range(workers)]
+        for server in self.workers:
+            self.store.put("keyed.servers", server.worker.id, server.entry("pool-a"))
+        self.caller = HttpCaller(20)
+        self.entries = [self._entry(number) for number in range(entries)]
+        self.running = [asyncio.ensure_future(entry.run()) for entry in self.entries]
+
+    def _entry(self, number: int):
+        front, ready = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+        store = self.store.address
+        cfg = PlatformSettings(
+            f"edge-{number}", "dc-1", front, ready, store, store, "", "call", 10_000, 2_000, 120_000
+        )
+        return make_entry(Path("settings.yaml"), cfg, SystemClock(), ListLog())
+
+    async def call(self, number: int, method: str, path: str, body: object = None):
+        headers = {"Host": "host.example", "Authorization": f"Bearer {KEY}"}
+        raw = orjson.dumps(body) if body is not None else None
+        address = self.entries[number].cfg.front
+        answer = await self.caller.call("test", address, method, path, 3_000, raw, headers)
+        return answer.ok_value if answer.is_ok() else None
+
+    async def until(self, condition) -> None:
+        """Wait until a condition holds; the limit only ends a test that has failed."""
+        end = asyncio.get_running_loop().time() + LIMIT_S
+        while not await condition():
+            assert asyncio.get_running_loop().time() < end, "the condition did not come to hold"
+            await asyncio.sleep(0.02)
+
+    async def ready(self) -> None:
+        async def answered() -> bool:
+            leads = any(entry.engine.reducer.scheduler is not None for entry in self.entries)
+            return leads and all(entry.engine.reducer.ready for entry in self.entries)
+
+        await self.until(answered)
+
+    async def state(self, number: int, job: str = JOB) -> str:
+        response = await self.call(number, "GET", f"/checks/{job}")
+        return orjson.loads(response.body)["state"] if response.code == 200 else ""
+
+    async def close(self) -> None:
+        for task in self.running:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        for server in (self.store, *self.workers):
+            server.close()
+        for entry in self.entries:
+            entry.front.stop_listening()
+        self.caller.close()
+
+
+def play(scenario, **fields) -> None:
+    async def body() -> None:
+        fleet = Fleet(**fields)
+        try:
+            await fleet.ready()
+            await scenario(fleet)
+        finally:
+            await fleet.close()
+
+    asyncio.run(body())
+
+
+def test_job_runs_and_every_entry_shows_its_end():
+    async def scenario(fleet: Fleet) -> None:
+        response = await fleet.call(0, "POST", f"/checks/{JOB}", SPEC)
+        assert response.code == 200
+
+        async def shown() -> bool:
+            states = [await fleet.state(number) for number in range(3)]
+            return states == ["completed"] * 3
+
+        await fleet.until(shown)
+        starts = [task for server in fleet.workers for _, task, _ in server.worker.started]
+        assert len(starts) == len(set(starts)) == 5
+
+    play(scenario)
+
+
+def test_planned_stop_of_the_leader_hands_over_and_cuts_nothing_off():
+    async def scenario(fleet: Fleet) -> None:
+        leader = next(n for n in range(3) if fleet.entries[n].engine.reducer.scheduler is not None)
+        other = (leader + 1) % 3
+        await fleet.call(other, "POST", f"/checks/{JOB}", SPEC)
+        fleet.entries[leader].shut_down()
+        # The stopping entry still answers on connections that are open, and closes them.
+        response = await fleet.call(leader, "GET", f"/checks/{JOB}")
+        assert response.code in (200, 410)
+        assert response.headers["Connection"] == "close"
+
+        async def shown() -> bool:
+            return await fleet.state(other) == "completed"
+
+        await fleet.until(shown)
+        await fleet.running[leader]
+
+    play(scenario, work_ms=1_000)
+
+
+def test_store_outage_is_answered_at_once_and_ends():
+    async def scenario(fleet: Fleet) -> None:
+        fleet.store.down = True
+        response = await fleet.call(0, "POST", f"/checks/{JOB}", SPEC)
+        assert response.code == 503
+        assert int(response.headers["Retry-After"]) >= 1
+        fleet.store.down = False
+
+        async def accepted() -> bool:
+            again = await fleet.call(0, "POST", f"/checks/{JOB}", SPEC)
+            return again.code == 200
+
+        await fleet.until(accepted)
+
+    play(scenario)
+
+
+def test_bad_requests_get_the_answer_that_the_interface_names():
+    async def scenario(fleet: Fleet) -> None:
+        assert (await fleet.call(0, "POST", f"/checks/{JOB}", {"steps": []})).code == 400
+        assert (await fleet.call(0, "POST", "/checks/short", SPEC)).code == 400
+        assert (await fleet.call(0, "GET", "/elsewhere/")).code == 404
+        assert (await fleet.call(0, "GET", f"/checks/{JOB}")).code == 410
+        assert (await fleet.call(0, "DELETE", f"/checks/{JOB}")).code == 410
+        response = await fleet.call(0, "GET", "/checks/")
+        assert orjson.loads(response.body) == {"pending": 0}
+
+    play(scenario, entries=1)
+
+
+def test_settings_are_checked_from_the_command_line(tmp_path, monkeypatch, capsys):
+    path = tmp_path / "settings.yaml"
+    path.write_text('node_name: "edge-1"\nzone: 5\n')
+    monkeypatch.setenv(SETTINGS_ENV, str(path))
+    monkeypatch.setattr("sys.argv", ["platform_main", "--check"])
+    assert main() == 2
+    assert "zone" in capsys.readouterr().err
+    assert read_settings(path).is_err()
--- /dev/null
+++ b/packages/platform/tests/platform_servers.py
@@ -0,0 +1,190 @@
+"""Small stand-ins of the platform over HTTP: the store and workers, on loopback."""
+
+import asyncio
+import base64
+import struct
+import time
+
+import attrs
+import orjson
+from fake_store import FakePartition
+from fake_worker import FakeWorker
+from fescuecrank_platform.store import frame
+from fescuecrank_platform.worker_calls import parse_task, task_name
+from fescuecrank_scheduler.effects import HoldWorker, StartRun, StopRun
+from fescuecrank_scheduler.events import CallResult, StoreResult
+from fescuecrank_scheduler.records import Record
+from service_builders import free_port
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+STATUSES = {
+    StoreResult.STORED: 200,
+    StoreResult.FENCED: 409,
+    StoreResult.CONFLICT: 412,
+}
+REASONS = {CallResult.FENCED: "fence", CallResult.OLD: "old", CallResult.LATE: "late"}
+POLL_S = 0.005
+
+
+def now_ms() -> int:
+    return int(time.monotonic() * 1_000)
+
+
+class Server:
+    """An HTTP server whose handler returns a status and a body, at once or later."""
+
+    def __init__(self) -> None:
+        self.address = f"127.0.0.1:{free_port()}"
+        self.down = False
+        self._server = HTTPServer(self._request)
+        self._tasks: set[asyncio.Task] = set()
+        host, port = self.address.split(":")
+        self._server.listen(int(port), host)
+
+    def close(self) -> None:
+        self._server.stop()
+
+    def _request(self, req: HTTPServerRequest) -> None:
+        task = asyncio.ensure_future(self._respond(req))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _respond(self, req: HTTPServerRequest) -> None:
+        status, body = (503, b"") if self.down else await self.answer(req)
+        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        req.connection.write_headers(ResponseStartLine("HTTP/1.1", status, ""), headers, body)
+        req.connection.finish()
+
+    async def answer(self, req: HTTPServerRequest) -> tuple[int, bytes]:
+        raise NotImplementedError
+
+
+class StoreServer(Server):
+    """The log service with keyed topics."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.partitions: dict[str, FakePartition] = {}
+
+    def partition(self, topic: str) -> FakePartition:
+        return self.partitions.setdefault(topic, FakePartition())
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        self.partition(topic).append((Record(key, orjson.dumps(value)),))
+
+    async def answer(self, req: HTTPServerRequest) -> tuple[int, bytes]:
+        query = {name: values[0].decode() for name, values in req.query_arguments.items()}
+        partition = self.partition(query["topic"])
+        match req.path:
+            case "/api/log-append":
+                return self._append(partition, query, req.body)
+            case "/api/log-newest":
+                items = [
+                    {
+                        "key": stored.record.key,
+                        "value": base64.b64encode(stored.record.value).decode(),
+                        "offset": stored.offset,
+                    }
+                    for stored in partition.newest()
+                ]
+                plain = {"items": items, "has_more": False, "end": partition.end}
+                return 200, orjson.dumps(plain)
+            case "/api/log-read":
+                return await self._read(partition, int(query["from"]), int(query["wait_ms"]))
+        return 404, b""
+
+    def _append(self, partition, query, body) -> tuple[int, bytes]:
+        records, place = [], 0
+        while place < len(body):
+            (length,) = struct.unpack_from(">I", body, place)
+            content = body[place + 4 : place + 4 + length]
+            key_end = 1 + content[0]
+            records.append(Record(content[1:key_end].decode(), content[key_end:]))
+            place += 4 + length
+        at = int(query["at"]) if "at" in query else None
+        result, offset = partition.append(
+            tuple(records),
+            query.get("producer", ""),
+            int(query.get("epoch", 0)),
+            int(query.get("sequence", 0)),
+            at,
+        )
+        return STATUSES[result], orjson.dumps({"offset": offset, "end": partition.end})
+
+    async def _read(self, partition, first, wait_ms) -> tuple[int, bytes]:
+        end_ms = now_ms() + wait_ms
+        while partition.end <= first and now_ms() < end_ms and not self.down:
+            await asyncio.sleep(POLL_S)
+        records = tuple(stored.record for stored in partition.read(first) or ())
+        return 200, struct.pack(">QQ", partition.end, 0) + frame(records)
+
+
+class WorkerServer(Server):
+    """One worker, which also writes its entry to the store."""
+
+    def __init__(self, name: str, work_ms: int) -> None:
+        super().__init__()
+        self.worker = FakeWorker(name, born_ms=now_ms(), work_ms=work_ms)
+
+    def entry(self, pool: str) -> dict:
+        return {
+            "backend": pool,
+            "address": self.address,
+            "zone": "dc-1",
+            "state": "ready",
+            "capacity": {"cpu": 4_000, "mem_mb": 8_000},
+            "labels": ["kind-a", "rack-1"],
+            "machine": f"m-{self.worker.id}",
+            "born": self.worker.born_ms,
+            "clock_ms": self.worker.clock(now_ms()),
+        }
+
+    async def answer(self, req: HTTPServerRequest) -> tuple[int, bytes]:
+        body = orjson.loads(req.body)
+        fence = body["fencing_token"]
+        base = (self.worker.id, self.address, fence)
+        match req.path:
+            case "/api/hold":
+                return await self._hold(base, body)
+            case "/api/run-start":
+                start = StartRun(
+                    *base,
+                    parse_task(body["task"]),
+                    body["run"],
+                    body["spec"],
+                    body["deadline_ms"],
+                    body.get("checkpoint", ""),
+                    "",
+                    0,
+                )
+                result = self.worker.start(start, now_ms(), lasting=False)
+            case _:
+                stop = StopRun(*base, parse_task(body["task"]), body["run"], 0)
+                result = self.worker.stop(stop, now_ms())
+        reason = REASONS.get(result)
+        plain = {"clock_ms": self.worker.clock(now_ms())} | ({"reason": reason} if reason else {})
+        return 409 if reason else 200, orjson.dumps(plain)
+
+    async def _hold(self, base, body) -> tuple[int, bytes]:
+        deadline_ms, wait_ms = body.get("deadline_ms"), body.get("wait_ms", 0)
+        hold = HoldWorker(*base, body["last_seen"], deadline_ms, wait_ms, 0)
+        end_ms = now_ms() + wait_ms
+        reply = self.worker.hold(hold, now_ms())
+        while not isinstance(reply, CallResult) and not reply.ended and now_ms() < end_ms:
+            await asyncio.sleep(POLL_S)
+            reply = self.worker.hold(attrs.evolve(hold, deadline_ms=None), now_ms())
+        if isinstance(reply, CallResult):
+            return 409, orjson.dumps({"reason": REASONS[reply], "clock_ms": 0})
+        plain = {
+            "clock_ms": reply.clock_ms,
+            "born": reply.born_ms,
+            "running": [
+                [task_name(row.task), row.run, row.checkpoint, row.percent] for row in reply.running
+            ],
+            "finished": [
+                [row.number, task_name(row.task), row.run, row.how, row.checkpoint]
+                for row in reply.ended
+            ],
+        }
+        return 200, orjson.dumps(plain)
--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -72,6 +72,11 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def close(self) -> None:
+        """Stop without waiting for the append under way."""
+        if self._task is not None:
+            self._task.cancel()
+
     async def _run(self) -> None:
         while self._items or self._failing:
             batch, self._items = self._items[:MAX_BATCH], self._items[MAX_BATCH:]
@@ -156,6 +161,11 @@
         """Make no further attempts for the append under way."""
         self._number += 1
 
+    def close(self) -> None:
+        """Stop without waiting for the append under way."""
+        if self._task is not None:
+            self._task.cancel()
+
     async def _run(self, number: int, effect: StoreProgress) -> None:
         attempt, pause_ms = 0, REFUSED_PAUSE_MS
         while True:
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -101,8 +101,19 @@
         self._config_reader.follow(0, CONFIG_WAIT_MS)
         self._set_follow(effects.SetFollow(Follow.FOLLOWER))
         ticks = asyncio.get_running_loop().create_task(self._tick())
-        await self._exited.wait()
-        ticks.cancel()
+        try:
+            await self._exited.wait()
+        finally:
+            ticks.cancel()
+
+    def close(self) -> None:
+        """Stop all work in the background; nothing is read or sent any more."""
+        for reader in (self._config_reader, self._worker_reader, *self._readers.values()):
+            reader.close()
+        self._intake.close()
+        self._progress.close()
+        for task in self._calls:
+            task.cancel()
 
     async def _tick(self) -> None:
         while True:
--- a/packages/service/src/fescuecrank_service/topic_reader.py
+++ b/packages/service/src/fescuecrank_service/topic_reader.py
@@ -54,6 +54,11 @@
                 self._run(self._loop_number, gap_ms, wait_ms)
             )
 
+    def close(self) -> None:
+        """Stop reading and do not wait for the read under way."""
+        if self._task is not None:
+            self._task.cancel()
+
     async def _run(self, number: int, gap_ms: int, wait_ms: int) -> None:
         while number == self._loop_number:
             tail = self._next is not None
