--- a/packages/scheduler/src/fescuecrank_scheduler/job_table.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/job_table.py
@@ -4,7 +4,14 @@
 
 from fescuecrank_scheduler import records
 from fescuecrank_scheduler.jobs import Job, Outcome
-from fescuecrank_scheduler.records import Homes, Leadership, Progress, StoredRecord, WaveDone
+from fescuecrank_scheduler.records import (
+    DroppedJob,
+    Homes,
+    Leadership,
+    Progress,
+    StoredRecord,
+    WaveDone,
+)
 
 
 @attrs.define
@@ -45,6 +52,10 @@
                 self.waves_done[wave.wave] = wave.machines
             case Homes() as homes:
                 self.homes = homes.pools
+            case DroppedJob() as dropped:
+                self.jobs.pop(dropped.job, None)
+                self._progress_offsets.pop(dropped.job, None)
+                self._changed.discard(dropped.job)
             case str() as job_id:
                 self._cancel(job_id)
 
--- a/packages/scheduler/src/fescuecrank_scheduler/records.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/records.py
@@ -97,6 +97,13 @@
     return Record(f"{WAVE_PREFIX}{done.wave}", orjson.dumps(done.machines))
 
 
+@attrs.frozen
+class DroppedJob:
+    """A job that ended long ago."""
+
+    job: str
+
+
 @attrs.frozen
 class Homes:
     """The pool to which each machine returns."""
@@ -153,6 +160,17 @@
     return Record(PROGRESS_PREFIX + job.id, orjson.dumps(value))
 
 
+def dropped_job(job: Job) -> tuple[Record, ...]:
+    """Return the records that drop a job and its cancellation."""
+    keys = [JOB_PREFIX] + ([CANCEL_PREFIX] if job.cancelled else [])
+    return tuple(Record(prefix + job.id, b"") for prefix in keys)
+
+
+def dropped_progress(job_id: str) -> Record:
+    """Return the record that drops a job's progress."""
+    return Record(PROGRESS_PREFIX + job_id, b"")
+
+
 def encode_leadership(leader: Leadership) -> Record:
     """Return the record of a claim, a renewal or a resignation."""
     value = [
@@ -167,13 +185,17 @@
     return Record(LEADER_KEY, orjson.dumps(value))
 
 
-def decode(record: Record) -> Job | Progress | Leadership | WaveDone | Homes | str | None:
+def decode(
+    record: Record,
+) -> Job | Progress | Leadership | WaveDone | Homes | DroppedJob | str | None:
     """Return what a record says; a string is the id of a cancelled job.
 
-    Returns None for an unknown key or an empty value, and raises `ValueError` for a malformed one.
+    Returns None for an unknown key or an empty value that means nothing, and raises `ValueError`
+    for a malformed one.
     """
     if not record.value:
-        return None
+        dropped = record.key.startswith(JOB_PREFIX)
+        return DroppedJob(record.key[len(JOB_PREFIX) :]) if dropped else None
     try:
         if record.key.startswith(JOB_PREFIX):
             return _job(record.key[len(JOB_PREFIX) :], orjson.loads(record.value))
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -236,6 +236,7 @@
             self.scheduler.tick(now)
             self._out += self.maintenance.tick(now, self.balancer.moves)
             self._out += self.balancer.tick(now)
+            self._out += self.scheduler.retention.tick(now)
         elif self._may_claim(now):
             self._claim(now)
         if self._stopping_ms is not None:
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -13,6 +13,7 @@
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.leases import Leases
 from fescuecrank_scheduler.progress_log import ProgressLog
+from fescuecrank_scheduler.retention import Retention
 from fescuecrank_scheduler.runs import Runs, all_tasks
 from fescuecrank_scheduler.workers import RunState
 
@@ -27,12 +28,14 @@
     leases: Leases = attrs.field(init=False)
     dispatcher: Dispatcher = attrs.field(init=False)
     progress: ProgressLog = attrs.field(init=False)
+    retention: Retention = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.runs = Runs(self.state)
         self.leases = Leases(self.state, self.runs)
         self.dispatcher = Dispatcher(self.state, self.runs)
         self.progress = ProgressLog(self.state, self.runs, self.sequence)
+        self.retention = Retention(self.state)
 
     def begin(self, now: Now) -> list[Effect]:
         """Take over the runs that the store records."""
--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -4,6 +4,7 @@
 import pytest
 from fescuecrank_scheduler.events import Cancel, Lookup, ShutDown, Submit, Topic
 from fescuecrank_scheduler.fleet import Amounts, Team
+from fescuecrank_scheduler.limits import Limits
 from fleet_simulation import Simulation
 from scheduler_builders import KEY, WALL_MS, config, entry, job, queue, schedule, step
 
@@ -338,6 +339,25 @@
         assert self.send(sim, lambda t: Cancel(t, "host.example", path, KEY)).status == 410
 
 
+def test_ended_jobs_are_dropped_from_the_store_after_their_time():
+    sim = settle(Simulation(limits=Limits(keep_ended_ms=3_000)))
+    sim.submit(job(JOB, step(1)))
+    other = "00000000000000bb"
+    sim.submit(job(other, step(1, lasting=True)))
+    sim.run(3_000)
+    sim.cancel(other)
+    assert sim.state(JOB) == "completed"
+    sim.run(8_000)
+    assert [sim.state(JOB, name) for name in sim.nodes] == [None] * 3
+    left = {
+        stored.record.key
+        for topic in Topic
+        for stored in sim.partitions[topic].newest()
+        if stored.record.value
+    }
+    assert left <= {"leader", "homes"}
+
+
 def test_refused_connections_are_not_tried_again_at_once():
     sim = settle(Simulation(workers=2))
     for worker in sim.workers.values():
