--- a/packages/platform/src/fescuecrank_platform/requests.py
+++ b/packages/platform/src/fescuecrank_platform/requests.py
@@ -31,11 +31,6 @@
         """Path of readiness checks."""
         return "/api/readyz"
 
-    def deadline_ms(self, headers: dict[str, str]) -> int | None:
-        """Return how long the caller waits."""
-        value = headers.get("X-Deadline-Ms", "")
-        return int(value) if value.isdecimal() else None
-
     def decode(
         self, token: int, method: str, path: str, headers: dict[str, str], body: bytes
     ) -> Request | HttpAnswer:
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -38,8 +38,6 @@
     stale_ms: int = 2_000
     # Ends listed within this time of each other share one append.
     flush_gap_ms: int = 12
-    # Deadline of callers that state none.
-    request_ms: int = 3_000
     # Orders of a cancelled job's runs are repeated this often.
     stop_retry_ms: int = 400
     # A run that takes this many times its estimate is started elsewhere; estimates are far off.
--- a/packages/service/src/fescuecrank_service/clients.py
+++ b/packages/service/src/fescuecrank_service/clients.py
@@ -153,10 +153,6 @@
     ) -> events.Request | HttpAnswer:
         """Return the request, or the answer to one that cannot be read."""
 
-    @abstractmethod
-    def deadline_ms(self, headers: dict[str, str]) -> int | None:
-        """Return how long the caller waits, if it says so."""
-
     @abstractmethod
     def encode(self, reply: effects.Reply) -> HttpAnswer:
         """Return the answer."""
--- a/packages/service/tests/service_builders.py
+++ b/packages/service/tests/service_builders.py
@@ -20,9 +20,6 @@
 
     ready_path = "/ready"
 
-    def deadline_ms(self, headers):
-        return None
-
     def decode(self, token, method, path, headers, body):
         kind = Submit if method == "POST" else Lookup
         extra = (None,) if kind is Submit else ()
