--- /dev/null
+++ b/packages/scheduler/tests/test_soak.py
@@ -0,0 +1,179 @@
+"""Random faults over several entries and workers in virtual time.
+
+The simulation fails when a task runs on two workers at a time. At the end all faults are mended and
+every job must have ended well, with no start after its task was taken note of as done. More seeds:
+`SOAK_SEEDS=100-160 python -m pytest packages/scheduler/tests/test_soak.py`.
+"""
+
+import os
+
+import pytest
+from fescuecrank_scheduler.events import ShutDown
+from fescuecrank_scheduler.fleet import Wave
+from fleet_simulation import Simulation
+from scheduler_builders import job, step
+
+FAULTS = 14
+MEND_MS = 45_000
+
+
+def seeds() -> range:
+    first, last = os.environ.get("SOAK_SEEDS", "0-7").split("-")
+    return range(int(first), int(last) + 1)
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int) -> None:
+        self.sim = Simulation(entries=4, workers=6, seed=seed)
+        self.rng = self.sim.rng
+        self.sim.run(2_000)
+        self.jobs = 0
+
+    def play(self) -> None:
+        faults = (
+            self.kill_entry,
+            self.kill_leader,
+            self.kill_all,
+            self.freeze_entry,
+            self.stop_entry,
+            self.cut_from_store,
+            self.store_down,
+            self.store_loses_answers,
+            self.crash_worker,
+            self.hide_worker,
+            self.worker_refuses,
+            self.worker_fails,
+            self.worker_hangs,
+            self.late_orders,
+            self.wave,
+        )
+        for _ in range(FAULTS):
+            for _ in range(self.rng.randrange(4)):
+                self.submit()
+            self.rng.choice(faults)()
+            self.sim.run(self.rng.randrange(200, 2_500))
+        self.mend()
+        self.sim.run(MEND_MS)
+        self.check()
+
+    def submit(self) -> None:
+        self.jobs += 1
+        first = step(self.rng.randint(1, 4), estimate_ms=1_000)
+        self.sim.submit(job(f"{self.jobs:016x}", first, step(2, after=(0,))))
+
+    # Faults; each is mended after a random time.
+
+    def later(self, action) -> None:
+        self.sim.at(self.rng.randrange(300, 6_000), action)
+
+    def restart(self, name: str) -> None:
+        if not self.sim.nodes[name].alive:
+            self.sim.add_node(name)
+
+    def kill_entry(self, name: str | None = None) -> None:
+        name = name or self.rng.choice(sorted(self.sim.nodes))
+        self.sim.kill(name)
+        self.later(lambda: self.restart(name))
+
+    def kill_leader(self) -> None:
+        leader = self.sim.leader()
+        if leader is not None:
+            self.kill_entry(leader.name)
+
+    def kill_all(self) -> None:
+        for name in sorted(self.sim.nodes):
+            self.kill_entry(name)
+
+    def stop_entry(self) -> None:
+        node = self.sim.leader() or self.sim.nodes["entry-1"]
+        self.sim.post(node, ShutDown())
+        self.sim.at(6_000, lambda: self.restart(node.name))
+
+    def freeze_entry(self) -> None:
+        node = self.sim.leader() or self.sim.nodes["entry-1"]
+        node.frozen = True
+        self.later(lambda: setattr(node, "frozen", False))
+
+    def cut_from_store(self) -> None:
+        node = self.sim.leader() or self.sim.nodes["entry-1"]
+        node.store_up = False
+        self.later(lambda: setattr(node, "store_up", True))
+
+    def store_down(self) -> None:
+        for node in self.sim.nodes.values():
+            node.store_up = False
+        self.later(self.store_back)
+
+    def store_back(self) -> None:
+        for node in self.sim.nodes.values():
+            node.store_up = True
+
+    def store_loses_answers(self) -> None:
+        self.sim.lost_share = 0.3
+        self.later(lambda: setattr(self.sim, "lost_share", 0.0))
+
+    def worker(self):
+        living = [name for name in sorted(self.sim.workers) if not name.endswith("+")]
+        return self.sim.workers[self.rng.choice(living)]
+
+    def crash_worker(self) -> None:
+        worker = self.worker()
+        if worker.alive:
+            worker.crash(self.sim.now_ms)
+            self.later(lambda: worker.alive or worker.restart(self.sim.now_ms))
+
+    def hide_worker(self) -> None:
+        worker = self.worker()
+        worker.reachable = False
+        self.later(lambda: setattr(worker, "reachable", True))
+
+    def worker_refuses(self) -> None:
+        worker = self.worker()
+        worker.refusing = True
+        self.later(lambda: setattr(worker, "refusing", False))
+
+    def worker_fails(self) -> None:
+        # Few enough to leave every job an attempt.
+        worker = self.sim.workers["worker-1"]
+        worker.fails_all = True
+        self.sim.at(600, lambda: setattr(worker, "fails_all", False))
+
+    def worker_hangs(self) -> None:
+        worker = self.worker()
+        worker.hangs = True
+        self.later(lambda: setattr(worker, "hangs", False))
+
+    def late_orders(self) -> None:
+        self.sim.late_share = 0.15
+        self.later(lambda: setattr(self.sim, "late_share", 0.0))
+
+    def wave(self) -> None:
+        number = len(self.sim.wave_states) + 1
+        machines = tuple(sorted(self.sim.machines.machines))
+        self.sim.set_config(self.sim.config, (Wave(number, machines, 20_000, 2),))
+
+    def mend(self) -> None:
+        self.sim.lost_share = self.sim.late_share = 0.0
+        self.store_back()
+        for name, node in list(self.sim.nodes.items()):
+            node.frozen = False
+            self.restart(name)
+        for worker in self.sim.workers.values():
+            worker.reachable, worker.refusing = True, False
+            worker.fails_all = worker.hangs = False
+
+    def check(self) -> None:
+        states = {}
+        for number in range(1, self.jobs + 1):
+            states[f"{number:016x}"] = self.sim.state(f"{number:016x}", "entry-1")
+        # A worker that fails everything may use up the attempts of a task.
+        assert set(states.values()) <= {"completed", "failed"}, states
+        failed = [name for name, state in states.items() if state == "failed"]
+        assert len(failed) <= len(states) // 4, failed
+
+
+@pytest.mark.parametrize("seed", seeds())
+def test_random_faults(seed):
+    Soak(seed).play()
