Look up a task's run in one place, send stops in one place, log two failures that were silent

Found on reading the whole change again: the look-up of a task's worker and run stood three times, the stop of a run twice; a list of machines that could not be read and a wave state that could not be stored were passed over without a line; two figures had no name. No decision changes.

--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -86,6 +86,12 @@
             worker = self.workers[worker_id] = Worker(worker_id)
         return worker
 
+    def run_of(self, task: TaskId) -> tuple[Worker, Run] | None:
+        """Return the run of a task that counts, with its worker; None if the task does not run."""
+        worker = self.workers.get(self.placed.get(task, ""))
+        run = worker.runs.get(task) if worker is not None else None
+        return (worker, run) if worker is not None and run is not None else None
+
     def wanted(self, run: Run) -> bool:
         """Return whether a run's job still needs it."""
         job = self.table.jobs.get(run.task.job)
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -3,7 +3,7 @@
 import attrs
 
 from fescuecrank_scheduler.clocks import Now
-from fescuecrank_scheduler.effects import HoldWorker, StopRun
+from fescuecrank_scheduler.effects import HoldWorker
 from fescuecrank_scheduler.events import (
     CallResult,
     EndRow,
@@ -160,16 +160,7 @@
             return
         self._foreign_stops[key] = now.mono_ms
         self.state.log("foreign_run_stopped", task=task_label(task), run=run, worker=worker.id)
-        self.state.out.append(
-            StopRun(
-                worker.id,
-                worker.address,
-                self.state.leader.epoch,
-                task,
-                run,
-                self.state.limits.stop_timeout_ms,
-            )
-        )
+        self.runs.send_stop(worker, task, run)
 
     def _end_listed(self, worker: Worker, row: EndRow, now: Now) -> None:
         run = worker.runs.get(row.task)
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -110,7 +110,9 @@
     def listed(self, event: MachinesListed, now: Now) -> None:
         """Take over the list of machines."""
         self._reading = False
-        if event.machines is not None:
+        if event.machines is None:
+            self._out.append(LogLine("machines_unreadable", {"sent_ms": event.sent_ms}))
+        else:
             self.rows = {row.machine: row for row in event.machines}
             self.rows_ms = event.sent_ms
 
@@ -263,10 +265,10 @@
         return away < allowed
 
     def _at_work(self, task_id: TaskId, now: Now) -> bool:
-        worker = self.state.workers.get(self.state.placed.get(task_id, ""))
-        run = worker.runs.get(task_id) if worker else None
-        if worker is None or run is None:
+        found = self.state.run_of(task_id)
+        if found is None:
             return False
+        worker, run = found
         # What a worker said last tells nothing once it is silent.
         answers = worker.listed and now.mono_ms - worker.answered_ms < self.state.limits.silent_ms
         return answers and run.state is RunState.RUNNING and run.percent >= AT_WORK
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -162,13 +162,17 @@
             return
         run.state, run.sent_ms = RunState.STOPPING, now.mono_ms
         run.settled_ms = None
+        self.send_stop(worker, run.task, run.number)
+
+    def send_stop(self, worker: Worker, task: TaskId, number: int) -> None:
+        """Send the stop of a run, which need not be one that this leader knows."""
         self.state.out.append(
             StopRun(
                 worker.id,
                 worker.address,
                 self.state.leader.epoch,
-                run.task,
-                run.number,
+                task,
+                number,
                 self.state.limits.stop_timeout_ms,
             )
         )
@@ -258,10 +262,9 @@
                 member.phase = Phase.DONE
             return
         for member in members:
-            worker = self.state.workers.get(self.state.placed.get(member.id, ""))
-            other = worker.runs.get(member.id) if worker else None
-            if worker is not None and other is not None:
-                self.stop(worker, other, now)
+            found = self.state.run_of(member.id)
+            if found is not None:
+                self.stop(*found, now)
         newest = max((member.checkpoint for member in members), default="")
         for member in members:
             member.checkpoint = newest
@@ -282,10 +285,9 @@
         self.state.mark(job)
         self.state.waiting.discard(job.id)
         for task in all_tasks(job):
-            worker = self.state.workers.get(self.state.placed.get(task.id, ""))
-            run = worker.runs.get(task.id) if worker else None
-            if worker is not None and run is not None:
-                self.stop(worker, run, now)
+            found = self.state.run_of(task.id)
+            if found is not None:
+                self.stop(*found, now)
 
     # Calls that show more than the state of one run.
 
--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -30,6 +30,9 @@
 # A refusal that comes this late serves the caller no better than an immediate one.
 INTAKE_REFUSED_LIMIT_MS = 130
 
+# An attempt with less time than this is not worth making.
+LEAST_ATTEMPT_MS = 50
+
 # While appends fail, one probe in this time tells when they work again.
 PROBE_GAP_MS = 300
 
@@ -94,7 +97,12 @@
             passed = self._clock.now().mono_ms - begun_ms
             timeout_ms = min(attempt_timeout_ms(attempt), INTAKE_LIMIT_MS - passed)
             answer = await self._stream.append(
-                records, self._producer, self._epoch, self._sequence, None, max(timeout_ms, 50)
+                records,
+                self._producer,
+                self._epoch,
+                self._sequence,
+                None,
+                max(timeout_ms, LEAST_ATTEMPT_MS),
             )
             attempt += 1
             passed = self._clock.now().mono_ms - begun_ms
@@ -115,7 +123,7 @@
                 case _:
                     # Another life of this process has used the sequence numbers.
                     self._new_epoch()
-            if passed >= INTAKE_LIMIT_MS - 50:
+            if passed >= INTAKE_LIMIT_MS - LEAST_ATTEMPT_MS:
                 self._health(failing=True)
                 self._new_epoch()
                 return StoreResult.UNKNOWN if maybe else StoreResult.REFUSED
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -32,6 +32,10 @@
 WORKERS_GAP_MS = 250
 
 
+# Operators read the state of a wave; a write that failed is repeated after this time.
+WAVE_STATE_RETRY_MS = 300
+
+
 @attrs.frozen
 class Pace:
     """How a stream is read: pause between reads and longest wait of one, or not at all."""
@@ -216,7 +220,8 @@
         while not await self._store.put_wave_state(effect):
             if self.reducer.scheduler is None:
                 return
-            await asyncio.sleep(0.3)
+            self._log.write("wave_state_not_stored", {"wave": effect.wave})
+            await asyncio.sleep(WAVE_STATE_RETRY_MS / 1_000)
 
     # Readers.
 
