Give up workers whose machine an order has taken down

Cause: the list of workers names a life for up to three heartbeats after its machine went down for maintenance or moved. Once the machine was up again under a new worker, the old one counted as usable, since it had answered less than 2.6 s ago; tasks placed on it waited for the end of a lease. Ruled out: order carried out late, silent connections (the workers were unlisted 1 to 4 s after the tasks were placed). Change: the answer to an order retires the worker that the order named; it gets neither tasks nor holds until a new life shows. Test: a wave under load with a list that lags; it fails before the change.

--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -40,6 +40,8 @@
     machine: str
     pool: str
     sent_ms: int
+    # Worker that the move ends; empty if the machine had none.
+    worker: str
     # When the platform confirmed the move.
     done_ms: int | None = None
 
@@ -87,6 +89,7 @@
         self._out.append(LogLine("machine_moved", fields))
         if result is OrderResult.OK:
             move.done_ms = now.mono_ms
+            self.maintenance.runs.retire(move.worker, now)
         elif result is OrderResult.FENCED:
             self.state.fenced = True
         elif result is not OrderResult.NO_ANSWER:
@@ -219,7 +222,7 @@
         worker = self._worker(machine)
         if worker is not None:
             worker.cordoned = True
-        move = Move(machine, pool, now.mono_ms)
+        move = Move(machine, pool, now.mono_ms, worker.id if worker is not None else "")
         self.moves[machine] = move
         self._idle_since.pop(machine, None)
         fields = {"machine": machine, "pool": pool, "reason": reason}
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -54,7 +54,7 @@
         known = worker.listed
         if worker.address and worker.address != entry.address:
             self.runs.lose_all(worker, "moved_address", now)
-            worker.fenced = False
+            worker.fenced = worker.retired = False
         was_ready = worker.ready
         worker.update(entry)
         if entry.born_ms and worker.born_ms and entry.born_ms > worker.born_ms:
@@ -98,7 +98,7 @@
             if run.open_starts > 0:
                 self.runs.stop(worker, run, now)
         self.runs.lose_all(worker, "restarted", now, keep=RunState.STOPPING)
-        worker.born_ms, worker.fenced = born_ms, False
+        worker.born_ms, worker.fenced, worker.retired = born_ms, False, False
         worker.seen = worker.acked = 0
         worker.clock_ms = worker.granted_ms = None
         worker.lease_until_ms = now.mono_ms + int(
@@ -183,7 +183,7 @@
             (
                 worker.hold_next_ms
                 for worker in self.state.workers.values()
-                if not worker.hold_open and worker.address
+                if not worker.hold_open and worker.address and not worker.retired
             ),
             default=None,
         )
@@ -195,7 +195,8 @@
         if state.resigned or unsure:
             return
         for worker in self.state.workers.values():
-            if not worker.hold_open and worker.address and now.mono_ms >= worker.hold_next_ms:
+            idle = not worker.hold_open and worker.address and not worker.retired
+            if idle and now.mono_ms >= worker.hold_next_ms:
                 self._hold(worker, now)
 
     def _hold(self, worker: Worker, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -56,6 +56,8 @@
     step: Step
     since_ms: int
     next_ms: int = 0
+    # Worker that an order ends; empty if the machine had none.
+    worker: str = ""
 
 
 @attrs.define
@@ -130,6 +132,7 @@
         match result:
             case OrderResult.OK:
                 each.step, each.since_ms = Step.DOWN, now.mono_ms
+                self.runs.retire(each.worker, now)
                 self.state.store(encode_wave(WaveDone(wave, progress.done())))
             case OrderResult.FENCED:
                 self.state.fenced = True
@@ -198,6 +201,7 @@
             worker = self._worker_on(name)
             if worker is None or not worker.runs:
                 each.step, each.since_ms, each.next_ms = Step.ORDERED, now.mono_ms, now.mono_ms
+                each.worker = worker.id if worker is not None else ""
         if each.step is Step.ORDERED and now.mono_ms >= each.next_ms:
             each.next_ms = now.mono_ms + 4 * ORDER_RETRY_MS
             self._out.append(MaintainMachine(name, progress.wave.number, self.state.leader.epoch))
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -212,6 +212,17 @@
         for run in lost:
             self.ended(worker, run, "lapsed", "", now)
 
+    def retire(self, worker_id: str, now: Now) -> None:
+        """Give up a worker whose machine has been taken down by an order.
+
+        It is named by the list of workers for some seconds more. A task that is placed on it in
+        this time waits until a lease has run out.
+        """
+        worker = self.state.workers.get(worker_id)
+        if worker is not None:
+            worker.retired = True
+            self.lose_all(worker, "machine_down", now)
+
     def ended(self, worker: Worker, run: Run, how: str, checkpoint: str, now: Now) -> None:
         """Free the room of a run and decide what its end means; `how` is the kind of end."""
         worker.remove(run.task)
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -91,6 +91,8 @@
     cordoned: bool = False
     # The machine belongs to another pool and returns there when it is idle.
     borrowed: bool = False
+    # The machine was taken down by an order; the list of workers names this life a while longer.
+    retired: bool = False
     blocked_until_ms: int = 0
     failure_streak: int = 0
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
@@ -152,6 +154,7 @@
             and self.ready
             and self.fenced
             and not self.cordoned
+            and not self.retired
             and now_ms >= self.blocked_until_ms
             and now_ms - self.answered_ms < limits.silent_ms
         )
--- a/packages/scheduler/tests/fake_worker.py
+++ b/packages/scheduler/tests/fake_worker.py
@@ -26,6 +26,8 @@
     id: str
     born_ms: int = 1
     alive: bool = True
+    # When the worker crashed or its machine was taken down.
+    ended_ms: int = 0
     reachable: bool = True
     # Nothing listens at the worker's address.
     refusing: bool = False
@@ -66,7 +68,7 @@
         del self.runs[run.task]
 
     def crash(self, now_ms: int) -> None:
-        self.alive = False
+        self.alive, self.ended_ms = False, now_ms
         self.runs.clear()
 
     def restart(self, now_ms: int) -> None:
--- a/packages/scheduler/tests/fleet_simulation.py
+++ b/packages/scheduler/tests/fleet_simulation.py
@@ -70,6 +70,8 @@
         self.nodes: dict[str, Node] = {}
         self.lost_share = 0.0
         self.late_share = 0.0
+        # The list of workers names a worker this long after its end.
+        self.list_lag_ms = 0
         self.jobs: dict[str, Job] = {}
         self.calls: Counter = Counter()
         self.replies: dict[int, effects.Reply] = {}
@@ -189,7 +191,7 @@
             listed = tuple(
                 attrs.evolve(self.entries[worker.id], born_ms=worker.born_ms)
                 for worker in self.workers.values()
-                if worker.alive
+                if worker.alive or self.now_ms - worker.ended_ms < self.list_lag_ms
             )
             self.post(node, events.WorkersRead(listed, whole=True))
         self.at(LIST_MS, lambda: self._list(node))
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -74,6 +74,19 @@
     assert sim.wave_states == {1: True}
 
 
+def test_nothing_is_started_on_a_worker_whose_machine_went_down():
+    # The list of workers still names it when the machine is up again under a new worker.
+    sim = settled(4)
+    sim.list_lag_ms = 4_500
+    sim.set_config(sim.config, (wave(sim, cap=4, duration_ms=12_000),))
+    for number in range(60):
+        sim.submit(job(f"{number:016x}", step(4), accepted_ms=sim.now.wall_ms))
+        sim.run(200)
+    sim.run(5_000)
+    assert sim.wave_states == {1: True}
+    assert not [fields for fields in sim.logged("runs_lost") if fields["reason"] == "lease_over"]
+
+
 def pools() -> Simulation:
     """Return a fleet with two workers in a pool and two machines in the stand-by pool."""
     cfg = config(pools=(Pool("pool-a"), Pool("spare", standby=True)))
