Use a moved or maintained machine as soon as its new worker answers

Cause: a machine on its way was cordoned by its name, and with it the new worker in the target pool. The move counted as ended only when that worker was usable, which a cordoned one is not, so it ended by its time-out of 4 s. Ruled out: the list of workers and the first hold (0.01 s on workers that happened to get a task before the next tick). Change: a worker in the target pool has arrived; of a machine in a wave only the worker that the order ends has to go. Test: a moved machine is busy in every second after its worker is listed; it fails before the change.

--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -95,6 +95,10 @@
         elif result is not OrderResult.NO_ANSWER:
             self.moves.pop(machine)
 
+    def targets(self) -> dict[str, str]:
+        """Return the pool to which each machine is on its way."""
+        return {name: move.pool for name, move in self.moves.items()}
+
     def tick(self, now: Now) -> list[Effect]:
         """Start the moves that are worth their price."""
         if self.maintenance.rows_ms >= 0:
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from collections.abc import Collection
+from collections.abc import Mapping
 
 import attrs
 
@@ -74,6 +74,13 @@
         """Return the machines that have not been chosen yet."""
         return [name for name in self.wave.machines if name not in self.machines]
 
+    def claims(self, worker: Worker) -> bool:
+        """Return whether a worker has to go; its successor on the same machine need not."""
+        each = self.machines.get(worker.machine)
+        if each is None or each.step is Step.DONE:
+            return False
+        return each.step is Step.EMPTYING or each.worker == worker.id
+
     def busy(self) -> int:
         """Return how many machines are being emptied or are down."""
         return sum(1 for each in self.machines.values() if each.step is not Step.DONE)
@@ -149,22 +156,17 @@
                 return True
         return False
 
-    def tick(self, now: Now, moving: Collection[str]) -> list[Effect]:
-        """Advance all waves; the machines in `moving` are on their way to another pool."""
+    def tick(self, now: Now, moving: Mapping[str, str]) -> list[Effect]:
+        """Advance all waves; `moving` names the target pool of machines on their way."""
         active = [wave for wave in self.waves.values() if not wave.completed]
-        wanted: set[str] = set()
         if active or any(pool.standby for pool in self.state.config.pools.values()):
             self._read(now)
         for wave in active:
             if self.rows_ms >= 0:
                 self._advance(wave, now, moving)
-            wanted.update(
-                name for name, each in wave.machines.items() if each.step is not Step.DONE
-            )
         for worker in self.state.workers.values():
-            cordoned = bool(worker.machine) and (
-                worker.machine in wanted or worker.machine in moving
-            )
+            arrived = moving.get(worker.machine, worker.pool) == worker.pool
+            cordoned = not arrived or any(wave.claims(worker) for wave in active)
             if worker.cordoned and not cordoned:
                 self.state.request_pass()
             worker.cordoned = cordoned
@@ -177,7 +179,7 @@
             self._reading, self._read_ms = True, now.mono_ms
             self._out.append(ListMachines())
 
-    def _advance(self, progress: WaveProgress, now: Now, moving: Collection[str]) -> None:
+    def _advance(self, progress: WaveProgress, now: Now, moving: Mapping[str, str]) -> None:
         if not progress.reported:
             progress.reported = True
             self._out.append(StoreWaveState(progress.wave.number, completed=False))
@@ -209,7 +211,7 @@
         if each.step is Step.DOWN and row.state == "up" and read_later:
             each.step = Step.DONE
 
-    def _choose(self, progress: WaveProgress, now: Now, moving: Collection[str]) -> None:
+    def _choose(self, progress: WaveProgress, now: Now, moving: Mapping[str, str]) -> None:
         left = [name for name in progress.left() if name in self.rows]
         for name in progress.left():
             if name not in self.rows:
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -234,7 +234,7 @@
     def _tick(self, now: Now) -> None:
         if self.scheduler is not None and self.maintenance and self.balancer:
             self.scheduler.tick(now)
-            self._out += self.maintenance.tick(now, self.balancer.moves)
+            self._out += self.maintenance.tick(now, self.balancer.targets())
             self._out += self.balancer.tick(now)
             self._out += self.scheduler.retention.tick(now)
         elif self._may_claim(now):
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -124,6 +124,20 @@
     assert moved[0] - began_ms <= 1_000
 
 
+def test_moved_machine_has_work_from_the_moment_its_worker_answers():
+    sim = pools()
+    for number in range(28):
+        sim.submit(job(f"{number:016x}", step(4), accepted_ms=sim.now.wall_ms))
+        sim.run(250)
+    moved_ms = min(time_ms for time_ms, _, event, _ in sim.log if event == "machine_move")
+    # The move itself, the next reading of the list of workers, the first hold and a pass.
+    begin_ms = moved_ms + 1_500 + 300 + 200
+    starts = [time_ms for time_ms, _, _ in sim.workers["worker-3+"].started]
+    # Tasks take one second, and there is more work than room.
+    for second_ms in range(begin_ms, begin_ms + 3_000, 1_000):
+        assert [time_ms for time_ms in starts if second_ms - 1_000 < time_ms <= second_ms]
+
+
 def test_light_load_moves_nothing():
     sim = pools()
     for number in range(10):
