Switch off a part of a calm pool's machines

Cause: machines in pools cost a quarter of the credit. Change: lasting tasks that serve nobody share workers, at most half of a step on one, away from machines that are due for maintenance; a calm pool keeps 0.6 of its machines, chosen per kind, and all of them beside tasks that serve or fill, or as many as tasks that keep apart need. Work that finds no room for a second brings all own machines back. A pool that rejects a machine is not asked again.

--- a/packages/platform/src/fescuecrank_platform/fleet_calls.py
+++ b/packages/platform/src/fescuecrank_platform/fleet_calls.py
@@ -57,6 +57,7 @@
                         row["state"],
                         row.get("id") or "",
                         amounts(row.get("capacity")),
+                        tuple(row.get("labels") or ()),
                     )
                     for row in plain["machines"]
                 ]
--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -1,11 +1,14 @@
 """Moves machines between pools as demand moves.
 
 Load pattern: each pool in turn is asked for several times its room for some seconds and is almost
-idle in between. Machines of the stand-by pool go to the pool whose waiting work is longest. A
-borrowed machine gets work only when the pool's own machines are full, and is switched off again
-when it has been idle for some time.
+idle in between. Machines of the stand-by pool go to the pool that misses most room. A pool that is
+calm keeps only a part of its own machines on; the others are in the stand-by pool, where they cost
+nothing and any pool can have them. Machines that are to be switched off get work only when the
+pool's other machines are full, and go when they have been idle for some time.
 """
 
+import math
+
 import attrs
 
 from fescuecrank_scheduler.clocks import Now
@@ -22,10 +25,16 @@
 # Help is sized so that the waiting work is done in this time.
 RELIEF_MS = 1_000
 
-# A borrowed machine idles this long before it is switched off; its cost in this time is that of
-# two moves.
+# A machine idles this long before it is switched off; its cost in this time is that of two moves.
 IDLE_MS = 2_000
 
+# Share of its own machines that a calm pool keeps on: with these, and with the stand-by machines
+# that come within two seconds, a burst of its usual size is served in time.
+KEPT_SHARE = 0.6
+
+# Work that has found no room for this long needs all of a pool's own machines.
+STUCK_MS = 1_000
+
 # Time in which a moved machine's new worker has appeared and answered, besides the move itself.
 SETTLE_MS = 4_000
 
@@ -58,6 +67,8 @@
     # Cores of lasting tasks, and cores that keep up with what arrives.
     lasting: float = 0.0
     arriving: float = 0.0
+    # Whether work has found no room for some time.
+    stuck: bool = False
 
     @property
     def wanted(self) -> float:
@@ -78,6 +89,10 @@
     maintenance: Maintenance
     moves: dict[str, Move] = attrs.field(factory=dict)
     _idle_since: dict[str, int] = attrs.field(factory=dict)
+    # Since when each pool has work that found no room.
+    _short_since: dict[str, int] = attrs.field(factory=dict)
+    # Machines that the platform does not let into a pool.
+    _barred: set[tuple[str, str]] = attrs.field(factory=set)
     _out: list[Effect] = attrs.field(factory=list)
 
     def order_done(self, machine: str, result: OrderResult, now: Now) -> None:
@@ -94,6 +109,8 @@
             self.state.fenced = True
         elif result is not OrderResult.NO_ANSWER:
             self.moves.pop(machine)
+            if result is OrderResult.REJECTED:
+                self._barred.add((machine, move.pool))
 
     def targets(self) -> dict[str, str]:
         """Return the pool to which each machine is on its way."""
@@ -103,8 +120,9 @@
         """Start the moves that are worth their price."""
         if self.maintenance.rows_ms >= 0:
             self._follow_moves(now)
-            self._mark_borrowed()
+            self._mark_overflow()
             pools = self._pools(now)
+            self._bring_back(pools, now)
             self._relieve(pools, now)
             self._park(pools, now)
         out, self._out = self._out, []
@@ -129,11 +147,55 @@
                 move.sent_ms = now.mono_ms
                 self._order(move)
 
-    def _mark_borrowed(self) -> None:
-        rows = self.maintenance.rows
+    def _mark_overflow(self) -> None:
+        """Choose the workers that get work last, so that their machines can be switched off."""
+        surplus = self._surplus()
         for worker in self.state.workers.values():
-            row = rows.get(worker.machine)
-            worker.borrowed = row is not None and self._borrowed(row)
+            row = self.maintenance.rows.get(worker.machine)
+            worker.overflow = row is not None and (self._borrowed(row) or worker.machine in surplus)
+
+    def _surplus(self) -> set[str]:
+        """Return the own machines of each pool beyond those that it keeps on when it is calm."""
+        surplus: set[str] = set()
+        if self._standby() is None:
+            return surplus
+        spread = self._spread()
+        groups: dict[tuple[str, object], list[MachineRow]] = {}
+        for row in self.maintenance.rows.values():
+            groups.setdefault((self._home(row), row.kind), []).append(row)
+        for (home, _), rows in groups.items():
+            pool = self.state.config.pools.get(home)
+            if pool is None or pool.standby:
+                continue
+            kept = max(math.ceil(KEPT_SHARE * len(rows)), spread.get(home, 0))
+            there = [row for row in rows if row.pool == home and self._free(row)]
+            there.sort(key=lambda row: (self._lasting_on(row.machine), row.machine))
+            surplus.update(row.machine for row in there[: max(0, len(there) - kept)])
+        return surplus
+
+    def _spread(self) -> dict[str, int]:
+        """Return how many machines the lasting tasks of each pool need at least.
+
+        Tasks that serve disturb each other, and filling tasks use what others leave: beside them
+        all machines stay on.
+        """
+        spread: dict[str, int] = {}
+        for job in self.state.table.jobs.values():
+            queue = self.state.config.queue(job.queue) if job.open else None
+            if queue is None:
+                continue
+            for step in job.steps:
+                if step.target_ms or step.fills:
+                    spread[queue.pool] = len(self.maintenance.rows)
+                elif step.lasting and step.anti_affinity:
+                    # One more, so that maintenance can move a task.
+                    least = -(-step.count // step.anti_affinity) + 1
+                    spread[queue.pool] = max(spread.get(queue.pool, 0), least)
+        return spread
+
+    def _lasting_on(self, machine: str) -> int:
+        worker = self._worker(machine)
+        return sum(1 for run in worker.runs.values() if run.step.lasting) if worker else 0
 
     def _order(self, move: Move) -> None:
         epoch = self.state.leader.epoch
@@ -155,6 +217,11 @@
         }
         for name, state in pools.items():
             state.arriving = self.state.arrivals.cores(name, now.mono_ms)
+            if self.state.waiting_work.get(name) or name in self.state.waiting_lasting:
+                since = self._short_since.setdefault(name, now.mono_ms)
+                state.stuck = now.mono_ms - since >= STUCK_MS
+            else:
+                self._short_since.pop(name, None)
         for worker in self.state.workers.values():
             state = pools.get(worker.pool)
             if state is not None and worker.listed and worker.ready and not worker.cordoned:
@@ -177,6 +244,15 @@
 
     # Help for a pool under pressure.
 
+    def _bring_back(self, pools: dict[str, PoolState], now: Now) -> None:
+        """Switch on the own machines of pools whose work finds no room."""
+        standby = self._standby()
+        for row in self.maintenance.rows.values():
+            state = pools.get(self._home(row))
+            if row.pool == standby and state is not None and state.stuck and self._free(row):
+                self._move(row.machine, self._home(row), "no_room", now)
+                state.coming += self._cores(row.machine)
+
     def _relieve(self, pools: dict[str, PoolState], now: Now) -> None:
         ranked = sorted(pools.items(), key=lambda item: -item[1].missing)
         for name, state in ranked:
@@ -184,21 +260,25 @@
             while missing > LEAST_MISSING:
                 machine = self._lendable(name)
                 if machine is None:
-                    return
+                    break
                 self._move(machine, name, "pressure", now)
                 missing -= max(1.0, self._cores(machine))
 
     def _lendable(self, target: str) -> str | None:
         """Return a machine that can go to `target`: a switched-off one, else an idle borrowed one.
 
-        Machines never leave their own pool for another one: its next burst would find it smaller,
-        and the machine's way back takes as long as the pressure lasts.
+        Machines that are on in their own pool never leave it for another one: its next burst would
+        find it smaller than what it keeps.
         """
-        rows = [row for row in self.maintenance.rows.values() if self._free(row)]
+        rows = [
+            row
+            for row in self.maintenance.rows.values()
+            if self._free(row) and (row.machine, target) not in self._barred
+        ]
         standby = self._standby()
-        for row in rows:
-            if row.pool == standby:
-                return row.machine
+        off = [row for row in rows if row.pool == standby]
+        if off:
+            return min(off, key=lambda row: (self._home(row) != target, row.machine)).machine
         for row in rows:
             worker = self._worker(row.machine)
             idle = worker is not None and not worker.runs
@@ -206,8 +286,11 @@
                 return row.machine
         return None
 
+    def _home(self, row: MachineRow) -> str:
+        return self.state.table.homes.get(row.machine, row.pool)
+
     def _borrowed(self, row: MachineRow) -> bool:
-        return self.state.table.homes.get(row.machine, row.pool) != row.pool
+        return self._home(row) != row.pool
 
     def _free(self, row: MachineRow) -> bool:
         return (
@@ -218,7 +301,7 @@
 
     def _worker(self, machine: str) -> Worker | None:
         for worker in self.state.workers.values():
-            if worker.machine == machine and worker.listed:
+            if worker.machine == machine and worker.listed and not worker.retired:
                 return worker
         return None
 
@@ -233,17 +316,27 @@
         self._out.append(LogLine("machine_move", fields))
         self._order(move)
 
-    # Borrowed machines that are not needed any more.
+    # Machines that are not needed any more.
 
     def _park(self, pools: dict[str, PoolState], now: Now) -> None:
+        """Switch off machines that have been idle for some time."""
         for row in self.maintenance.rows.values():
-            if row.pool not in pools or not self._borrowed(row) or not self._free(row):
-                continue
             worker = self._worker(row.machine)
-            if worker is None or worker.runs or pools[row.pool].waiting:
+            state = pools.get(row.pool)
+            if worker is None or state is None or not worker.overflow or not self._free(row):
+                continue
+            cores = self._cores(row.machine)
+            if worker.runs or state.waiting or state.stuck or state.missing > -cores:
                 self._idle_since.pop(row.machine, None)
                 continue
             since = self._idle_since.setdefault(row.machine, now.mono_ms)
             if now.mono_ms - since >= IDLE_MS:
-                home = self.state.table.homes[row.machine]
-                self._move(row.machine, home, "idle", now)
+                self._switch_off(row, now)
+                state.cores -= cores
+
+    def _switch_off(self, row: MachineRow, now: Now) -> None:
+        target = self._standby()
+        if target is None or (row.machine, target) in self._barred:
+            target = self._home(row)
+        if target != row.pool and (row.machine, target) not in self._barred:
+            self._move(row.machine, target, "idle", now)
--- a/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
@@ -4,7 +4,7 @@
 
 from fescuecrank_scheduler import ordering, placement
 from fescuecrank_scheduler.clocks import Now
-from fescuecrank_scheduler.jobs import Job, Phase, Task
+from fescuecrank_scheduler.jobs import Job, Phase, Step, Task
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.ordering import Demand, ReadyStep
 from fescuecrank_scheduler.runs import Runs
@@ -56,6 +56,7 @@
                 by_pool.setdefault(queue.pool, []).append(self._demand(job, now))
         self.state.waiting_work.clear()
         self.state.urgent_work.clear()
+        self.state.waiting_lasting.clear()
         for pool, demands in by_pool.items():
             usable = [
                 worker
@@ -86,8 +87,12 @@
         if not demand.waiting and job.schedule is None:
             self.state.waiting.discard(job.id)
         queue = self.state.config.queue(job.queue)
-        for ready in demand.ready if usable else ():
+        for ready in demand.ready:
             step = job.steps[ready.number]
+            if not usable:
+                missed += ordering.work_of(step, len(ready.tasks))
+                self._note_missing(job, step)
+                continue
             workers = usable
             if queue is not None and queue.needs_advice:
                 workers = self.state.advice.allowed(
@@ -128,6 +133,8 @@
             chosen.append(worker.id)
         left = len(ready.tasks) - len(chosen)
         self._log_plan(job, ready, chosen, left, reason)
+        if reason == "no_room":
+            self._note_missing(job, step)
         return ordering.work_of(step, left) if reason == "no_room" else 0.0
 
     def _log_plan(
@@ -159,6 +166,7 @@
         chosen = placement.choose_gang(workers, job.id, ready.occurrence, ready.number, step)
         if chosen is None:
             self._log_plan(job, ready, [], step.count, "no_room")
+            self._note_missing(job, step)
             return ordering.work_of(step, step.count)
         run = max(task.run for task in ready.tasks) + 1
         for task, worker in zip(ready.tasks, chosen, strict=True):
@@ -166,6 +174,11 @@
         self._log_plan(job, ready, [worker.id for worker in chosen], 0, "")
         return 0.0
 
+    def _note_missing(self, job: Job, step: Step) -> None:
+        queue = self.state.config.queue(job.queue)
+        if step.lasting and queue is not None:
+            self.state.waiting_lasting.add(queue.pool)
+
     def _plan(self, worker: Worker, job: Job, task: Task, run: int, now: Now) -> None:
         task.run, task.worker, task.phase = run, worker.id, Phase.ASSIGNED
         job.begun = True
--- a/packages/scheduler/src/fescuecrank_scheduler/events.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/events.py
@@ -239,6 +239,13 @@
     state: str
     worker: str
     capacity: Amounts
+    # The machine's kind, then its rack.
+    labels: tuple[str, ...] = ()
+
+    @property
+    def kind(self) -> tuple[Amounts, str]:
+        """What distinguishes machines that cannot stand in for each other."""
+        return (self.capacity, self.labels[0] if self.labels else "")
 
 
 @attrs.frozen
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -51,6 +51,8 @@
     # it, and that of jobs that can still end on time. Tasks over their team's limit do not count.
     waiting_work: dict[str, float] = attrs.field(factory=dict)
     urgent_work: dict[str, float] = attrs.field(factory=dict)
+    # Pools in which a lasting task has found no room.
+    waiting_lasting: set[str] = attrs.field(factory=set)
     arrivals: Arrivals = attrs.field(factory=Arrivals)
     # What each step of a job waits for, as last logged.
     wait_reasons: dict[tuple[str, int, int], str] = attrs.field(factory=dict)
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -81,6 +81,10 @@
             return False
         return each.step is Step.EMPTYING or each.worker == worker.id
 
+    def open_machines(self) -> set[str]:
+        """Return the machines whose maintenance has not begun."""
+        return set(self.wave.machines) - set(self.done())
+
     def busy(self) -> int:
         """Return how many machines are being emptied or are down."""
         return sum(1 for each in self.machines.values() if each.step is not Step.DONE)
@@ -170,6 +174,7 @@
             if worker.cordoned and not cordoned:
                 self.state.request_pass()
             worker.cordoned = cordoned
+            worker.due = any(worker.machine in wave.open_machines() for wave in active)
         self._move_lasting(now)
         out, self._out = self._out, []
         return out
@@ -243,6 +248,8 @@
     def _worker_on(self, machine: str) -> Worker | None:
         row = self.rows.get(machine)
         for worker in self.state.workers.values():
+            if worker.retired:
+                continue
             if worker.machine == machine or (row is not None and worker.id == row.worker):
                 worker.machine = machine
                 return worker
--- a/packages/scheduler/src/fescuecrank_scheduler/placement.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/placement.py
@@ -30,12 +30,15 @@
 ) -> Worker | None:
     """Return the worker for one task, or None if none has room.
 
-    Prefers the rack of the data, then the pool's own machines, so that borrowed ones can return,
-    then the worker with the most free processor.
+    Prefers the rack of the data, then workers whose machines are to stay on, then the worker with
+    the most free processor. Lasting tasks that serve nobody share workers, so that other machines
+    can be switched off; a worker gets at most half of a step, so that one failure leaves the rest.
     """
     best: Worker | None = None
-    best_rank: tuple[bool, bool, int] | None = None
+    best_rank: tuple[object, ...] | None = None
     need = step.room
+    gathers = step.lasting and not step.target_ms and not step.fills
+    half = -(-step.count // 2)
     for worker in workers:
         room = worker.room
         if need.cpu > room.cpu or not need.fits(room):
@@ -45,7 +48,10 @@
             if not may_run(worker, step, here):
                 continue
         near = not step.affinity or step.affinity in worker.labels
-        rank = (near, not worker.borrowed, room.cpu)
+        rank: tuple[object, ...] = (near, not worker.overflow, room.cpu)
+        if gathers:
+            peers = peers_on(worker, job, occurrence, step_number)
+            rank = (near, not worker.overflow, not worker.due, peers < half, peers, room.cpu)
         if best_rank is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -89,8 +89,11 @@
     acked: int = 0
     # No new runs: the machine is about to go down.
     cordoned: bool = False
-    # The machine belongs to another pool and returns there when it is idle.
-    borrowed: bool = False
+    # Gets work only when the pool's other workers are full, so that its machine can be switched
+    # off soon.
+    overflow: bool = False
+    # The machine is due for maintenance.
+    due: bool = False
     # The machine was taken down by an order; the list of workers names this life a while longer.
     retired: bool = False
     blocked_until_ms: int = 0
--- a/packages/scheduler/tests/fake_machines.py
+++ b/packages/scheduler/tests/fake_machines.py
@@ -33,6 +33,8 @@
             self.machines[entry.machine] = FakeMachine(entry.machine, worker, entry.pool)
         self.most_down = 0
         self.moves = 0
+        # Pools that are pools of other machines.
+        self.rejected: set[str] = set()
         # Lasting runs that an order has ended while they were at work.
         self.ended_by_order: list[tuple[int, str]] = []
 
@@ -44,6 +46,7 @@
                 machine.state,
                 machine.worker,
                 self._sim.entries[machine.worker].capacity,
+                self._sim.entries[machine.worker].labels,
             )
             for machine in self.machines.values()
         )
@@ -61,6 +64,8 @@
             machine.maintained.add(effect.wave)
             self._down(machine, "upkeep", machine.pool, MAINTENANCE_MS)
         else:
+            if effect.pool in self.rejected:
+                return OrderResult.REJECTED
             if machine.pool == effect.pool:
                 return OrderResult.OK
             if machine.state != "up":
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -138,6 +138,86 @@
         assert [time_ms for time_ms in starts if second_ms - 1_000 < time_ms <= second_ms]
 
 
+def large_pools(own: int = 5, spare: int = 1) -> Simulation:
+    """Return a fleet with `own` workers in a pool and `spare` machines in the stand-by pool."""
+    cfg = config(pools=(Pool("pool-a"), Pool("spare", standby=True)))
+    sim = Simulation(workers=own + spare, cfg=cfg)
+    for number in range(own + 1, own + spare + 1):
+        sim.entries[f"worker-{number}"] = entry(f"worker-{number}", pool="spare")
+        sim.machines.machines[f"m-worker-{number}"].pool = "spare"
+    return sim
+
+
+def machines_in(sim: Simulation, pool: str) -> int:
+    return sum(1 for machine in sim.machines.machines.values() if machine.pool == pool)
+
+
+def test_calm_pool_switches_off_a_part_of_its_machines_and_a_burst_brings_them_back():
+    sim = large_pools()
+    sim.submit(job(JOB, step(3, lasting=True, may_miss=1)))
+    sim.run(8_000)
+    assert machines_in(sim, "pool-a") == 3
+    for number in range(20):
+        sim.submit(job(f"{number:016x}", step(6), accepted_ms=sim.now.wall_ms))
+        sim.run(150)
+    assert machines_in(sim, "pool-a") == 6
+    sim.run(20_000)
+    assert machines_in(sim, "pool-a") == 3
+    assert sim.machines.ended_by_order == []
+    assert all(sim.state(f"{number:016x}") == "completed" for number in range(20))
+
+
+def test_lasting_tasks_share_workers_but_not_one():
+    sim = large_pools()
+    sim.run(2_000)
+    sim.submit(job(JOB, step(4, cpu=500, lasting=True, may_miss=1)))
+    sim.run(2_000)
+    counts = [len(worker.runs) for worker in sim.workers.values() if worker.runs]
+    assert sorted(counts) == [2, 2]
+
+
+def test_machines_stay_on_for_lasting_tasks_that_keep_apart():
+    sim = large_pools()
+    sim.submit(job(JOB, step(4, lasting=True, may_miss=1, anti_affinity=1)))
+    sim.run(10_000)
+    assert machines_in(sim, "pool-a") == 5
+
+
+def test_machines_stay_on_beside_tasks_that_serve():
+    sim = large_pools()
+    sim.submit(job(JOB, step(2, lasting=True, may_miss=1, target_ms=50)))
+    sim.run(10_000)
+    assert machines_in(sim, "pool-a") == 5
+
+
+def test_lasting_tasks_that_find_no_room_bring_the_pools_machines_back():
+    sim = large_pools()
+    sim.run(8_000)
+    assert machines_in(sim, "pool-a") == 3
+    sim.submit(job(JOB, step(5, cpu=3_000, lasting=True, may_miss=1)))
+    sim.run(4_000)
+    assert machines_in(sim, "pool-a") == 5
+    assert sum(len(worker.runs) for worker in sim.workers.values()) == 5
+
+
+def test_gang_that_is_late_still_gets_the_machines_it_needs():
+    sim = large_pools()
+    sim.run(8_000)
+    late_ms = sim.now.wall_ms - 60_000
+    sim.submit(job(JOB, step(5, cpu=3_000, gang=True), accepted_ms=late_ms))
+    sim.run(8_000)
+    assert sim.state(JOB) == "completed"
+
+
+def test_machine_that_a_pool_rejects_is_ordered_there_once():
+    sim = large_pools()
+    sim.run(1_000)
+    sim.machines.rejected.add("spare")
+    sim.run(10_000)
+    orders = [fields["machine"] for fields in sim.logged("machine_move")]
+    assert len(orders) == len(set(orders))
+
+
 def test_light_load_moves_nothing():
     sim = pools()
     for number in range(10):
