Adopt runs of jobs that a new leader reads after it began

The store was down from second 18 to 22.2; the entry that led from 22.2 on had read the record of a job's runs, but not yet the job, which followers read every 0.35 s. The runs were not taken over, their ends were taken for those of a job long gone, and the workers forgot them. The job stayed without progress, and the next leader, at second 35, started its tasks again. Ruled out: workers retired by an order (none of the workers had been); fenced appends of the leader before (its last append was refused whole). Change: the runs of a job are adopted when the job is read; until two reads of the accepted jobs have come in, ends and runs of unknown jobs are left alone. Test: a leader that reads the accepted jobs late; it fails before the change.

--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -28,6 +28,8 @@
     started_ms: int = 0
     # When this leadership was renewed in the store.
     renewed_ms: int = 0
+    # Reads of accepted jobs since this leadership began; see `jobs_current`.
+    intake_reads: int = 0
     # A newer leader has acted; this one ends.
     fenced: bool = False
     # The last append of this leadership gives it up, and has done so.
@@ -65,6 +67,15 @@
     flushing: bool = False
     out: list[Effect] = attrs.field(factory=list)
 
+    @property
+    def jobs_current(self) -> bool:
+        """Whether every job of which the leader before started a task has been read.
+
+        The first read may have been answered before this leadership began, the second was not. Up
+        to then a task of an unknown job belongs to a job that is yet to be read.
+        """
+        return self.intake_reads > 1
+
     def take(self) -> list[Effect]:
         """Return the effects since the last call."""
         out, self.out = self.out, []
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -117,6 +117,9 @@
             worker.fenced = True
             self.state.request_pass()
         for row in reply.ended:
+            if self._unread(row.task):
+                # The worker lists this end and those after it again.
+                break
             if row.number > worker.seen:
                 worker.seen = row.number
                 self._end_listed(worker, row, now)
@@ -125,6 +128,10 @@
         if worker.seen > worker.acked and not self.state.dirty and not self.state.flushing:
             worker.acked = worker.seen
 
+    def _unread(self, task: TaskId) -> bool:
+        """Return whether a task's job is yet to be read from the store."""
+        return not self.state.jobs_current and task.job not in self.state.table.jobs
+
     def _compare_running(self, worker: Worker, reply: HoldReply, sent_ms: int, now: Now) -> None:
         """Compare the runs that a worker lists with those that should be there."""
         ended = {(row.task, row.run) for row in reply.ended}
@@ -150,7 +157,7 @@
                 self.runs.ended(worker, run, "lapsed", "", now)
         for row in reply.running:
             run = worker.runs.get(row.task)
-            if run is None or run.number != row.run:
+            if not self._unread(row.task) and (run is None or run.number != row.run):
                 self._stop_foreign(worker, row.task, row.run, now)
 
     def _stop_foreign(self, worker: Worker, task: TaskId, run: int, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -151,6 +151,8 @@
             self.intake.fresh_ms = min(self._read_ms.values())
         changed = self.table.take_changed()
         if self.scheduler is not None:
+            if event.topic is Topic.INTAKE:
+                self.scheduler.state.intake_reads += 1
             self.scheduler.jobs_changed(changed, now)
 
     def _check_claim(self, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -39,31 +39,41 @@
 
     def begin(self, now: Now) -> list[Effect]:
         """Take over the runs that the store records."""
-        state, limits = self.state, self.state.limits
+        state = self.state
         state.started_ms = state.renewed_ms = now.mono_ms
-        stretch = 1 / (1 - limits.clock_drift)
-        before = state.leader_before
-        # A leader that has resigned renews no leases.
-        resigned = before is not None and not before.holder
-        renewed_ms = 0 if resigned else limits.leader_validity_ms
-        old_lease = int((renewed_ms + limits.lease_ms) * stretch)
-        state.inherited = before.silent if before else {}
+        state.inherited = state.leader_before.silent if state.leader_before else {}
         adopted = 0
         for job in state.table.jobs.values():
             state.waiting.add(job.id)
-            for task in all_tasks(job):
-                if task.phase is Phase.ASSIGNED:
-                    worker = state.worker(task.worker)
-                    left_ms = state.inherited.get(worker.id, old_lease)
-                    worker.lease_until_ms = now.mono_ms + min(left_ms, old_lease)
-                    self.runs.place(worker, job, task, RunState.SENT, now)
-                    worker.runs[task.id].settled_ms = now.mono_ms
-                    adopted += 1
+            adopted += self._adopt(job, now)
             if not job.open and job.outcome is None:
                 self.runs.end_job(job, Outcome.CANCELLED, now)
         state.log("leadership_started", epoch=state.leader.epoch, adopted_runs=adopted)
         return state.take()
 
+    def _adopt(self, job: Job, now: Now) -> int:
+        """Take over the runs of a job that the leader before recorded; return how many.
+
+        They may run on a worker that does not answer until the last lease that the leader before
+        can have granted has run out.
+        """
+        state, limits = self.state, self.state.limits
+        # A leader that has resigned renews no leases.
+        resigned = state.leader_before is not None and not state.leader_before.holder
+        renewed_ms = 0 if resigned else limits.leader_validity_ms
+        old_lease = int((renewed_ms + limits.lease_ms) / (1 - limits.clock_drift))
+        adopted = 0
+        for task in all_tasks(job):
+            if task.phase is not Phase.ASSIGNED or task.id in state.placed:
+                continue
+            worker = state.worker(task.worker)
+            left_ms = min(state.inherited.get(worker.id, old_lease), old_lease)
+            worker.lease_until_ms = max(worker.lease_until_ms, state.started_ms + left_ms)
+            self.runs.place(worker, job, task, RunState.SENT, now)
+            worker.runs[task.id].settled_ms = now.mono_ms
+            adopted += 1
+        return adopted
+
     def handle(self, event: events.Event, now: Now) -> None:
         """Take note of what workers and services say."""
         match event:
@@ -93,6 +103,9 @@
         state = self.state
         for job_id in ids:
             job = state.table.jobs[job_id]
+            adopted = self._adopt(job, now)
+            if adopted:
+                state.log("runs_adopted", job=job_id, runs=adopted, epoch=state.leader.epoch)
             if job.open:
                 state.waiting.add(job_id)
                 state.request_pass()
--- a/packages/scheduler/tests/fleet_simulation.py
+++ b/packages/scheduler/tests/fleet_simulation.py
@@ -42,6 +42,8 @@
     alive: bool = True
     frozen: bool = False
     store_up: bool = True
+    # Streams that this entry does not get to read for now.
+    unread: set[Topic] = attrs.field(factory=set)
     # Offsets up to which each stream was read; None reads the newest records first.
     cursors: dict[Topic, int | None] = attrs.field(factory=dict)
     life: int = 0
@@ -173,7 +175,8 @@
         if not node.alive:
             return
         stopped = node.follow is Follow.LEADER and topic is Topic.PROGRESS
-        if not node.frozen and node.store_up and not stopped:
+        readable = node.store_up and topic not in node.unread
+        if not node.frozen and readable and not stopped:
             partition = self.partitions[topic]
             cursor = node.cursors[topic]
             records = partition.newest() if cursor is None else partition.read(cursor)
--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -379,3 +379,25 @@
         # The simulation itself fails if a task runs in the new life and elsewhere.
         sim.run(8_000)
         assert sim.state(JOB) == "completed"
+
+
+def test_leader_adopts_runs_of_jobs_that_it_reads_after_it_began():
+    # A leader that had read a run's record before the job itself took the end for one of a job
+    # that is long gone: the worker forgot it, and the next leader started the task again.
+    sim = Simulation()
+    sim.run(2_000)
+    leader = sim.leader()
+    others = [node for node in sim.nodes.values() if node is not leader]
+    for node in others:
+        node.unread.add(Topic.INTAKE)
+    sim.submit(job(JOB, step(3), step(1, after=(0,))))
+    sim.run(200)
+    sim.kill(leader.name)
+    sim.run(4_000)
+    second = sim.leader()
+    assert second in others
+    for node in others:
+        node.unread.clear()
+    sim.run(3_000)
+    assert sim.state(JOB, second.name) == "completed"
+    assert all(len(rows) == 1 for rows in sim.starts().values())
