Size help for the lower end of what the rate can be

Change: a rate seen from n jobs is taken less its uncertainty, one part in the square root of n, and not less than the room that the jobs can use at a time; a machine moves for two fifths of its room or more.

--- a/packages/scheduler/src/fescuecrank_scheduler/arrivals.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/arrivals.py
@@ -5,6 +5,7 @@
 arrivals; by the time a backlog shows the same, the first jobs are late.
 """
 
+import math
 from collections import deque
 
 import attrs
@@ -15,9 +16,6 @@
 # notices queues that get few but large jobs.
 WINDOWS_MS = (500, 1_500, 3_000)
 
-# Fewer jobs than this are no rate: each counts with the room that it can use at a time.
-LEAST_JOBS = 3
-
 
 @attrs.frozen
 class Arrival:
@@ -58,6 +56,11 @@
     @staticmethod
     def _rate(arrivals: deque[Arrival], now_ms: int, window_ms: int) -> float:
         recent = [each for each in arrivals if each.time_ms > now_ms - window_ms]
-        if len(recent) >= LEAST_JOBS:
-            return sum(each.work for each in recent) / window_ms
-        return sum(each.work / max(window_ms, each.chain_ms) for each in recent)
+        if not recent:
+            return 0.0
+        # A count of n is uncertain by its square root; help is sized for the lower end.
+        certain = 1 - 1 / math.sqrt(len(recent))
+        rate = certain * sum(each.work for each in recent) / window_ms
+        # Each job needs the room that it can use at a time, however few there are.
+        in_use = sum(each.work / max(window_ms, each.chain_ms) for each in recent)
+        return max(rate, in_use)
--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -19,8 +19,9 @@
 from fescuecrank_scheduler.records import encode_homes
 from fescuecrank_scheduler.workers import Worker
 
-# Fewer missing cores than this are not worth a move.
-LEAST_MISSING = 2.0
+# Share of a machine that has to be missing before one is moved: what little is missing is found
+# sooner where tasks end.
+LEAST_SHARE = 0.4
 
 # Help is sized so that the waiting work is done in this time.
 RELIEF_MS = 1_000
@@ -257,9 +258,9 @@
         ranked = sorted(pools.items(), key=lambda item: -item[1].missing)
         for name, state in ranked:
             missing = state.missing
-            while missing > LEAST_MISSING:
+            while missing > 0:
                 machine = self._lendable(name)
-                if machine is None:
+                if machine is None or missing <= LEAST_SHARE * self._cores(machine):
                     break
                 self._move(machine, name, "pressure", now)
                 missing -= max(1.0, self._cores(machine))
