Look up the worker of a machine in an index; look at pools every 0.1 s

Cause: maintenance and moves searched all workers for each machine at every tick of 50 ms, some 50,000 steps at 180 machines. Change: one index per tick.

--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -19,6 +19,9 @@
 from fescuecrank_scheduler.records import encode_homes
 from fescuecrank_scheduler.workers import Worker
 
+# Pools are looked at this often; a move takes more than ten times as long.
+TICK_MS = 100
+
 # Share of a machine that has to be missing before one is moved: what little is missing is found
 # sooner where tasks end.
 LEAST_SHARE = 0.4
@@ -89,6 +92,7 @@
     state: LeaderState
     maintenance: Maintenance
     moves: dict[str, Move] = attrs.field(factory=dict)
+    _ticked_ms: int = -TICK_MS
     _idle_since: dict[str, int] = attrs.field(factory=dict)
     # Since when each pool has work that found no room.
     _short_since: dict[str, int] = attrs.field(factory=dict)
@@ -119,7 +123,9 @@
 
     def tick(self, now: Now) -> list[Effect]:
         """Start the moves that are worth their price."""
-        if self.maintenance.rows_ms >= 0:
+        due = now.mono_ms - self._ticked_ms >= TICK_MS
+        if self.maintenance.rows_ms >= 0 and due:
+            self._ticked_ms = now.mono_ms
             self._follow_moves(now)
             self._mark_overflow()
             pools = self._pools(now)
@@ -181,17 +187,15 @@
         all machines stay on.
         """
         spread: dict[str, int] = {}
-        for job in self.state.table.jobs.values():
-            queue = self.state.config.queue(job.queue) if job.open else None
-            if queue is None:
-                continue
-            for step in job.steps:
+        for worker in self.state.workers.values():
+            for run in worker.runs.values():
+                step = run.step
                 if step.target_ms or step.fills:
-                    spread[queue.pool] = len(self.maintenance.rows)
+                    spread[worker.pool] = len(self.maintenance.rows)
                 elif step.lasting and step.anti_affinity:
                     # One more, so that maintenance can move a task.
                     least = -(-step.count // step.anti_affinity) + 1
-                    spread[queue.pool] = max(spread.get(queue.pool, 0), least)
+                    spread[worker.pool] = max(spread.get(worker.pool, 0), least)
         return spread
 
     def _lasting_on(self, machine: str) -> int:
@@ -203,11 +207,11 @@
         self._out.append(MoveMachine(move.machine, move.pool, epoch))
 
     def _usable_on(self, machine: str, pool: str, now: Now) -> bool:
-        return any(
-            worker.machine == machine
+        worker = self._worker(machine)
+        return (
+            worker is not None
             and worker.pool == pool
             and worker.usable(now.mono_ms, self.state.limits)
-            for worker in self.state.workers.values()
         )
 
     def _pools(self, now: Now) -> dict[str, PoolState]:
@@ -287,6 +291,10 @@
                 return row.machine
         return None
 
+    def _worker(self, machine: str) -> Worker | None:
+        worker = self.state.by_machine.get(machine)
+        return worker if worker is not None and worker.listed else None
+
     def _home(self, row: MachineRow) -> str:
         return self.state.table.homes.get(row.machine, row.pool)
 
@@ -300,12 +308,6 @@
             and not self.maintenance.busy_with(row.machine)
         )
 
-    def _worker(self, machine: str) -> Worker | None:
-        for worker in self.state.workers.values():
-            if worker.machine == machine and worker.listed and not worker.retired:
-                return worker
-        return None
-
     def _move(self, machine: str, pool: str, reason: str, now: Now) -> None:
         worker = self._worker(machine)
         if worker is not None:
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -1,10 +1,13 @@
 """State of one leadership, shared by the parts that decide."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from fescuecrank_scheduler.advice import AdviceBook
 from fescuecrank_scheduler.arrivals import Arrivals
 from fescuecrank_scheduler.effects import Effect, LogLine
+from fescuecrank_scheduler.events import MachineRow
 from fescuecrank_scheduler.fleet import FleetConfig
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job, Outcome, TaskId
@@ -36,6 +39,8 @@
     resigning: bool = False
     resigned: bool = False
     workers: dict[str, Worker] = attrs.field(factory=dict)
+    # Worker of each machine, as of the last tick; retired workers do not count.
+    by_machine: dict[str, Worker] = attrs.field(factory=dict)
     # Whether the list of workers has been read.
     listed: bool = False
     # Time left of leases that the leader before did not renew any more.
@@ -101,6 +106,17 @@
             worker = self.workers[worker_id] = Worker(worker_id)
         return worker
 
+    def index_machines(self, rows: Mapping[str, MachineRow]) -> None:
+        """Note which worker each machine has; one that is listed counts before one that is not."""
+        machine_of = {row.worker: name for name, row in rows.items()}
+        self.by_machine = {}
+        for worker in self.workers.values():
+            worker.machine = worker.machine or machine_of.get(worker.id, "")
+            other = self.by_machine.get(worker.machine)
+            if not worker.retired and (other is None or worker.listed):
+                self.by_machine[worker.machine] = worker
+        self.by_machine.pop("", None)
+
     def run_of(self, task: TaskId) -> tuple[Worker, Run] | None:
         """Return the run of a task that counts, with its worker; None if the task does not run."""
         worker = self.workers.get(self.placed.get(task, ""))
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -162,19 +162,21 @@
 
     def tick(self, now: Now, moving: Mapping[str, str]) -> list[Effect]:
         """Advance all waves; `moving` names the target pool of machines on their way."""
+        self.state.index_machines(self.rows)
         active = [wave for wave in self.waves.values() if not wave.completed]
         if active or any(pool.standby for pool in self.state.config.pools.values()):
             self._read(now)
         for wave in active:
             if self.rows_ms >= 0:
                 self._advance(wave, now, moving)
+        due = set().union(*(wave.open_machines() for wave in active))
         for worker in self.state.workers.values():
             arrived = moving.get(worker.machine, worker.pool) == worker.pool
             cordoned = not arrived or any(wave.claims(worker) for wave in active)
             if worker.cordoned and not cordoned:
                 self.state.request_pass()
             worker.cordoned = cordoned
-            worker.due = any(worker.machine in wave.open_machines() for wave in active)
+            worker.due = worker.machine in due
         self._move_lasting(now)
         out, self._out = self._out, []
         return out
@@ -205,7 +207,7 @@
             each.step = Step.DONE
             return
         if each.step is Step.EMPTYING and row.state == "up":
-            worker = self._worker_on(name)
+            worker = self.state.by_machine.get(name)
             if worker is None or not worker.runs:
                 each.step, each.since_ms, each.next_ms = Step.ORDERED, now.mono_ms, now.mono_ms
                 each.worker = worker.id if worker is not None else ""
@@ -239,22 +241,12 @@
         return -(-open_count * each_ms // left_ms)
 
     def _load(self, name: str) -> tuple[int, int]:
-        worker = self._worker_on(name)
+        worker = self.state.by_machine.get(name)
         if worker is None:
             return (0, 0)
         lasting = sum(1 for run in worker.runs.values() if run.step.lasting)
         return (lasting, worker.used.cpu)
 
-    def _worker_on(self, machine: str) -> Worker | None:
-        row = self.rows.get(machine)
-        for worker in self.state.workers.values():
-            if worker.retired:
-                continue
-            if worker.machine == machine or (row is not None and worker.id == row.worker):
-                worker.machine = machine
-                return worker
-        return None
-
     def _move_lasting(self, now: Now) -> None:
         """Stop lasting tasks on workers that go away, as far as their steps may miss them."""
         for worker in list(self.state.workers.values()):
