Remember a burst for 1.5 s, not 3 s, when machines are switched off

Cause: after a burst machines stayed on until its arrivals had left the longest window of 3 s, and then 2 s more. Change: only the windows of 0.5 and 1.5 s keep a machine on, and it goes after 1.5 s of idling.

--- a/packages/scheduler/src/fescuecrank_scheduler/arrivals.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/arrivals.py
@@ -7,6 +7,7 @@
 
 import math
 from collections import deque
+from collections.abc import Sequence
 
 import attrs
 
@@ -16,6 +17,9 @@
 # notices queues that get few but large jobs.
 WINDOWS_MS = (500, 1_500, 3_000)
 
+# Windows that tell that a burst is over; the longest one remembers it too long.
+RECENT_MS = WINDOWS_MS[:2]
+
 
 @attrs.frozen
 class Arrival:
@@ -44,14 +48,14 @@
         if all(each.job != job.id for each in arrivals):
             arrivals.append(Arrival(now_ms, job.id, work, job.chain_ms()))
 
-    def cores(self, pool: str, now_ms: int) -> float:
-        """Return the cores that keep up with the highest rate of the last seconds."""
+    def cores(self, pool: str, now_ms: int, windows_ms: Sequence[int] = WINDOWS_MS) -> float:
+        """Return the cores that keep up with the highest rate in one of the windows."""
         arrivals = self._by_pool.get(pool)
         if not arrivals:
             return 0.0
         while arrivals and arrivals[0].time_ms <= now_ms - WINDOWS_MS[-1]:
             arrivals.popleft()
-        return max(self._rate(arrivals, now_ms, window_ms) for window_ms in WINDOWS_MS)
+        return max(self._rate(arrivals, now_ms, window_ms) for window_ms in windows_ms)
 
     @staticmethod
     def _rate(arrivals: deque[Arrival], now_ms: int, window_ms: int) -> float:
--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from fescuecrank_scheduler.arrivals import RECENT_MS
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.effects import Effect, LogLine, MoveMachine
 from fescuecrank_scheduler.events import MachineRow, OrderResult
@@ -29,8 +30,9 @@
 # Help is sized so that the waiting work is done in this time.
 RELIEF_MS = 1_000
 
-# A machine idles this long before it is switched off; its cost in this time is that of two moves.
-IDLE_MS = 2_000
+# A machine idles this long before it is switched off; in two seconds it costs as much as two moves,
+# and most machines that have been idle for this long are not needed for a while.
+IDLE_MS = 1_500
 
 # Share of its own machines that a calm pool keeps on: with these, and with the stand-by machines
 # that come within two seconds, a burst of its usual size is served in time.
@@ -71,6 +73,8 @@
     # Cores of lasting tasks, and cores that keep up with what arrives.
     lasting: float = 0.0
     arriving: float = 0.0
+    # The same for the last moments only.
+    arriving_now: float = 0.0
     # Whether work has found no room for some time.
     stuck: bool = False
 
@@ -221,7 +225,9 @@
             if not pool.standby
         }
         for name, state in pools.items():
-            state.arriving = self.state.arrivals.cores(name, now.mono_ms)
+            arrivals = self.state.arrivals
+            state.arriving = arrivals.cores(name, now.mono_ms)
+            state.arriving_now = arrivals.cores(name, now.mono_ms, RECENT_MS)
             if self.state.waiting_work.get(name) or name in self.state.waiting_lasting:
                 since = self._short_since.setdefault(name, now.mono_ms)
                 state.stuck = now.mono_ms - since >= STUCK_MS
@@ -329,7 +335,8 @@
             if worker is None or state is None or not worker.overflow or not self._free(row):
                 continue
             cores = self._cores(row.machine)
-            if worker.runs or state.waiting or state.stuck or state.missing > -cores:
+            needed = state.lasting + state.arriving_now > state.cores - cores
+            if worker.runs or state.waiting or state.stuck or needed:
                 self._idle_since.pop(row.machine, None)
                 continue
             since = self._idle_since.setdefault(row.machine, now.mono_ms)
