Do not count silent workers as room of their pool

Cause: found on reading: the list of workers names a dead worker for up to 4.5 s, and its cores counted against the help that its pool needs. Change: a worker that has not answered for 2.6 s is no room, from 2.6 s after the begin of a leadership on; a pool that has rejected its own machine is not asked to take it back. Test: two of three workers fall silent and two jobs come; it fails before the change.

--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -235,7 +235,7 @@
                 self._short_since.pop(name, None)
         for worker in self.state.workers.values():
             state = pools.get(worker.pool)
-            if state is not None and worker.listed and worker.ready and not worker.cordoned:
+            if state is not None and self._counts(worker, now):
                 state.cores += worker.capacity.cpu / 1_000
                 state.lasting += sum(
                     run.step.room.cpu / 1_000 for run in worker.runs.values() if run.step.lasting
@@ -245,6 +245,14 @@
                 pools[move.pool].coming += self._cores(move.machine)
         return pools
 
+    def _counts(self, worker: Worker, now: Now) -> bool:
+        """Return whether a worker is part of its pool's room; a silent one is not."""
+        limits = self.state.limits
+        young = now.mono_ms - self.state.started_ms < limits.silent_ms
+        answers = young or now.mono_ms - worker.answered_ms < limits.silent_ms
+        gone = worker.cordoned or worker.retired or not worker.listed or not worker.ready
+        return answers and not gone
+
     def _cores(self, machine: str) -> float:
         row = self.maintenance.rows.get(machine)
         return row.capacity.cpu / 1_000 if row else 0.0
@@ -260,7 +268,9 @@
         standby = self._standby()
         for row in self.maintenance.rows.values():
             state = pools.get(self._home(row))
-            if row.pool == standby and state is not None and state.stuck and self._free(row):
+            if row.pool != standby or state is None or not state.stuck or not self._free(row):
+                continue
+            if (row.machine, self._home(row)) not in self._barred:
                 self._move(row.machine, self._home(row), "no_room", now)
                 state.coming += self._cores(row.machine)
 
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -188,6 +188,19 @@
     assert all(sim.state(f"{number:016x}") == "completed" for number in range(20))
 
 
+def test_silent_workers_are_replaced_by_stand_by_machines():
+    sim = large_pools(own=3, spare=2)
+    sim.run(3_000)
+    for name in ("worker-1", "worker-2"):
+        sim.workers[name].reachable = False
+    sim.run(sim.limits.silent_ms + 200)
+    # Two jobs fill two workers. The list still names three, but one answers.
+    for number in range(2):
+        sim.submit(job(f"{number:016x}", step(4), accepted_ms=sim.now.wall_ms))
+        sim.run(300)
+    assert machines_in(sim, "spare") < 2
+
+
 def test_lasting_tasks_share_workers_but_not_one():
     sim = large_pools()
     sim.run(2_000)
