--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -11,15 +11,19 @@
 
 import attrs
 
-from fescuecrank_scheduler.arrivals import RECENT_MS
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.effects import Effect, LogLine, MoveMachine
 from fescuecrank_scheduler.events import MachineRow, OrderResult
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.maintenance import Maintenance
+from fescuecrank_scheduler.pool_loads import PoolLoad, PoolLoads
 from fescuecrank_scheduler.records import encode_homes
 from fescuecrank_scheduler.workers import Worker
 
+# Share of its own machines that a calm pool keeps on: with these, and with the stand-by machines
+# that come within two seconds, a burst of its usual size is served in time.
+KEPT_SHARE = 0.6
+
 # Pools are looked at this often; a move takes more than ten times as long.
 TICK_MS = 100
 
@@ -27,20 +31,10 @@
 # sooner where tasks end.
 LEAST_SHARE = 0.4
 
-# Help is sized so that the waiting work is done in this time.
-RELIEF_MS = 1_000
-
 # A machine idles this long before it is switched off; in two seconds it costs as much as two moves,
 # and most machines that have been idle for this long are not needed for a while.
 IDLE_MS = 1_500
 
-# Share of its own machines that a calm pool keeps on: with these, and with the stand-by machines
-# that come within two seconds, a burst of its usual size is served in time.
-KEPT_SHARE = 0.6
-
-# Work that has found no room for this long needs all of a pool's own machines.
-STUCK_MS = 1_000
-
 # Time in which a moved machine's new worker has appeared and answered, besides the move itself.
 SETTLE_MS = 4_000
 
@@ -61,49 +55,24 @@
     done_ms: int | None = None
 
 
-@attrs.define
-class PoolState:
-    """Load of one pool."""
-
-    cores: float = 0.0
-    # Cores on their way here.
-    coming: float = 0.0
-    # Waiting work in milliseconds of a core.
-    waiting: float = 0.0
-    # Cores of lasting tasks, and cores that keep up with what arrives.
-    lasting: float = 0.0
-    arriving: float = 0.0
-    # The same for the last moments only.
-    arriving_now: float = 0.0
-    # Whether work has found no room for some time.
-    stuck: bool = False
-
-    @property
-    def wanted(self) -> float:
-        """Cores that keep up with what arrives and do the waiting work in time."""
-        return self.lasting + self.arriving + self.waiting / RELIEF_MS
-
-    @property
-    def missing(self) -> float:
-        """Cores that have to come; negative if there are more than are wanted."""
-        return self.wanted - self.cores - self.coming
-
-
 @attrs.define
 class Balancer:
     """Moves of one leadership."""
 
     state: LeaderState
     maintenance: Maintenance
+    loads: PoolLoads = attrs.field(init=False)
     moves: dict[str, Move] = attrs.field(factory=dict)
     _ticked_ms: int = -TICK_MS
     _idle_since: dict[str, int] = attrs.field(factory=dict)
-    # Since when each pool has work that found no room.
-    _short_since: dict[str, int] = attrs.field(factory=dict)
     # Machines that the platform does not let into a pool.
     _barred: set[tuple[str, str]] = attrs.field(factory=set)
     _out: list[Effect] = attrs.field(factory=list)
 
+    @loads.default
+    def _make_loads(self) -> PoolLoads:
+        return PoolLoads(self.state)
+
     def order_done(self, machine: str, result: OrderResult, now: Now) -> None:
         """Take note of the answer to a move."""
         move = self.moves.get(machine)
@@ -170,7 +139,7 @@
         surplus: set[str] = set()
         if self._standby() is None:
             return surplus
-        spread = self._spread()
+        spread = self.loads.least_machines(len(self.maintenance.rows))
         groups: dict[tuple[str, object], list[MachineRow]] = {}
         for row in self.maintenance.rows.values():
             groups.setdefault((self._home(row), row.kind), []).append(row)
@@ -184,24 +153,6 @@
             surplus.update(row.machine for row in there[: max(0, len(there) - kept)])
         return surplus
 
-    def _spread(self) -> dict[str, int]:
-        """Return how many machines the lasting tasks of each pool need at least.
-
-        Tasks that serve disturb each other, and filling tasks use what others leave: beside them
-        all machines stay on.
-        """
-        spread: dict[str, int] = {}
-        for worker in self.state.workers.values():
-            for run in worker.runs.values():
-                step = run.step
-                if step.target_ms or step.fills:
-                    spread[worker.pool] = len(self.maintenance.rows)
-                elif step.lasting and step.anti_affinity:
-                    # One more, so that maintenance can move a task.
-                    least = -(-step.count // step.anti_affinity) + 1
-                    spread[worker.pool] = max(spread.get(worker.pool, 0), least)
-        return spread
-
     def _lasting_on(self, machine: str) -> int:
         worker = self._worker(machine)
         return sum(1 for run in worker.runs.values() if run.step.lasting) if worker else 0
@@ -218,41 +169,13 @@
             and worker.usable(now.mono_ms, self.state.limits)
         )
 
-    def _pools(self, now: Now) -> dict[str, PoolState]:
-        pools = {
-            name: PoolState(waiting=self.state.urgent_work.get(name, 0.0))
-            for name, pool in self.state.config.pools.items()
-            if not pool.standby
-        }
-        for name, state in pools.items():
-            arrivals = self.state.arrivals
-            state.arriving = arrivals.cores(name, now.mono_ms)
-            state.arriving_now = arrivals.cores(name, now.mono_ms, RECENT_MS)
-            if self.state.waiting_work.get(name) or name in self.state.waiting_lasting:
-                since = self._short_since.setdefault(name, now.mono_ms)
-                state.stuck = now.mono_ms - since >= STUCK_MS
-            else:
-                self._short_since.pop(name, None)
-        for worker in self.state.workers.values():
-            state = pools.get(worker.pool)
-            if state is not None and self._counts(worker, now):
-                state.cores += worker.capacity.cpu / 1_000
-                state.lasting += sum(
-                    run.step.room.cpu / 1_000 for run in worker.runs.values() if run.step.lasting
-                )
+    def _pools(self, now: Now) -> dict[str, PoolLoad]:
+        pools = self.loads.read(now)
         for move in self.moves.values():
             if move.pool in pools:
                 pools[move.pool].coming += self._cores(move.machine)
         return pools
 
-    def _counts(self, worker: Worker, now: Now) -> bool:
-        """Return whether a worker is part of its pool's room; a silent one is not."""
-        limits = self.state.limits
-        young = now.mono_ms - self.state.started_ms < limits.silent_ms
-        answers = young or now.mono_ms - worker.answered_ms < limits.silent_ms
-        gone = worker.cordoned or worker.retired or not worker.listed or not worker.ready
-        return answers and not gone
-
     def _cores(self, machine: str) -> float:
         row = self.maintenance.rows.get(machine)
         return row.capacity.cpu / 1_000 if row else 0.0
@@ -263,21 +186,21 @@
 
     # Help for a pool under pressure.
 
-    def _bring_back(self, pools: dict[str, PoolState], now: Now) -> None:
+    def _bring_back(self, pools: dict[str, PoolLoad], now: Now) -> None:
         """Switch on the own machines of pools whose work finds no room."""
         standby = self._standby()
         for row in self.maintenance.rows.values():
-            state = pools.get(self._home(row))
-            if row.pool != standby or state is None or not state.stuck or not self._free(row):
+            load = pools.get(self._home(row))
+            if row.pool != standby or load is None or not load.stuck or not self._free(row):
                 continue
             if (row.machine, self._home(row)) not in self._barred:
                 self._move(row.machine, self._home(row), "no_room", now)
-                state.coming += self._cores(row.machine)
+                load.coming += self._cores(row.machine)
 
-    def _relieve(self, pools: dict[str, PoolState], now: Now) -> None:
+    def _relieve(self, pools: dict[str, PoolLoad], now: Now) -> None:
         ranked = sorted(pools.items(), key=lambda item: -item[1].missing)
-        for name, state in ranked:
-            missing = state.missing
+        for name, load in ranked:
+            missing = load.missing
             while missing > 0:
                 machine = self._lendable(name)
                 if machine is None or missing <= LEAST_SHARE * self._cores(machine):
@@ -337,22 +260,22 @@
 
     # Machines that are not needed any more.
 
-    def _park(self, pools: dict[str, PoolState], now: Now) -> None:
+    def _park(self, pools: dict[str, PoolLoad], now: Now) -> None:
         """Switch off machines that have been idle for some time."""
         for row in self.maintenance.rows.values():
             worker = self._worker(row.machine)
-            state = pools.get(row.pool)
-            if worker is None or state is None or not worker.overflow or not self._free(row):
+            load = pools.get(row.pool)
+            if worker is None or load is None or not worker.overflow or not self._free(row):
                 continue
             cores = self._cores(row.machine)
-            needed = state.lasting + state.arriving_now > state.cores - cores
-            if worker.runs or state.waiting or state.stuck or needed:
+            needed = load.lasting + load.arriving_now > load.cores - cores
+            if worker.runs or load.waiting or load.stuck or needed:
                 self._idle_since.pop(row.machine, None)
                 continue
             since = self._idle_since.setdefault(row.machine, now.mono_ms)
             if now.mono_ms - since >= IDLE_MS:
                 self._switch_off(row, now)
-                state.cores -= cores
+                load.cores -= cores
 
     def _switch_off(self, row: MachineRow, now: Now) -> None:
         target = self._standby()
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/pool_loads.py
@@ -0,0 +1,102 @@
+"""Load of the pools: the room that each one has, needs now and will need in a moment."""
+
+import attrs
+
+from fescuecrank_scheduler.arrivals import RECENT_MS
+from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.workers import Worker
+
+# Help is sized so that the waiting work is done in this time.
+RELIEF_MS = 1_000
+
+# Work that has found no room for this long needs all of a pool's own machines.
+STUCK_MS = 1_000
+
+
+@attrs.define
+class PoolLoad:
+    """Load of one pool."""
+
+    cores: float = 0.0
+    # Cores on their way here.
+    coming: float = 0.0
+    # Waiting work in milliseconds of a core.
+    waiting: float = 0.0
+    # Cores of lasting tasks, and cores that keep up with what arrives.
+    lasting: float = 0.0
+    arriving: float = 0.0
+    # The same for the last moments only.
+    arriving_now: float = 0.0
+    # Whether work has found no room for some time.
+    stuck: bool = False
+
+    @property
+    def wanted(self) -> float:
+        """Cores that keep up with what arrives and do the waiting work in time."""
+        return self.lasting + self.arriving + self.waiting / RELIEF_MS
+
+    @property
+    def missing(self) -> float:
+        """Cores that have to come; negative if there are more than are wanted."""
+        return self.wanted - self.cores - self.coming
+
+
+@attrs.define
+class PoolLoads:
+    """Loads as one leadership sees them."""
+
+    state: LeaderState
+    # Since when each pool has work that found no room.
+    _short_since: dict[str, int] = attrs.field(factory=dict)
+
+    def read(self, now: Now) -> dict[str, PoolLoad]:
+        """Return the load of each pool that is not a stand-by pool."""
+        pools = {
+            name: PoolLoad(waiting=self.state.urgent_work.get(name, 0.0))
+            for name, pool in self.state.config.pools.items()
+            if not pool.standby
+        }
+        for name, load in pools.items():
+            arrivals = self.state.arrivals
+            load.arriving = arrivals.cores(name, now.mono_ms)
+            load.arriving_now = arrivals.cores(name, now.mono_ms, RECENT_MS)
+            if self.state.waiting_work.get(name) or name in self.state.waiting_lasting:
+                since = self._short_since.setdefault(name, now.mono_ms)
+                load.stuck = now.mono_ms - since >= STUCK_MS
+            else:
+                self._short_since.pop(name, None)
+        for worker in self.state.workers.values():
+            load = pools.get(worker.pool)
+            if load is not None and self._is_room(worker, now):
+                load.cores += worker.capacity.cpu / 1_000
+                load.lasting += sum(
+                    run.step.room.cpu / 1_000 for run in worker.runs.values() if run.step.lasting
+                )
+        return pools
+
+    def _is_room(self, worker: Worker, now: Now) -> bool:
+        """Return whether a worker is part of its pool's room; a silent one is not."""
+        limits = self.state.limits
+        young = now.mono_ms - self.state.started_ms < limits.silent_ms
+        answers = young or now.mono_ms - worker.answered_ms < limits.silent_ms
+        gone = worker.cordoned or worker.retired or not worker.listed or not worker.ready
+        return answers and not gone
+
+    def least_machines(self, most: int) -> dict[str, int]:
+        """Return how many machines, of `most`, the lasting tasks of each pool need at least.
+
+        Tasks that serve disturb each other, and filling tasks use what others leave: beside them
+        all machines stay on.
+        """
+        spread: dict[str, int] = {}
+        for worker in self.state.workers.values():
+            for run in worker.runs.values():
+                step = run.step
+                if step.target_ms or step.fills:
+                    spread[worker.pool] = most
+                elif step.lasting and step.anti_affinity:
+                    # One more, so that maintenance can move a task.
+                    least = -(-step.count // step.anti_affinity) + 1
+                    spread[worker.pool] = max(spread.get(worker.pool, 0), least)
+        return spread
