--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -401,3 +401,26 @@
     sim.run(3_000)
     assert sim.state(JOB, second.name) == "completed"
     assert all(len(rows) == 1 for rows in sim.starts().values())
+
+
+def test_run_adopted_late_on_a_silent_worker_restarts_only_after_its_lease():
+    # The simulation fails if a task runs on two workers at a time.
+    sim = Simulation()
+    sim.run(2_000)
+    for worker in sim.workers.values():
+        worker.work_ms = 20_000
+    leader = sim.leader()
+    others = [node for node in sim.nodes.values() if node is not leader]
+    for node in others:
+        node.unread.add(Topic.INTAKE)
+    sim.submit(job(JOB, step(3, estimate_ms=20_000)))
+    sim.run(200)
+    sim.kill(leader.name)
+    silent = next(worker for worker in sim.workers.values() if worker.runs)
+    silent.reachable = False
+    sim.run(4_000)
+    for node in others:
+        node.unread.clear()
+    sim.run(50_000)
+    assert sim.state(JOB, sim.leader().name) == "completed"
+    assert max(len(rows) for rows in sim.starts().values()) == 2
