--- a/packages/scheduler/tests/test_soak.py
+++ b/packages/scheduler/tests/test_soak.py
@@ -8,15 +8,21 @@
 import os
 
 import pytest
-from fescuecrank_scheduler.events import ShutDown
-from fescuecrank_scheduler.fleet import Wave
+from fescuecrank_scheduler.events import ShutDown, Topic
+from fescuecrank_scheduler.fleet import FleetConfig, Pool, Wave
 from fleet_simulation import Simulation
-from scheduler_builders import job, step
+from scheduler_builders import config, entry, job, step
 
 # Seeds that have failed. All of these: a start that was not answered was carried out in the next
 # life of the worker while its task already ran elsewhere.
 REGRESSIONS = (107, 114, 127, 135, 149)
 
+# Found that a leader did not take over the runs of jobs that it read after it began.
+MOVING_REGRESSIONS = (14,)
+
+# The job that lasts; the others are numbered.
+LASTING = "f" * 16
+
 FAULTS = 14
 MEND_MS = 45_000
 
@@ -29,14 +35,23 @@
 class Soak:
     """One run."""
 
+    workers = 6
+
     def __init__(self, seed: int) -> None:
-        self.sim = Simulation(entries=4, workers=6, seed=seed)
+        self.sim = Simulation(entries=4, workers=self.workers, seed=seed, cfg=self.config())
         self.rng = self.sim.rng
+        self.prepare()
         self.sim.run(2_000)
         self.jobs = 0
 
-    def play(self) -> None:
-        faults = (
+    def config(self) -> FleetConfig:
+        return config()
+
+    def prepare(self) -> None:
+        """Change the fleet before it starts."""
+
+    def faults(self) -> tuple:
+        return (
             self.kill_entry,
             self.kill_leader,
             self.kill_all,
@@ -53,6 +68,9 @@
             self.late_orders,
             self.wave,
         )
+
+    def play(self) -> None:
+        faults = self.faults()
         for _ in range(FAULTS):
             for _ in range(self.rng.randrange(4)):
                 self.submit()
@@ -163,6 +181,7 @@
         self.store_back()
         for name, node in list(self.sim.nodes.items()):
             node.frozen = False
+            node.unread.clear()
             self.restart(name)
         for worker in self.sim.workers.values():
             worker.reachable, worker.refusing = True, False
@@ -178,6 +197,64 @@
         assert len(failed) <= len(states) // 4, failed
 
 
+class MovingSoak(Soak):
+    """The same with a stand-by pool, bursts, a lasting job, and lists that lag."""
+
+    workers = 9
+
+    def config(self) -> FleetConfig:
+        return config(pools=(Pool("pool-a"), Pool("spare", standby=True)))
+
+    def prepare(self) -> None:
+        self.sim.list_lag_ms = 4_500
+        for number in (7, 8, 9):
+            self.sim.entries[f"worker-{number}"] = entry(f"worker-{number}", pool="spare")
+            self.sim.machines.machines[f"m-worker-{number}"].pool = "spare"
+        self.sim.submit(job(LASTING, step(4, cpu=500, lasting=True, may_miss=1)))
+
+    def faults(self) -> tuple:
+        return (*super().faults(), self.burst, self.burst, self.jobs_unread, self.jobs_unread)
+
+    def burst(self) -> None:
+        for _ in range(10):
+            self.submit()
+
+    def jobs_unread(self) -> None:
+        """All entries but the leader read no accepted jobs; the leader may be killed meanwhile."""
+        for node in self.sim.nodes.values():
+            if node is not self.sim.leader():
+                node.unread.add(Topic.INTAKE)
+                self.later(node.unread.clear)
+
+    def worker(self):
+        """Return the worker of any machine; a machine has one life at a time."""
+        machines = self.sim.machines.machines
+        return self.sim.workers[machines[self.rng.choice(sorted(machines))].worker]
+
+    def crash_worker(self) -> None:
+        worker = self.worker()
+        machine = self.sim.machines.machines[self.sim.entries[worker.id].machine]
+        if worker.alive:
+            worker.crash(self.sim.now_ms)
+            self.later(lambda: self.restart_worker(worker, machine))
+
+    def restart_worker(self, worker, machine) -> None:
+        if machine.worker == worker.id and machine.state == "up" and not worker.alive:
+            worker.restart(self.sim.now_ms)
+
+    def check(self) -> None:
+        super().check()
+        running = [
+            task for worker in self.sim.workers.values() for task in worker.runs if worker.alive
+        ]
+        assert sum(1 for task in running if task.job == LASTING) == 4
+
+
 @pytest.mark.parametrize("seed", [*seeds(), *REGRESSIONS])
 def test_random_faults(seed):
     Soak(seed).play()
+
+
+@pytest.mark.parametrize("seed", [*seeds(), *MOVING_REGRESSIONS])
+def test_random_faults_while_machines_move(seed):
+    MovingSoak(seed).play()
