--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -139,7 +139,7 @@
         surplus: set[str] = set()
         if self._standby() is None:
             return surplus
-        spread = self.loads.least_machines(len(self.maintenance.rows))
+        least_by_pool = self.loads.least_machines(len(self.maintenance.rows))
         groups: dict[tuple[str, object], list[MachineRow]] = {}
         for row in self.maintenance.rows.values():
             groups.setdefault((self._home(row), row.kind), []).append(row)
@@ -147,7 +147,7 @@
             pool = self.state.config.pools.get(home)
             if pool is None or pool.standby:
                 continue
-            kept = max(math.ceil(KEPT_SHARE * len(rows)), spread.get(home, 0))
+            kept = max(math.ceil(KEPT_SHARE * len(rows)), least_by_pool.get(home, 0))
             there = [row for row in rows if row.pool == home and self._free(row)]
             there.sort(key=lambda row: (self._lasting_on(row.machine), row.machine))
             surplus.update(row.machine for row in there[: max(0, len(there) - kept)])
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -255,13 +255,19 @@
         They therefore leave every machine that is due as soon as there is another place for them.
         """
         self.state.moving_pools.clear()
+        # The answer is the same for all tasks of a step.
+        refuges: dict[tuple[str, str, int, int], bool] = {}
         for worker in list(self.state.workers.values()):
             goes = worker.cordoned or (worker.listed and not worker.ready)
             if not goes and not worker.due:
                 continue
             for run in list(worker.runs.values()):
-                movable = run.step.lasting and run.state is RunState.RUNNING
-                if not movable or not (goes or self._has_refuge(worker.pool, run, now)):
+                if not run.step.lasting or run.state is not RunState.RUNNING:
+                    continue
+                step = (worker.pool, run.task.job, run.task.occurrence, run.task.step)
+                if not goes and step not in refuges:
+                    refuges[step] = self._has_refuge(worker.pool, run, now)
+                if not goes and not refuges[step]:
                     continue
                 self.state.moving_pools.add(worker.pool)
                 if self._may_stop(run, now):
--- a/packages/scheduler/src/fescuecrank_scheduler/pool_loads.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/pool_loads.py
@@ -89,14 +89,14 @@
         Tasks that serve disturb each other, and filling tasks use what others leave: beside them
         all machines stay on.
         """
-        spread: dict[str, int] = {}
+        least_by_pool: dict[str, int] = {}
         for worker in self.state.workers.values():
             for run in worker.runs.values():
                 step = run.step
                 if step.target_ms or step.fills:
-                    spread[worker.pool] = most
+                    least_by_pool[worker.pool] = most
                 elif step.lasting and step.anti_affinity:
                     # One more, so that maintenance can move a task.
                     least = -(-step.count // step.anti_affinity) + 1
-                    spread[worker.pool] = max(spread.get(worker.pool, 0), least)
-        return spread
+                    least_by_pool[worker.pool] = max(least_by_pool.get(worker.pool, 0), least)
+        return least_by_pool
