Count a step's tasks on a worker once per choice, and the due machines once per tick

Found on reading the change: placement counted the tasks of a lasting step with anti-affinity twice for each worker, and a burst collected the machines that are due anew for each machine that it switched on.

--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections.abc import Container
 
 import attrs
 
@@ -199,20 +200,22 @@
 
     def _relieve(self, pools: dict[str, PoolLoad], now: Now) -> None:
         ranked = sorted(pools.items(), key=lambda item: -item[1].missing)
+        due = self.maintenance.due_machines()
         for name, load in ranked:
             missing = load.missing
             while missing > 0:
-                machine = self._lendable(name)
+                machine = self._lendable(name, due)
                 if machine is None or missing <= LEAST_SHARE * self._cores(machine):
                     break
                 self._move(machine, name, "pressure", now)
                 missing -= max(1.0, self._cores(machine))
 
-    def _lendable(self, target: str) -> str | None:
+    def _lendable(self, target: str, due: Container[str]) -> str | None:
         """Return a machine that can go to `target`: a switched-off one, else an idle borrowed one.
 
         Machines that are on in their own pool never leave it for another one: its next burst would
-        find it smaller than what it keeps.
+        find it smaller than what it keeps. A machine in `due` waits for maintenance, which disturbs
+        nothing while it is switched off; it comes last.
         """
         rows = [
             row
@@ -222,8 +225,6 @@
         standby = self._standby()
         off = [row for row in rows if row.pool == standby]
         if off:
-            # A machine that is due is best maintained while it is switched off.
-            due = self.maintenance.due_machines()
 
             def cost(row: MachineRow) -> tuple[bool, bool, str]:
                 return (row.machine in due, self._home(row) != target, row.machine)
--- a/packages/scheduler/src/fescuecrank_scheduler/placement.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/placement.py
@@ -43,14 +43,14 @@
         room = worker.room
         if need.cpu > room.cpu or not need.fits(room):
             continue
-        if step.requires or step.anti_affinity:
-            here = peers_on(worker, job, occurrence, step_number) if step.anti_affinity else 0
-            if not may_run(worker, step, here):
-                continue
+        peers = 0
+        if gathers or step.anti_affinity:
+            peers = peers_on(worker, job, occurrence, step_number)
+        if not may_run(worker, step, peers):
+            continue
         near = not step.affinity or step.affinity in worker.labels
         rank: tuple[object, ...] = (near, not worker.overflow, room.cpu)
         if gathers:
-            peers = peers_on(worker, job, occurrence, step_number)
             rank = (near, not worker.due, not worker.overflow, peers < half, peers, room.cpu)
         if best_rank is None or rank > best_rank:
             best, best_rank = worker, rank
