--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -29,7 +29,7 @@
     body: bytes
 
 
-class ConnectionLost(OSError):
+class ConnectionLostError(OSError):
     """The connection ended before the response; `answering` if a part of it was read."""
 
     def __init__(self, detail: str, answering: bool) -> None:
@@ -55,9 +55,9 @@
         self._answering = False
 
     async def exchange(self, request: bytes) -> HttpResponse:
-        """Send a request and return its response; raises `ConnectionLost`."""
+        """Send a request and return its response; raises `ConnectionLostError`."""
         if self._transport is None or not self.usable:
-            raise ConnectionLost("the connection is closed", answering=False)
+            raise ConnectionLostError("the connection is closed", answering=False)
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         return await self._waiter
@@ -92,7 +92,7 @@
     def _fail(self, detail: str) -> None:
         waiter, self._waiter = self._waiter, None
         if waiter is not None and not waiter.done():
-            waiter.set_exception(ConnectionLost(detail, self._answering))
+            waiter.set_exception(ConnectionLostError(detail, self._answering))
         self.abort()
 
     # Callbacks of the parser.
@@ -165,7 +165,7 @@
                     sent = True
                     try:
                         return Ok(await conn.exchange(request))
-                    except ConnectionLost as exc:
+                    except ConnectionLostError as exc:
                         if exc.answering:
                             raise
                 conn = await self._connect(address)
