Keep the cost of an event independent of the size of the fleet

Cause: after each event the leader looked at every worker for due holds and for its next wake-up, and each placement pass read the waiting jobs and searched the workers of all pools, for each task anew. With the store away for 3.5 s, due holds woke it every millisecond. Change: due holds in a heap, waiting jobs by queue, passes over the pools in which something changed, candidates once for each step, no search for room that is known to be missing; checks of all runs at 100 and 200 ms; no wake-up for holds that may not be sent. Ruled out: the answers themselves (applying a report and its ends takes 15% of the profile).

Let the larger machine lead, and hand over when it is late

Cause: on the large and grown deployments machines have 0.5 to 2.1 cores and links of 5 to 200 Mbit/s; claims were drawn by chance and, right after a start, made without any delay. Change: a process delays its claims by up to 600 ms the smaller its cores, link and memory are; a leader whose ticks are late for half of 2.5 s resigns and lets others claim first.

--- a/packages/platform/src/fescuecrank_platform/settings.py
+++ b/packages/platform/src/fescuecrank_platform/settings.py
@@ -6,6 +6,7 @@
 import attrs
 import yaml
 from fescuecrank_core.errors import Failure, FailureKind
+from fescuecrank_scheduler.leadership import claim_handicap_ms
 from fescuecrank_scheduler.limits import Limits
 from result import Err, Ok, Result
 
@@ -33,6 +34,10 @@
     lease_max_ms: int
     maintenance_ms: int
     status_retention_ms: int
+    # Size of the machine; 0 if the settings do not state it.
+    cores: float = 0.0
+    link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
     def limits(self) -> Limits:
         """Return the scheduler's limits, derived from the bounds of the deployment."""
@@ -42,6 +47,7 @@
             maintenance_ms=self.maintenance_ms,
             # 30 s longer than the platform requires.
             keep_ended_ms=self.status_retention_ms + 30_000,
+            claim_handicap_ms=claim_handicap_ms(self.cores, self.link_mbps, self.memory_mb),
         )
 
 
@@ -90,6 +96,10 @@
                 lease_max_ms=reader.number("bounds.hold_max_ms", 10_000),
                 maintenance_ms=int(1_000 * reader.number("bounds.maintenance_s", 2)),
                 status_retention_ms=int(1_000 * reader.number("bounds.status_s", 120)),
+                # The share of a core counts in cores of the given speed.
+                cores=reader.number("limits.cpu_share", 0) * reader.number("limits.cpu_cores", 1),
+                link_mbps=reader.number("limits.link_mbps", 0),
+                memory_mb=reader.number("limits.memory_mb", 0),
             )
         )
     except ValueError as exc:
--- a/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
@@ -1,17 +1,19 @@
 """Placement passes: which waiting tasks start on which workers."""
 
+from collections import defaultdict
+from collections.abc import Container
+
 import attrs
 
 from fescuecrank_scheduler import ordering, placement
 from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.fleet import Resources
 from fescuecrank_scheduler.jobs import Job, Phase, Step, Task
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.ordering import Demand, ReadyStep
 from fescuecrank_scheduler.runs import Runs
 from fescuecrank_scheduler.workers import RunState, Worker
 
-NEVER = float("inf")
-
 
 @attrs.define
 class Dispatcher:
@@ -20,8 +22,11 @@
     state: LeaderState
     runs: Runs
     last_pass_ms: int = 0
-    # Wall-clock time of the next occurrence of any scheduled job.
-    next_occurrence_ms: float = NEVER
+    # Wall-clock time of the next occurrence of any scheduled job, by queue.
+    next_occurrence_ms: dict[str, float] = attrs.field(factory=dict)
+    # Reservations for which the pool of the current pass has no worker left; none is released
+    # during a pass, so larger ones need not be looked for.
+    _full_for: list[Resources] = attrs.field(factory=list)
 
     def tick(self, now: Now) -> None:
         """Request a pass when an occurrence is due or `max_pass_interval_ms` have passed."""
@@ -31,54 +36,69 @@
             state.waiting_jobs
             and now.mono_ms - self.last_pass_ms >= state.limits.max_pass_interval_ms
         )
-        if retry_due or now.wall_ms >= self.next_occurrence_ms:
+        if retry_due:
             state.request_placement()
+        for name, due_ms in self.next_occurrence_ms.items():
+            queue = state.config.queue(name)
+            if now.wall_ms >= due_ms and queue is not None:
+                state.request_placement(queue.pool)
 
     def place_waiting(self, now: Now) -> None:
         """Run a pass if one was requested and the last one is not too recent."""
-        state = self.state
-        interval_passed = now.mono_ms - self.last_pass_ms >= state.limits.min_pass_interval_ms
-        if state.placement_due and interval_passed and state.workers_listed and not state.resigning:
+        due_ms = self.next_due_ms(now)
+        if due_ms is not None and now.mono_ms >= due_ms:
             self._run_pass(now)
 
     def next_due_ms(self, now: Now) -> int | None:
-        """Return when the next pass may run; None if none was requested."""
-        return (
-            self.last_pass_ms + self.state.limits.min_pass_interval_ms
-            if self.state.placement_due
-            else None
-        )
+        """Return when the next pass may run; None if none was requested or can be run."""
+        state = self.state
+        if not state.placement_due or not state.workers_listed or state.resigning:
+            return None
+        return self.last_pass_ms + state.limits.min_pass_interval_ms
 
     def _run_pass(self, now: Now) -> None:
-        self.state.placement_due = False
+        state = self.state
+        due = None if state.all_pools_due else state.pools_due
+        state.all_pools_due, state.pools_due = False, set()
         self.last_pass_ms = now.mono_ms
-        self.next_occurrence_ms = NEVER
         by_pool: dict[str, list[Demand]] = {}
-        for job_id in list(self.state.waiting_jobs):
-            job = self.state.table.jobs[job_id]
-            queue = self.state.config.queue(job.queue)
-            if not job.open or job_id in self.state.outcomes:
-                self.state.waiting_jobs.discard(job_id)
-            elif queue is not None:
-                by_pool.setdefault(queue.pool, []).append(self._demand(job, now))
-        self.state.waiting_work.clear()
-        self.state.on_time_work.clear()
-        self.state.pools_awaiting_long_running.clear()
+        for queue_name in state.waiting_jobs.queues():
+            queue = state.config.queue(queue_name)
+            if queue is None or (due is not None and queue.pool not in due):
+                continue
+            demands = by_pool.setdefault(queue.pool, [])
+            self.next_occurrence_ms.pop(queue_name, None)
+            for job_id in state.waiting_jobs.in_queue(queue_name):
+                job = state.table.jobs[job_id]
+                if not job.open or job_id in state.outcomes:
+                    state.waiting_jobs.discard(job)
+                else:
+                    demands.append(self._demand(job, now))
+        for name in list(state.waiting_work) if due is None else due:
+            state.forget_unplaced(name)
+        usable_by_pool = self._usable_workers(by_pool, now)
         for pool, demands in by_pool.items():
-            usable = [
-                worker
-                for worker in self.state.workers.values()
-                if worker.pool == pool and worker.usable(now.mono_ms, self.state.limits)
-            ]
-            cores = sum(worker.capacity.cpu for worker in usable) / 1_000
-            unplaced = unplaced_on_time = 0.0
-            for demand in ordering.order_demands(demands, cores, now.wall_ms):
-                work = self._schedule_job(demand, usable, now)
-                unplaced += work
-                if now.wall_ms + demand.critical_path_ms <= demand.due_ms:
-                    unplaced_on_time += work
-            self.state.waiting_work[pool] = unplaced
-            self.state.on_time_work[pool] = unplaced_on_time
+            self._place_pool(pool, demands, usable_by_pool[pool], now)
+
+    def _usable_workers(self, pools: Container[str], now: Now) -> dict[str, list[Worker]]:
+        usable: dict[str, list[Worker]] = defaultdict(list)
+        for worker in self.state.workers.values():
+            if worker.pool in pools and worker.usable(now.mono_ms, self.state.limits):
+                usable[worker.pool].append(worker)
+        return usable
+
+    def _place_pool(self, pool: str, demands: list[Demand], usable: list[Worker], now: Now) -> None:
+        """Place the waiting tasks of one pool in the order of its demands."""
+        self._full_for.clear()
+        cores = sum(worker.capacity.cpu for worker in usable) / 1_000
+        unplaced = unplaced_on_time = 0.0
+        for demand in ordering.order_demands(demands, cores, now.wall_ms):
+            work = self._schedule_job(demand, usable, now)
+            unplaced += work
+            if now.wall_ms + demand.critical_path_ms <= demand.due_ms:
+                unplaced_on_time += work
+        self.state.waiting_work[pool] = unplaced
+        self.state.on_time_work[pool] = unplaced_on_time
 
     def _demand(self, job: Job, now: Now) -> Demand:
         demand = self.state.demands.get(job.id)
@@ -92,12 +112,13 @@
         unplaced = 0.0
         job = demand.job
         if not demand.waiting and job.schedule is None:
-            self.state.waiting_jobs.discard(job.id)
+            self.state.waiting_jobs.discard(job)
         queue = self.state.config.queue(job.queue)
         for ready in demand.ready:
             step = job.steps[ready.number]
-            if not usable:
+            if not usable or any(full.fits(step.reservation) for full in self._full_for):
                 unplaced += ordering.step_work(step, len(ready.tasks))
+                self._log_plan(job, ready, [], len(ready.tasks), "no_room")
                 self._record_unplaced(job, step)
                 continue
             workers = usable
@@ -120,29 +141,41 @@
         for number in range(schedule.repeat_count):
             due = schedule.first_ms + number * schedule.interval_ms
             if now.wall_ms < due:
-                self.next_occurrence_ms = min(self.next_occurrence_ms, due)
+                next_ms = self.next_occurrence_ms.get(job.queue, due)
+                self.next_occurrence_ms[job.queue] = min(next_ms, due)
                 break
             job.create_occurrence(number)
 
     def _place_tasks(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> float:
         step, team = job.steps[ready.number], self.state.config.teams.get(job.team)
-        chosen: list[str] = []
-        reason = ""
-        for task in ready.tasks:
-            if not self.state.usage.allows(team, step.need):
-                reason = "team_limit"
-                break
-            worker = placement.choose_worker(workers, job.id, ready.occurrence, ready.number, step)
-            if worker is None:
-                reason = "no_room"
-                break
+        allowed = self.state.usage.room(team, step.need, len(ready.tasks))
+        chosen = placement.choose_workers(
+            workers, job.id, ready.occurrence, ready.number, step, allowed
+        )
+        for task, worker in zip(ready.tasks, chosen, strict=False):
             self._plan_run(worker, job, task, task.run + 1, now)
-            chosen.append(worker.id)
         left = len(ready.tasks) - len(chosen)
-        self._log_plan(job, ready, chosen, left, reason)
+        reason = ""
+        if len(chosen) < allowed:
+            reason = "no_room"
+        elif left:
+            reason = "team_limit"
+        self._log_plan(job, ready, [worker.id for worker in chosen], left, reason)
         if reason == "no_room":
             self._record_unplaced(job, step)
-        return ordering.step_work(step, left) if reason == "no_room" else 0.0
+            queue = self.state.config.queue(job.queue)
+            everywhere = queue is None or not queue.needs_advice
+            if everywhere and not step.requires and not step.anti_affinity:
+                self._full_for.append(step.reservation)
+            return ordering.step_work(step, left)
+        if reason == "team_limit":
+            self._record_team_limited(job)
+        return 0.0
+
+    def _record_team_limited(self, job: Job) -> None:
+        queue = self.state.config.queue(job.queue)
+        if queue is not None:
+            self.state.team_limited_pools.add(queue.pool)
 
     def _log_plan(
         self, job: Job, ready: ReadyStep, chosen: list[str], left: int, reason: str
@@ -168,7 +201,8 @@
         step, team = job.steps[ready.number], self.state.config.teams.get(job.team)
         if len(ready.tasks) < step.count:
             return 0.0
-        if not self.state.usage.allows(team, step.need, step.count):
+        if self.state.usage.room(team, step.need, step.count) < step.count:
+            self._record_team_limited(job)
             return 0.0
         chosen = placement.choose_gang(workers, job.id, ready.occurrence, ready.number, step)
         if chosen is None:
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -6,6 +6,7 @@
 
 from fescuecrank_scheduler.advice import AdviceCache
 from fescuecrank_scheduler.arrivals import Arrivals
+from fescuecrank_scheduler.deadlines import Deadlines
 from fescuecrank_scheduler.effects import Effect, LogLine
 from fescuecrank_scheduler.events import MachineRow
 from fescuecrank_scheduler.fleet import FleetConfig
@@ -15,6 +16,7 @@
 from fescuecrank_scheduler.ordering import Demand
 from fescuecrank_scheduler.quotas import Usage
 from fescuecrank_scheduler.records import Leadership, Record
+from fescuecrank_scheduler.waiting_jobs import WaitingJobs
 from fescuecrank_scheduler.workers import Run, Worker
 
 
@@ -41,6 +43,8 @@
     workers: dict[str, Worker] = attrs.field(factory=dict)
     # Worker of each machine, as of the last tick, without retired workers.
     worker_by_machine: dict[str, Worker] = attrs.field(factory=dict)
+    # When the next hold of each worker is due.
+    hold_times: Deadlines = attrs.field(factory=Deadlines)
     # Whether the list of workers has been read.
     workers_listed: bool = False
     # Remaining time of the leases that the previous leader no longer renewed.
@@ -52,10 +56,14 @@
     # Worker of the current run of each task.
     placements: dict[TaskId, str] = attrs.field(factory=dict)
     # Jobs that may have tasks to start, and their cached demands.
-    waiting_jobs: set[str] = attrs.field(factory=set)
+    waiting_jobs: WaitingJobs = attrs.field(factory=WaitingJobs)
     demands: dict[str, Demand] = attrs.field(factory=dict)
-    # Capacity or demand has changed since the last placement pass.
-    placement_due: bool = True
+    # Pools in which capacity or demand has changed since the last placement pass, and whether that
+    # may be true of any pool.
+    pools_due: set[str] = attrs.field(factory=set)
+    all_pools_due: bool = True
+    # Pools with tasks that wait for a run of their team to end, in whichever pool it is.
+    team_limited_pools: set[str] = attrs.field(factory=set)
     # Work for which the last pass found no capacity, by pool, in core-ms: all of it, and that of
     # jobs that can still end on time. Tasks held back by their team's limit do not count.
     waiting_work: dict[str, float] = attrs.field(factory=dict)
@@ -101,6 +109,13 @@
         """Add a record to the next append."""
         self.queued_records.append(record)
 
+    def forget_unplaced(self, pool: str) -> None:
+        """Discard what the last placement pass found to be waiting in a pool."""
+        self.waiting_work.pop(pool, None)
+        self.on_time_work.pop(pool, None)
+        self.pools_awaiting_long_running.discard(pool)
+        self.team_limited_pools.discard(pool)
+
     def worker(self, worker_id: str) -> Worker:
         """Return a worker, added if it is not known; it need not be in the list of workers."""
         worker = self.workers.get(worker_id)
@@ -130,6 +145,14 @@
         job = self.table.jobs.get(run.task.job)
         return job is not None and job.open and job.id not in self.outcomes
 
-    def request_placement(self) -> None:
-        """Request a placement pass."""
-        self.placement_due = True
+    @property
+    def placement_due(self) -> bool:
+        """Whether a placement pass was requested for any pool."""
+        return self.all_pools_due or bool(self.pools_due)
+
+    def request_placement(self, pool: str | None = None) -> None:
+        """Request a placement pass over one pool, or over all pools if `pool` is None."""
+        if pool is None:
+            self.all_pools_due = True
+        else:
+            self.pools_due.add(pool)
--- a/packages/scheduler/src/fescuecrank_scheduler/leadership.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -2,6 +2,7 @@
 
 import enum
 import random
+from collections import deque
 
 import attrs
 
@@ -11,6 +12,29 @@
 # A vacant leadership is claimed after the usual random delay divided by this.
 VACANT_DELAY_DIVISOR = 4
 
+# Size of a machine that carries the leader of some hundred workers at a fraction of its capacity;
+# see docs/CAPACITY.md. Smaller ones delay their claims, by at most the handicap.
+LEADER_CORES = 1.0
+LEADER_LINK_MBPS = 50.0
+LEADER_MEMORY_MB = 250.0
+MAX_CLAIM_HANDICAP_MS = 600
+
+# Interval of a leader's ticks.
+LEADER_TICK_MS = 50
+
+# A leader hands over if its ticks were late for half of this time. One pause of the process counts
+# little, however long it is.
+LATENESS_WINDOW_MS = 2_500
+TOLERATED_LATENESS_MS = 100
+MAX_COUNTED_LATENESS_MS = 500
+
+# A leader that has just taken over adopts all runs and is late for a moment.
+MIN_LEADERSHIP_MS = 5_000
+
+# After a hand-over, this process claims only if no other has claimed by then, for this long.
+STAND_BACK_DELAY_MS = 1_500
+STAND_BACK_MS = 15_000
+
 
 class Role(enum.StrEnum):
     """Role of this process in the election."""
@@ -36,34 +60,54 @@
     epoch: int = 0
     nonce: int = 0
     _observed: Leadership | None = None
-    _observed_ms: int = 0
+    # From when on the leadership counts as vacant; None before the first read of the store.
+    _vacant_from_ms: int | None = None
     _claim_delay_ms: int = 0
+    # Until then this process leaves the claim to others if they make one.
+    _stands_back_until_ms: int = 0
 
     def observe(self, leader: Leadership | None, now_ms: int, wall_ms: int) -> None:
         """Record the newest leadership record of the store."""
-        if leader != self._observed:
-            first = self._observed is None
-            self._observed, self._observed_ms = leader, now_ms
-            if first and leader is not None:
-                # The record may be older than this process. A wrong clock only makes the claim
-                # early, which costs a change of leader.
-                age_ms = max(0, wall_ms - leader.wall_ms)
-                own = leader.holder == self.name
-                self._observed_ms -= self.limits.leader_silence_ms if own else age_ms
-            self._claim_delay_ms = self.rng.randrange(self.limits.claim_spread_ms)
+        first = self._vacant_from_ms is None
+        if not first and leader == self._observed:
+            return
+        self._observed = leader
+        self._watch_from(now_ms)
+        if first and leader is not None and leader.holder:
+            # The record may be older than this process. A wrong clock only makes the claim early,
+            # which costs a change of leader.
+            own = leader.holder == self.name
+            age_ms = self.limits.leader_silence_ms if own else max(0, wall_ms - leader.wall_ms)
+            self._vacant_from_ms = max(now_ms, now_ms + self.limits.leader_silence_ms - age_ms)
+
+    def _watch_from(self, now_ms: int) -> None:
+        self._vacant_from_ms = now_ms if self.vacant else now_ms + self.limits.leader_silence_ms
+        self._claim_delay_ms = self.rng.randrange(self.limits.claim_spread_ms)
+
+    @property
+    def vacant(self) -> bool:
+        """Whether nobody holds the leadership, as of the newest record."""
+        return self._observed is None or not self._observed.holder
 
     def store_recovered(self, now_ms: int) -> None:
         """Restart the silence time-out after the store was unreachable."""
-        self._observed_ms = max(self._observed_ms, now_ms)
+        if self._vacant_from_ms is not None:
+            silent_from_ms = now_ms if self.vacant else now_ms + self.limits.leader_silence_ms
+            self._vacant_from_ms = max(self._vacant_from_ms, silent_from_ms)
 
     def should_claim(self, now_ms: int) -> bool:
-        """Return whether the leadership is vacant or the leader silent for long enough."""
-        if self.role is not Role.FOLLOWER:
+        """Return whether the leadership is vacant, or its holder silent, for long enough."""
+        if self.role is not Role.FOLLOWER or self._vacant_from_ms is None:
             return False
-        vacant = self._observed is None or not self._observed.holder
-        if vacant:
-            return now_ms - self._observed_ms >= self._claim_delay_ms // VACANT_DELAY_DIVISOR
-        return now_ms - self._observed_ms >= self.limits.leader_silence_ms + self._claim_delay_ms
+        delay_ms = self._claim_delay_ms // (VACANT_DELAY_DIVISOR if self.vacant else 1)
+        delay_ms += self.limits.claim_handicap_ms
+        if now_ms < self._stands_back_until_ms:
+            delay_ms += STAND_BACK_DELAY_MS
+        return now_ms >= self._vacant_from_ms + delay_ms
+
+    def stand_back(self, now_ms: int) -> None:
+        """Leave the next claims to others, after a hand-over from this process."""
+        self._stands_back_until_ms = now_ms + STAND_BACK_MS
 
     def claim(self, wall_ms: int) -> Leadership:
         """Become a candidate and return the record that claims the leadership."""
@@ -79,4 +123,39 @@
     def become_follower(self, now_ms: int) -> None:
         """Return to the follower role, after a lost claim or after being fenced."""
         self.role = Role.FOLLOWER
-        self._observed_ms = now_ms
+        self._watch_from(now_ms)
+
+
+def claim_handicap_ms(cores: float, link_mbps: float, memory_mb: float) -> int:
+    """Return by how much a machine of this size delays its claims; 0 is an unknown size.
+
+    All decisions and all calls to workers are made by one process, so in a deployment whose
+    machines differ a large one should lead: a small one is busy with the calls alone in a burst.
+    """
+    sizes = ((cores, LEADER_CORES), (link_mbps, LEADER_LINK_MBPS), (memory_mb, LEADER_MEMORY_MB))
+    fitness = min((size / wanted for size, wanted in sizes if size > 0), default=1.0)
+    return int(MAX_CLAIM_HANDICAP_MS * max(0.0, 1.0 - fitness))
+
+
+@attrs.define
+class LoopMonitor:
+    """Notices that a leader's machine is too slow for its work, by ticks that come late."""
+
+    _last_tick_ms: int | None = None
+    # Late ticks of the last `LATENESS_WINDOW_MS`: when they came and by how much they were late.
+    _late: deque[tuple[int, int]] = attrs.field(factory=deque)
+
+    def record_tick(self, now_ms: int) -> None:
+        """Record one tick."""
+        if self._last_tick_ms is not None:
+            late_ms = now_ms - self._last_tick_ms - LEADER_TICK_MS
+            if late_ms > TOLERATED_LATENESS_MS:
+                self._late.append((now_ms, min(late_ms, MAX_COUNTED_LATENESS_MS)))
+        while self._late and self._late[0][0] <= now_ms - LATENESS_WINDOW_MS:
+            self._late.popleft()
+        self._last_tick_ms = now_ms
+
+    @property
+    def overloaded(self) -> bool:
+        """Whether ticks were late for half of the last seconds."""
+        return sum(late_ms for _, late_ms in self._late) >= LATENESS_WINDOW_MS // 2
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -65,9 +65,9 @@
             self._on_restart(worker, entry.started_ms, now)
         if not was_listed or was_ready != entry.ready:
             self.state.log("worker_listed", worker=entry.id, pool=entry.pool, ready=entry.ready)
-            self.state.request_placement()
+            self.state.request_placement(worker.pool)
         if not worker.hold_open:
-            worker.next_hold_ms = min(worker.next_hold_ms, now.mono_ms)
+            self.state.hold_times.set(worker.id, now.mono_ms)
 
     def on_hold_done(self, event: HoldDone, now: Now) -> None:
         """Reconcile the runs that a worker reports with those recorded for it."""
@@ -77,10 +77,12 @@
         worker.hold_open = False
         if event.result is CallResult.OK and event.reply is not None:
             # Runs that end shortly after each other are reported in one answer.
-            worker.next_hold_ms = now.mono_ms + self.state.limits.hold_pause_ms
+            pause_ms = self.state.limits.hold_pause_ms
+            self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             self._reconcile(worker, event.reply, now)
         else:
-            worker.next_hold_ms = now.mono_ms + self.state.limits.hold_retry_ms
+            pause_ms = self.state.limits.hold_retry_ms
+            self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             self.runs.on_call_rejected(worker, event.result, now)
 
     def on_pace_done(self, event: PaceDone) -> None:
@@ -119,7 +121,7 @@
         worker.last_answer_ms = now.mono_ms
         if not worker.epoch_accepted:
             worker.epoch_accepted = True
-            self.state.request_placement()
+            self.state.request_placement(worker.pool)
         for row in reply.ended:
             if self._job_unread(row.task):
                 # Not acknowledged, so the worker reports this end and those after it again.
@@ -193,26 +195,25 @@
                 self.state.workers.pop(worker.id, None)
 
     def next_due_ms(self, now: Now) -> int | None:
-        """Return when the next hold is due; None if all callable workers have one open."""
-        return min(
-            (
-                worker.next_hold_ms
-                for worker in self.state.workers.values()
-                if not worker.hold_open and worker.address and not worker.retired
-            ),
-            default=None,
-        )
+        """Return when the next hold is due; None if none is, or none may be sent."""
+        return self.state.hold_times.next_due_ms() if self._may_renew(now) else None
+
+    def _may_renew(self, now: Now) -> bool:
+        """Return whether this leader still leads for certain; otherwise it renews no lease."""
+        state = self.state
+        valid = now.mono_ms - state.renewed_ms < state.limits.leader_validity_ms
+        return valid and not state.resigned
 
     def renew_leases(self, now: Now) -> None:
         """Send the holds that are due, unless this leader may have been replaced."""
-        state = self.state
-        may_be_replaced = now.mono_ms - state.renewed_ms >= state.limits.leader_validity_ms
-        if state.resigned or may_be_replaced:
+        if not self._may_renew(now):
             return
-        for worker in self.state.workers.values():
-            can_hold = not worker.hold_open and worker.address and not worker.retired
-            if can_hold and now.mono_ms >= worker.next_hold_ms:
-                self._send_hold(worker, now)
+        for worker_id in self.state.hold_times.pop_due(now.mono_ms):
+            worker = self.state.workers.get(worker_id)
+            if worker is None or worker.hold_open or not worker.address or worker.retired:
+                # The next answer, or the next entry of the worker, sets the time anew.
+                continue
+            self._send_hold(worker, now)
 
     def _send_hold(self, worker: Worker, now: Now) -> None:
         deadline = None
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -36,6 +36,8 @@
     leader_silence_ms: int = 1_700
     # Jitter that spreads the claims of several candidates.
     claim_spread_ms: int = 300
+    # Delay of this process's claims, for a machine that is small; see `claim_handicap_ms`.
+    claim_handicap_ms: int = 0
     # A leader whose own renewal is older than this stops renewing the leases of workers.
     leader_validity_ms: int = 3_500
     # A local copy of the store older than this cannot prove that a job does not exist.
@@ -63,7 +65,7 @@
     failure_streak: int = 3
     quarantine_ms: int = 4_000
     # Least time between placement passes; capacity freed within it is assigned in one pass.
-    min_pass_interval_ms: int = 10
+    min_pass_interval_ms: int = 20
     # Longest time between placement passes while tasks wait.
     max_pass_interval_ms: int = 200
     # Remaining validity that a ticket needs to be used.
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -185,7 +185,7 @@
             arrived = moving.get(worker.machine, worker.pool) == worker.pool
             cordoned = not arrived or any(wave.evicts(worker) for wave in active)
             if worker.cordoned and not cordoned:
-                self.state.request_placement()
+                self.state.request_placement(worker.pool)
             worker.cordoned = cordoned
             worker.maintenance_due = worker.machine in due
         self._relocate_long_running(now)
--- a/packages/scheduler/src/fescuecrank_scheduler/placement.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/placement.py
@@ -1,7 +1,11 @@
 """Selection of workers for tasks."""
 
+import heapq
 from collections.abc import Iterable
 
+import attrs
+
+from fescuecrank_scheduler.fleet import Resources
 from fescuecrank_scheduler.jobs import Step
 from fescuecrank_scheduler.workers import Worker
 
@@ -26,44 +30,111 @@
     )
 
 
-def choose_worker(
-    workers: Iterable[Worker], job: str, occurrence: int, step_number: int, step: Step
-) -> Worker | None:
-    """Return the worker for one task, or None if none has capacity.
+@attrs.define
+class Candidate:
+    """A worker that may take tasks of a step, with what remains free while they are chosen."""
+
+    worker: Worker
+    free: Resources
+    # Tasks of the same step and occurrence on the worker.
+    peers: int = 0
+
+
+def choose_workers(
+    workers: Iterable[Worker], job: str, occurrence: int, step_number: int, step: Step, count: int
+) -> list[Worker]:
+    """Return a worker for each of `count` tasks of a step; fewer if there is no capacity for all.
 
     Prefers the rack of the data, then workers that are not overflow, then the worker with the most
     free CPU. Long-running tasks without a latency target are packed onto few workers, so that
     other machines can be switched off. While possible, a worker gets at most half of a step, so
     that a failure leaves the other half.
+
+    In a burst most steps find the pool almost full, so workers without capacity are ruled out once
+    for all tasks of the step.
     """
-    best: Worker | None = None
-    best_rank: tuple[object, ...] | None = None
+    if not count:
+        return []
+    need = step.reservation
+    candidates = [
+        Candidate(worker, worker.free)
+        for worker in workers
+        if need.cpu <= worker.free.cpu
+        and need.fits(worker.free)
+        and (not step.requires or step.requires in worker.labels)
+    ]
+    if step.anti_affinity or _packs(step):
+        for candidate in candidates:
+            candidate.peers = peers_on(candidate.worker, job, occurrence, step_number)
+        return _choose_by_peers(candidates, step, count)
+    return _choose_most_free(candidates, step, count)
+
+
+def _packs(step: Step) -> bool:
+    return step.long_running and not step.target_ms and not step.best_effort
+
+
+def _affinity_met(worker: Worker, step: Step) -> bool:
+    return not step.affinity or step.affinity in worker.labels
+
+
+def _choose_most_free(candidates: list[Candidate], step: Step, count: int) -> list[Worker]:
+    need = step.reservation
+    heap = [
+        (
+            not _affinity_met(candidate.worker, step),
+            candidate.worker.overflow,
+            -candidate.free.cpu,
+            number,
+        )
+        for number, candidate in enumerate(candidates)
+    ]
+    heapq.heapify(heap)
+    chosen: list[Worker] = []
+    while heap and len(chosen) < count:
+        far, overflow, _, number = heap[0]
+        candidate = candidates[number]
+        chosen.append(candidate.worker)
+        candidate.free = candidate.free.minus(need)
+        if need.fits(candidate.free):
+            heapq.heapreplace(heap, (far, overflow, -candidate.free.cpu, number))
+        else:
+            heapq.heappop(heap)
+    return chosen
+
+
+def _choose_by_peers(candidates: list[Candidate], step: Step, count: int) -> list[Worker]:
     need = step.reservation
-    packs = step.long_running and not step.target_ms and not step.best_effort
     half = -(-step.count // 2)
-    for worker in workers:
-        free = worker.free
-        if need.cpu > free.cpu or not need.fits(free):
-            continue
-        peers = 0
-        if packs or step.anti_affinity:
-            peers = peers_on(worker, job, occurrence, step_number)
-        if not satisfies_constraints(worker, step, peers):
-            continue
-        affinity_met = not step.affinity or step.affinity in worker.labels
-        rank: tuple[object, ...] = (affinity_met, not worker.overflow, free.cpu)
-        if packs:
-            rank = (
-                affinity_met,
-                not worker.maintenance_due,
-                not worker.overflow,
-                peers < half,
-                peers,
-                free.cpu,
-            )
-        if best_rank is None or rank > best_rank:
-            best, best_rank = worker, rank
-    return best
+
+    def rank(candidate: Candidate) -> tuple[object, ...]:
+        worker = candidate.worker
+        if not _packs(step):
+            return (_affinity_met(worker, step), not worker.overflow, candidate.free.cpu)
+        return (
+            _affinity_met(worker, step),
+            not worker.maintenance_due,
+            not worker.overflow,
+            candidate.peers < half,
+            candidate.peers,
+            candidate.free.cpu,
+        )
+
+    chosen: list[Worker] = []
+    while len(chosen) < count:
+        fitting = [
+            candidate
+            for candidate in candidates
+            if need.fits(candidate.free)
+            and satisfies_constraints(candidate.worker, step, candidate.peers)
+        ]
+        if not fitting:
+            break
+        best = max(fitting, key=rank)
+        chosen.append(best.worker)
+        best.free = best.free.minus(need)
+        best.peers += 1
+    return chosen
 
 
 def choose_gang(
--- a/packages/scheduler/src/fescuecrank_scheduler/quotas.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/quotas.py
@@ -23,13 +23,16 @@
         """Return the resources that a team's runs use."""
         return self._used.get(team, NO_RESOURCES)
 
-    def allows(self, team: Team | None, need: Resources, count: int = 1) -> bool:
-        """Return whether `count` more tasks stay within the team's limit."""
+    def room(self, team: Team | None, need: Resources, count: int) -> int:
+        """Return how many of `count` more tasks stay within the team's limit."""
         if team is None:
-            return True
+            return count
         used, limit = self.used(team.name), team.limit
-        return (
-            (not limit.cpu or used.cpu + need.cpu * count <= limit.cpu)
-            and (not limit.mem_mb or used.mem_mb + need.mem_mb * count <= limit.mem_mb)
-            and (not limit.gpu or used.gpu + need.gpu * count <= limit.gpu)
-        )
+        for each, of_limit, of_used in (
+            (need.cpu, limit.cpu, used.cpu),
+            (need.mem_mb, limit.mem_mb, used.mem_mb),
+            (need.gpu, limit.gpu, used.gpu),
+        ):
+            if of_limit and of_used + each * count > of_limit:
+                count = max(0, (of_limit - of_used) // each) if each else 0
+        return count
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -20,7 +20,7 @@
 from fescuecrank_scheduler.intake import Intake
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.leader_state import LeaderState
-from fescuecrank_scheduler.leadership import Election, Role
+from fescuecrank_scheduler.leadership import MIN_LEADERSHIP_MS, Election, LoopMonitor, Role
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.maintenance import Maintenance
 from fescuecrank_scheduler.records import LEADER_KEY, Leadership, encode_leadership
@@ -34,6 +34,10 @@
 # the process.
 SHUTDOWN_LIMIT_MS = 5_300
 
+# Interval at which maintenance and the moves of machines are checked; a move takes ten times as
+# long.
+MACHINES_INTERVAL_MS = 100
+
 
 @attrs.define
 class Reducer:
@@ -50,12 +54,14 @@
     scheduler: Scheduler | None = None
     maintenance: Maintenance | None = None
     balancer: Balancer | None = None
+    _loop: LoopMonitor = attrs.field(factory=LoopMonitor)
     _last_read_ms: dict[Topic, int] = attrs.field(factory=dict)
     _progress_end: int = 0
     _claim_offset: int | None = None
     _claim_sequence: int = 0
     _previous_leader: Leadership | None = None
     _stopping_ms: int | None = None
+    _machines_checked_ms: int = 0
     _effects: list[Effect] = attrs.field(factory=list)
 
     @intake.default
@@ -199,6 +205,7 @@
         self.scheduler = Scheduler(state, self._claim_sequence + 1)
         self.maintenance = Maintenance(state, self.scheduler.runs)
         self.balancer = Balancer(state, self.maintenance)
+        self._loop = LoopMonitor()
         self._effects.append(SetFollow(FollowMode.LEADER))
         self.table.take_changed()
         self._effects += self.scheduler.take_over(now)
@@ -241,14 +248,27 @@
     def _tick(self, now: Now) -> None:
         if self.scheduler is not None and self.maintenance and self.balancer:
             self.scheduler.tick(now)
-            self._effects += self.maintenance.tick(now, self.balancer.target_pools())
-            self._effects += self.balancer.tick(now)
+            self._check_loop(self.scheduler, now)
+            if now.mono_ms - self._machines_checked_ms >= MACHINES_INTERVAL_MS:
+                self._machines_checked_ms = now.mono_ms
+                self._effects += self.maintenance.tick(now, self.balancer.target_pools())
+                self._effects += self.balancer.tick(now)
             self._effects += self.scheduler.retention.tick(now)
         elif self._may_claim(now):
             self._start_claim(now)
         if self._stopping_ms is not None:
             self._check_exit(now)
 
+    def _check_loop(self, scheduler: Scheduler, now: Now) -> None:
+        """Hand over to another process if this one is too slow to lead."""
+        state = scheduler.state
+        self._loop.record_tick(now.mono_ms)
+        settled = now.mono_ms - state.started_ms >= MIN_LEADERSHIP_MS
+        if self._loop.overloaded and settled and not state.resigning:
+            self._log("leader_overloaded", epoch=state.leader.epoch)
+            self.election.stand_back(now.mono_ms)
+            scheduler.resign()
+
     def _may_claim(self, now: Now) -> bool:
         read_ms = self._last_read_ms.get(Topic.PROGRESS)
         return (
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -83,7 +83,7 @@
                 run.state, run.confirmed_ms = RunState.RUNNING, now.mono_ms
                 run.running_since_ms = run.running_since_ms or now.mono_ms
                 worker.last_answer_ms = now.mono_ms
-                worker.next_hold_ms = now.mono_ms
+                self.state.hold_times.set(worker.id, now.mono_ms)
             case CallResult.NO_ANSWER | CallResult.REFUSED:
                 self._mark_unanswered(worker, run, now)
             case CallResult.OLD:
@@ -142,7 +142,7 @@
             return
         if event.result is CallResult.OK:
             run.confirmed_ms = now.mono_ms
-            worker.next_hold_ms = now.mono_ms
+            self.state.hold_times.set(worker.id, now.mono_ms)
         else:
             self.on_call_rejected(worker, event.result, now)
 
@@ -232,7 +232,8 @@
         worker.remove_run(run.task)
         self.state.usage.remove(run.team, run.step.need)
         self.state.placements.pop(run.task, None)
-        self.state.placement_due = True
+        self.state.request_placement(worker.pool)
+        self.state.pools_due |= self.state.team_limited_pools
         job = self.state.table.jobs.get(run.task.job)
         task = job.task(run.task) if job else None
         if job is None or task is None or job.outcome is not None or task.run != run.number:
@@ -275,7 +276,10 @@
         elif job.all_done():
             self.end_job(job, Outcome.COMPLETED, now)
         else:
-            self.state.waiting_jobs.add(job.id)
+            self.state.waiting_jobs.add(job)
+            queue = self.state.config.queue(job.queue)
+            if queue is not None:
+                self.state.request_placement(queue.pool)
 
     def _gang_ended(self, job: Job, run: Run, end_reason: str, now: Now) -> None:
         """Complete all tasks of a gang if a run is done; otherwise stop its remaining runs."""
@@ -306,7 +310,7 @@
         """Set the outcome of a job, visible to callers once stored, and stop its runs."""
         self.state.outcomes[job.id] = outcome
         self.state.mark_changed(job)
-        self.state.waiting_jobs.discard(job.id)
+        self.state.waiting_jobs.discard(job)
         for task in all_tasks(job):
             found = self.state.find_run(task.id)
             if found is not None:
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -17,6 +17,11 @@
 from fescuecrank_scheduler.runs import Runs, all_tasks
 from fescuecrank_scheduler.workers import RunState
 
+# Intervals of checks that look at every worker or run; the times that they compare are several
+# times as long.
+RETRY_INTERVAL_MS = 100
+STALL_INTERVAL_MS = 200
+
 
 @attrs.define
 class Scheduler:
@@ -29,6 +34,8 @@
     dispatcher: Dispatcher = attrs.field(init=False)
     progress: ProgressLog = attrs.field(init=False)
     retention: Retention = attrs.field(init=False)
+    _retried_ms: int = 0
+    _stalls_checked_ms: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.runs = Runs(self.state)
@@ -46,7 +53,7 @@
         )
         adopted = 0
         for job in state.table.jobs.values():
-            state.waiting_jobs.add(job.id)
+            state.waiting_jobs.add(job)
             adopted += self._adopt_runs(job, now)
             if not job.open and job.outcome is None:
                 self.runs.end_job(job, Outcome.CANCELLED, now)
@@ -109,8 +116,9 @@
             if adopted:
                 state.log("runs_adopted", job=job_id, runs=adopted, epoch=state.leader.epoch)
             if job.open:
-                state.waiting_jobs.add(job_id)
-                state.request_placement()
+                state.waiting_jobs.add(job)
+                queue = state.config.queue(job.queue)
+                state.request_placement(queue.pool if queue is not None else None)
                 self._record_arrival(job, now)
             elif job.outcome is None and job_id not in state.outcomes:
                 self.runs.end_job(job, Outcome.CANCELLED, now)
@@ -129,10 +137,14 @@
     def tick(self, now: Now) -> None:
         """Expire leases, retry unanswered calls and stop stalled runs."""
         self.dispatcher.tick(now)
-        self.leases.expire_leases(now)
-        self.runs.retry_starts(now)
-        self.runs.retry_stops(now)
-        self.runs.stop_stalled(now)
+        if now.mono_ms - self._retried_ms >= RETRY_INTERVAL_MS:
+            self._retried_ms = now.mono_ms
+            self.leases.expire_leases(now)
+            self.runs.retry_starts(now)
+            self.runs.retry_stops(now)
+        if now.mono_ms - self._stalls_checked_ms >= STALL_INTERVAL_MS:
+            self._stalls_checked_ms = now.mono_ms
+            self.runs.stop_stalled(now)
 
     def run_pending(self, now: Now) -> list[Effect]:
         """Place waiting tasks, start an append and renew leases, each if it is due."""
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -86,7 +86,6 @@
     hold_number: int = 0
     hold_sent_ms: int = 0
     hold_open: bool = False
-    next_hold_ms: int = 0
     # Number of the last ended run that was applied, and of the last that the worker may forget.
     last_seen_end: int = 0
     last_acked_end: int = 0
--- a/packages/scheduler/tests/test_decisions.py
+++ b/packages/scheduler/tests/test_decisions.py
@@ -120,19 +120,34 @@
     def test_task_goes_to_the_rack_of_its_data(self):
         near = worker("near", labels=("kind-a", "rack-2"), cpu=2_000)
         far = worker("far", cpu=8_000)
-        chosen = placement.choose_worker([far, near], "j", 0, 0, step(1, affinity="rack-2"))
-        assert chosen is near
+        chosen = placement.choose_workers([far, near], "j", 0, 0, step(1, affinity="rack-2"), 1)
+        assert chosen == [near]
 
     def test_full_worker_is_not_chosen(self):
-        assert placement.choose_worker([worker(cpu=500)], "j", 0, 0, step(1, cpu=1_000)) is None
+        assert placement.choose_workers([worker(cpu=500)], "j", 0, 0, step(1, cpu=1_000), 1) == []
 
     def test_best_effort_task_reserves_memory_but_no_cpu(self):
         full = worker(cpu=0)
-        assert placement.choose_worker([full], "j", 0, 0, step(1, best_effort=True)) is full
-        assert (
-            placement.choose_worker([full], "j", 0, 0, step(1, best_effort=True, mem_mb=99_000))
-            is None
-        )
+        light = step(1, best_effort=True)
+        heavy = step(1, best_effort=True, mem_mb=99_000)
+        assert placement.choose_workers([full], "j", 0, 0, light, 1) == [full]
+        assert placement.choose_workers([full], "j", 0, 0, heavy, 1) == []
+
+    def test_tasks_of_a_step_go_to_the_workers_with_the_most_free_cpu_in_turn(self):
+        large, small = worker("large", cpu=3_000), worker("small", cpu=2_000)
+        chosen = placement.choose_workers([small, large], "j", 0, 0, step(6), 6)
+        assert [each.id for each in chosen] == ["large", "small", "large", "small", "large"]
+
+    def test_overflow_worker_is_chosen_last(self):
+        spare, own = worker("spare", cpu=9_000), worker("own", cpu=2_000)
+        spare.overflow = True
+        chosen = placement.choose_workers([spare, own], "j", 0, 0, step(3), 3)
+        assert [each.id for each in chosen] == ["own", "own", "spare"]
+
+    def test_anti_affinity_counts_the_tasks_chosen_before(self):
+        workers = [worker("a", cpu=9_000), worker("b", cpu=2_000)]
+        chosen = placement.choose_workers(workers, "j", 0, 0, step(4, anti_affinity=1), 4)
+        assert sorted(each.id for each in chosen) == ["a", "b"]
 
     def test_gang_prefers_a_single_rack(self):
         racks = [
@@ -288,8 +303,15 @@
         usage = Usage()
         team = Team("team-a", limit=Resources(cpu=2_000))
         usage.add("team-a", Resources(1_500, 10**9))
-        assert usage.allows(team, Resources(500, 10**9))
-        assert not usage.allows(team, Resources(501))
+        assert usage.room(team, Resources(500, 10**9), 1) == 1
+        assert usage.room(team, Resources(501), 1) == 0
+
+    def test_room_is_the_number_of_tasks_that_fit_the_scarcest_resource(self):
+        usage = Usage()
+        team = Team("team-a", limit=Resources(cpu=2_000, mem_mb=100))
+        assert usage.room(team, Resources(500, 30), 8) == 3
+        assert usage.room(team, Resources(500, 0), 8) == 4
+        assert usage.room(None, Resources(500, 0), 8) == 8
 
     def test_end_of_a_run_releases_its_resources(self):
         usage = Usage()
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -10,6 +10,7 @@
 from fescuecrank_scheduler import effects, events
 from fescuecrank_scheduler.effects import Effect, FollowMode
 from fescuecrank_scheduler.events import Event, Topic
+from fescuecrank_scheduler.leadership import LEADER_TICK_MS
 from fescuecrank_scheduler.records import StoredRecord
 from fescuecrank_scheduler.reducer import Reducer
 
@@ -20,8 +21,7 @@
 from fescuecrank_service.metrics import Metrics
 from fescuecrank_service.topic_reader import READ_WAIT_MS, TopicReader
 
-# The leader acts on timers; other processes only watch whether the leader renews its claim.
-LEADER_TICK_MS = 50
+# Followers only watch whether the leader renews its claim.
 FOLLOWER_TICK_MS = 120
 
 # Changes by operators are rare and must be in force within 2 s, even if the connection of a read is
