Answer 410 only from a copy that includes every job old enough to be known

After a loss of power all entries load at once, for seconds on a small machine, while others accept jobs; until its next read such an entry denied them. Change: what is read is as old as the request of its first page, or of the end of an empty long poll, and a page with more records behind it proves nothing; 503 with Retry-After until the copy is younger than the deployment's bound less 300 ms, now a setting.

Survive malformed messages and unexpected errors

Cause, found by reading and by random documents: a report with a task name that is no string ended its call without an event, so the worker's hold stayed open and its lease ran out; a machine with an unreadable capacity stopped all reads of the list; an exception in a tick ended the ticks; an amount of 2^63 in one job made every append of the leader fail; one unreadable route kept back a whole configuration. Change: decoders check types; a failed call becomes an event without an answer; the engine logs and counts a failed event and a leader whose state may be half changed reads the store again; unreadable entries of a configuration are left out with a log line; settings name file, line and field.

Order no machine once a successor may have claimed

Cause: holds stop when a renewal is 3.5 s old, but a successor claims after 1.7 s of silence, and machine orders were sent whatever the age of the renewal; not every platform checks their epochs. Change: machine orders only within 1.5 s after the newest stored renewal was sent.

--- a/packages/platform/src/fescuecrank_platform/configuration.py
+++ b/packages/platform/src/fescuecrank_platform/configuration.py
@@ -1,79 +1,118 @@
 """Decodes what operators write to the store: the configuration and the maintenance waves."""
 
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 import orjson
 from fescuecrank_core.errors import Failure, FailureKind
 from fescuecrank_scheduler.fleet import FleetConfig, Pool, Queue, Resources, Team, Wave
+from fescuecrank_service.interfaces import Configuration
 from result import Err, Ok, Result
 
+T = TypeVar("T")
+
 CONFIG_KEY = "config"
 WAVE_KEY_PREFIX = "wave/"
 
 OPERATION = "config.decode"
 
 
-def decode_configuration(
-    values: dict[str, bytes],
-) -> Result[tuple[FleetConfig, tuple[Wave, ...]], Failure]:
+# Errors of a decoder whose input has another form than expected.
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
+
+def decode_configuration(values: dict[str, bytes]) -> Result[Configuration, Failure]:
     """Return the configuration and the waves from the newest value of each key.
 
-    Waves whose value is empty have been deleted.
+    Waves whose value is empty have been deleted. An unreadable route, pool, team or wave is left
+    out and named in `problems`; the others are in force.
     """
+    problems: list[str] = []
     try:
-        config = _decode_config(orjson.loads(values[CONFIG_KEY]))
-        waves = tuple(
-            _decode_wave(orjson.loads(value))
-            for key, value in sorted(values.items())
-            if key.startswith(WAVE_KEY_PREFIX) and value
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        config = _decode_config(orjson.loads(values[CONFIG_KEY]), problems)
+    except MALFORMED as exc:
         return Err(Failure(FailureKind.INVALID, OPERATION, "", f"{type(exc).__name__}: {exc}"))
-    return Ok((config, waves))
+    documents = (
+        (key, value)
+        for key, value in sorted(values.items())
+        if key.startswith(WAVE_KEY_PREFIX) and value
+    )
+    waves = _decode_each(
+        documents, lambda item: _decode_wave(orjson.loads(item[1])), "wave", problems
+    )
+    return Ok(Configuration(config, waves, tuple(problems)))
+
+
+def _decode_each(
+    entries: Iterable[Any], decode: Callable[[Any], T], kind: str, problems: list[str]
+) -> tuple[T, ...]:
+    """Decode the readable entries; append a description of each other one to `problems`."""
+    decoded = []
+    for number, entry in enumerate(entries):
+        try:
+            decoded.append(decode(entry))
+        except MALFORMED as exc:
+            problems.append(f"{kind} {number}: {type(exc).__name__}: {exc}")
+    return tuple(decoded)
 
 
 def decode_resources(fields: dict[str, Any] | None) -> Resources:
     """Return amounts of resources; a missing field means 0."""
     fields = fields or {}
-    return Resources(fields.get("cpu", 0), fields.get("mem_mb", 0), fields.get("gpu", 0))
+    return Resources(
+        *(checked(fields.get(name, 0), int | float) for name in ("cpu", "mem_mb", "gpu"))
+    )
 
 
-def _decode_config(fields: dict[str, Any]) -> FleetConfig:
+def _decode_config(fields: dict[str, Any], problems: list[str]) -> FleetConfig:
     limits = fields.get("limits") or {}
+    pools = _decode_each(fields.get("backends") or (), _decode_pool, "pool", problems)
+    teams = _decode_each(fields.get("tenants") or (), _decode_team, "team", problems)
     return FleetConfig(
-        version=fields["version"],
-        queues=tuple(_decode_queue(route) for route in fields.get("routes") or ()),
-        pools={
-            pool["name"]: Pool(
-                pool["name"], bool(pool.get("admission_check")), bool(pool.get("standby"))
-            )
-            for pool in fields.get("backends") or ()
-        },
-        teams={
-            tenant["name"]: Team(
-                tenant["name"],
-                tuple(tenant.get("api_keys") or ()),
-                tenant.get("weight", 1),
-                decode_resources(tenant.get("cap")),
-            )
-            for tenant in fields.get("tenants") or ()
-        },
-        max_body_bytes=limits.get("max_body_bytes", 262_144),
+        version=checked(fields["version"], int),
+        queues=_decode_each(fields.get("routes") or (), _decode_queue, "route", problems),
+        pools={pool.name: pool for pool in pools},
+        teams={team.name: team for team in teams},
+        max_body_bytes=checked(limits.get("max_body_bytes", 262_144), int),
+    )
+
+
+def checked(value: T, kind: Any) -> T:
+    """Return `value` if it is of the type `kind`; raises `TypeError` otherwise."""
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is not of type {kind}")
+    return value
+
+
+def _decode_pool(fields: dict[str, Any]) -> Pool:
+    return Pool(
+        checked(fields["name"], str),
+        bool(fields.get("admission_check")),
+        bool(fields.get("standby")),
+    )
+
+
+def _decode_team(fields: dict[str, Any]) -> Team:
+    return Team(
+        checked(fields["name"], str),
+        tuple(checked(key, str) for key in fields.get("api_keys") or ()),
+        checked(fields.get("weight", 1), int | float),
+        decode_resources(fields.get("cap")),
     )
 
 
 def _decode_queue(route: dict[str, Any]) -> Queue:
     return Queue(
-        name=route["name"],
-        host=route["host"],
-        prefix=route["path_prefix"],
-        pool=route["backend"],
-        priority=route.get("priority", 0),
-        max_attempts=route.get("max_attempts", 1),
-        stretch=route.get("stretch", 1.0),
+        name=checked(route["name"], str),
+        host=checked(route["host"], str),
+        prefix=checked(route["path_prefix"], str),
+        pool=checked(route["backend"], str),
+        priority=checked(route.get("priority", 0), int),
+        max_attempts=checked(route.get("max_attempts", 1), int),
+        stretch=checked(route.get("stretch", 1.0), int | float),
         # Service level objective: time allowed beyond `stretch` times the critical path.
-        objective_ms=route.get("slo_ms", 0),
-        timeout_ms=route.get("timeout_ms", 0),
+        objective_ms=checked(route.get("slo_ms", 0), int | float),
+        timeout_ms=checked(route.get("timeout_ms", 0), int | float),
         is_open=bool(route.get("public")),
         needs_advice=bool(route.get("advice")),
     )
@@ -81,8 +120,8 @@
 
 def _decode_wave(fields: dict[str, Any]) -> Wave:
     return Wave(
-        fields["wave"],
-        tuple(fields["machines"]),
-        int(1_000 * fields.get("duration_s", 0)),
-        fields.get("cap", 1),
+        checked(fields["wave"], int),
+        tuple(checked(name, str) for name in fields["machines"]),
+        int(1_000 * checked(fields.get("duration_s", 0), int | float)),
+        checked(fields.get("cap", 1), int),
     )
--- a/packages/platform/src/fescuecrank_platform/fleet_client.py
+++ b/packages/platform/src/fescuecrank_platform/fleet_client.py
@@ -63,7 +63,7 @@
                     for row in page["machines"]
                 ]
                 page_token = page.get("next_token") or ""
-            except (ValueError, KeyError, TypeError):
+            except (ValueError, KeyError, TypeError, AttributeError):
                 return None
             if not page_token:
                 return tuple(rows)
@@ -127,7 +127,7 @@
                 advice = orjson.loads(outcome.ok_value.body)
                 tickets = {row[0]: row[1] for row in advice["good"]}
                 validity_ms = int(advice["validity_ms"])
-            except (ValueError, KeyError, TypeError, IndexError):
+            except (ValueError, KeyError, TypeError, IndexError, AttributeError):
                 tickets = None
         return Advised(
             effect.job, effect.occurrence, effect.step, effect.workers, tickets, validity_ms
--- a/packages/platform/src/fescuecrank_platform/request_format.py
+++ b/packages/platform/src/fescuecrank_platform/request_format.py
@@ -18,6 +18,12 @@
 # Over all occurrences; the progress of this many tasks fits in one record of the store.
 MAX_TASKS = 3_000
 
+# Largest amounts and times that a job may state: no machine is as large and no job takes as long.
+# Sums of larger ones do not fit into the numbers of a record.
+MAX_AMOUNT = 10**9
+MAX_ESTIMATE_MS = 10**10
+MAX_TIME_MS = 10**14
+
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 REQUEST_CLASS_BY_METHOD = {"GET": Lookup, "DELETE": Cancel}
@@ -73,8 +79,8 @@
     schedule = None
     if fields.get("repeat_count"):
         schedule = Schedule(
-            _non_negative_int(fields, "first_ms"),
-            _non_negative_int(fields, "interval_ms"),
+            _non_negative_int(fields, "first_ms", limit=MAX_TIME_MS),
+            _non_negative_int(fields, "interval_ms", limit=MAX_TIME_MS),
             _non_negative_int(fields, "repeat_count"),
         )
     occurrences = schedule.repeat_count if schedule else 1
@@ -83,10 +89,12 @@
     return Job("", "", "", spec, steps, 0, schedule)
 
 
-def _non_negative_int(fields: dict[str, Any], name: str, default: int = 0) -> int:
+def _non_negative_int(
+    fields: dict[str, Any], name: str, default: int = 0, limit: int = MAX_AMOUNT
+) -> int:
     value = fields.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise ValueError(f"{name} must be a whole number of at least 0")
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= limit:
+        raise ValueError(f"{name} must be a whole number from 0 to {limit}")
     return value
 
 
@@ -115,7 +123,7 @@
     return Step(
         count=count,
         need=need,
-        estimate_ms=_non_negative_int(fields, "estimate_ms"),
+        estimate_ms=_non_negative_int(fields, "estimate_ms", limit=MAX_ESTIMATE_MS),
         after=after,
         gang=bool(fields.get("gang")),
         same_rack=bool(fields.get("same_rack")),
--- a/packages/platform/src/fescuecrank_platform/settings.py
+++ b/packages/platform/src/fescuecrank_platform/settings.py
@@ -18,6 +18,17 @@
 
 OPERATION = "settings.read"
 
+LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+# A lease has to outlast a hold and its repetition; a shorter one would end runs of sound workers.
+MIN_LEASE_MS = 1_000
+
+# Larger limits and times are mistakes.
+MAX_NUMBER = 10**9
+
+# Margin for the way of an answer to its caller.
+VISIBLE_MARGIN_MS = 300
+
 
 @attrs.frozen
 class PlatformSettings:
@@ -34,6 +45,8 @@
     lease_max_ms: int
     maintenance_ms: int
     status_retention_ms: int
+    # Time after its acceptance by which every process has to know a job.
+    visible_ms: int
     # Size of the machine; 0 if the settings do not state it.
     cores: float = 0.0
     link_mbps: float = 0.0
@@ -47,6 +60,7 @@
             maintenance_ms=self.maintenance_ms,
             # 30 s longer than the platform requires.
             keep_ended_ms=self.status_retention_ms + 30_000,
+            max_copy_age_ms=max(0, self.visible_ms - VISIBLE_MARGIN_MS),
             claim_handicap_ms=claim_handicap_ms(self.cores, self.link_mbps, self.memory_mb),
         )
 
@@ -74,14 +88,13 @@
 
 
 def read_settings(path: Path) -> Result[PlatformSettings, Failure]:
-    """Return the validated settings; the failure names the file and the field."""
+    """Return the validated settings; the failure names the file, the line and the field."""
     try:
-        document = yaml.load(
-            path.read_bytes(), Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader)
-        )
+        text = path.read_bytes()
+        document = yaml.load(text, Loader=LOADER)
     except (OSError, yaml.YAMLError) as exc:
         return Err(Failure(FailureKind.INVALID, OPERATION, str(path), str(exc)))
-    reader = _FieldReader(document, str(path))
+    reader = _FieldReader(document)
     try:
         return Ok(
             PlatformSettings(
@@ -93,25 +106,49 @@
                 machines_address=reader.string("cloud.address", ""),
                 advice_address=reader.string("advice", ""),
                 order_delivery=reader.string("orders", ORDERS_BY_CALL),
-                lease_max_ms=reader.number("bounds.hold_max_ms", 10_000),
+                lease_max_ms=reader.number("bounds.hold_max_ms", 10_000, MIN_LEASE_MS),
                 maintenance_ms=int(1_000 * reader.number("bounds.maintenance_s", 2)),
                 status_retention_ms=int(1_000 * reader.number("bounds.status_s", 120)),
+                visible_ms=reader.number("bounds.visible_ms", 3_000),
                 # The share of a core counts in cores of the given speed.
                 cores=reader.number("limits.cpu_share", 0) * reader.number("limits.cpu_cores", 1),
                 link_mbps=reader.number("limits.link_mbps", 0),
                 memory_mb=reader.number("limits.memory_mb", 0),
             )
         )
-    except ValueError as exc:
-        return Err(Failure(FailureKind.INVALID, OPERATION, str(path), str(exc)))
+    except FieldError as exc:
+        detail = f"line {_line_of(text, exc.field)}: {exc}"
+        return Err(Failure(FailureKind.INVALID, OPERATION, str(path), detail))
+
+
+class FieldError(ValueError):
+    """A field is missing, or has a value that cannot be used."""
+
+    def __init__(self, field: str, detail: str) -> None:
+        super().__init__(f"field {field}: {detail}")
+        self.field = field
+
+
+def _line_of(text: bytes, field: str) -> int:
+    """Return the line of a field, or of the innermost table that should contain it, from 1 on."""
+    node = yaml.compose(text, Loader=LOADER)
+    line = 1
+    for part in field.split("."):
+        if not isinstance(node, yaml.MappingNode):
+            break
+        found = [(key, value) for key, value in node.value if key.value == part]
+        if not found:
+            break
+        key, node = found[-1]
+        line = key.start_mark.line + 1
+    return line
 
 
 class _FieldReader:
-    """Typed access to nested fields by dotted path; `ValueError` names an invalid field."""
+    """Typed access to nested fields by dotted path; raises `FieldError` for an invalid one."""
 
-    def __init__(self, document: Any, path: str) -> None:
+    def __init__(self, document: Any) -> None:
         self._document = document
-        self._path = path
 
     def _find(self, name: str) -> Any:
         value = self._document
@@ -125,14 +162,15 @@
         if value is None and default is not None:
             return default
         if not isinstance(value, str) or not value:
-            raise ValueError(f"field {name}: must be a string, is {value!r}")
+            raise FieldError(name, f"must be a string, is {value!r}")
         return value
 
-    def number(self, name: str, default: float) -> Any:
-        """Return a number of at least 0, or `default` if the field is missing."""
+    def number(self, name: str, default: float, least: float = 0) -> Any:
+        """Return a number from `least` to `MAX_NUMBER`, or `default` if the field is missing."""
         value = self._find(name)
         if value is None:
             return default
-        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-            raise ValueError(f"field {name}: must be a number of at least 0, is {value!r}")
+        number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not number or not least <= value <= MAX_NUMBER:
+            raise FieldError(name, f"must be a number from {least} to {MAX_NUMBER}, is {value!r}")
         return value
--- a/packages/platform/src/fescuecrank_platform/store.py
+++ b/packages/platform/src/fescuecrank_platform/store.py
@@ -8,11 +8,11 @@
 from fescuecrank_core.errors import Failure, FailureKind
 from fescuecrank_scheduler.effects import StoreWaveState
 from fescuecrank_scheduler.events import StoreResult, Topic, WorkersRead
-from fescuecrank_scheduler.fleet import FleetConfig, Wave
 from fescuecrank_scheduler.records import Record, StoredRecord
 from fescuecrank_service.http_client import HttpClient
 from fescuecrank_service.interfaces import (
     AppendOutcome,
+    Configuration,
     NewestPage,
     OffsetExpired,
     Page,
@@ -130,7 +130,7 @@
                 for item in page["items"]
             )
             return Ok(NewestPage(records, page["end"], bool(page["has_more"])))
-        except (ValueError, KeyError, TypeError) as exc:
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
             return self._failure("store.newest", f"malformed response: {exc!r}")
 
     async def append(
@@ -223,9 +223,7 @@
         record = Record(f"wave/{effect.wave}", orjson.dumps(value))
         return await self._status_stream.put(record, STATUS_TIMEOUT_MS)
 
-    def decode_configuration(
-        self, values: dict[str, bytes]
-    ) -> Result[tuple[FleetConfig, tuple[Wave, ...]], Failure]:
+    def decode_configuration(self, values: dict[str, bytes]) -> Result[Configuration, Failure]:
         """Decode the configuration and the waves."""
         return decode_configuration(values)
 
--- a/packages/platform/src/fescuecrank_platform/worker_client.py
+++ b/packages/platform/src/fescuecrank_platform/worker_client.py
@@ -80,7 +80,8 @@
         if result is CallResult.OK:
             try:
                 reply = _decode_hold_reply(orjson.loads(outcome.ok_value.body))
-            except (ValueError, KeyError, TypeError, IndexError):
+            except (ValueError, KeyError, TypeError, IndexError, AttributeError):
+                # Not even a part of it is used: a run that is left out would count as lost.
                 result = CallResult.INVALID
         return HoldDone(effect.worker, effect.number, result, reply)
 
@@ -139,11 +140,37 @@
 
 def _decode_hold_reply(fields: dict[str, Any]) -> HoldReply:
     running = tuple(
-        RunRow(parse_task_name(row[0]), row[1], row[2], row[3], row[4] if len(row) > 4 else None)
+        RunRow(
+            parse_task_name(row[0]),
+            _whole(row[1]),
+            _text(row[2]),
+            _whole(row[3]),
+            _number(row[4]) if len(row) > 4 else None,
+        )
         for row in fields.get("running") or ()
     )
     ended = tuple(
-        EndRow(row[0], parse_task_name(row[1]), row[2], row[3], row[4])
+        EndRow(
+            _whole(row[0]), parse_task_name(row[1]), _whole(row[2]), _text(row[3]), _text(row[4])
+        )
         for row in fields.get("finished") or ()
     )
-    return HoldReply(fields["clock_ms"], fields.get("born", 0), running, ended)
+    return HoldReply(_whole(fields["clock_ms"]), _whole(fields.get("born", 0)), running, ended)
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{value!r} is not a whole number")
+    return value
+
+
+def _number(value: Any) -> float | None:
+    if isinstance(value, bool) or not isinstance(value, int | float | None):
+        raise ValueError(f"{value!r} is not a number")
+    return value
+
+
+def _text(value: Any) -> str:
+    if value is not None and not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a string")
+    return value or ""
--- /dev/null
+++ b/packages/platform/tests/platform_builders.py
@@ -0,0 +1,26 @@
+"""Test helpers of the adapter: an HTTP client with prepared outcomes, and addresses."""
+
+import attrs
+from fescuecrank_platform.settings import Endpoints
+from result import Err, Ok
+
+ENDPOINTS = Endpoints("store:1", "machines:2", "advice:3")
+
+
+@attrs.define
+class Response:
+    code: int
+    body: bytes = b"{}"
+
+
+class FakeHttpClient:
+    """Records calls and returns the given responses or failures; the last one is repeated."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+        self.calls = []
+
+    async def call(self, operation, address, method, path, timeout_ms, body=None, headers=None):
+        self.calls.append((address, method, path, body, headers or {}))
+        outcome = self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
+        return Ok(outcome) if isinstance(outcome, Response) else Err(outcome)
--- a/packages/scheduler/src/fescuecrank_scheduler/events.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/events.py
@@ -49,11 +49,16 @@
 
 @attrs.frozen
 class RecordsRead(Event):
-    """Records read from one stream; `end` is the offset after its last record."""
+    """Records read from one stream; `end` is the offset after its last record.
+
+    `as_of_ms` is the time of our clock as of which the stream has been read whole; None if records
+    stored before are missing.
+    """
 
     topic: Topic
     records: tuple[StoredRecord, ...]
     end: int
+    as_of_ms: int | None
 
 
 @attrs.frozen
--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -42,7 +42,7 @@
     limits: Limits
     table: JobTable
     config: FleetConfig = EMPTY_CONFIG
-    # When the local copies of both streams were last in sync with the store.
+    # As of when the local copy of the intake stream is complete.
     synced_ms: int | None = None
     # While appends fail, requests are refused at once instead of keeping their callers waiting.
     store_failing: bool = False
@@ -128,7 +128,9 @@
         return job
 
     def _is_stale(self, now: Now) -> bool:
-        return self.synced_ms is None or now.mono_ms - self.synced_ms > self.limits.stale_ms
+        """Return whether the copy may lack a job whose caller expects it to be known."""
+        age_ms = now.mono_ms - self.synced_ms if self.synced_ms is not None else None
+        return age_ms is None or age_ms > self.limits.max_copy_age_ms
 
     def _lookup(self, req: Request, queue: Queue, team: str, job_id: str, now: Now) -> list[Effect]:
         job = self._find_job(queue, team, job_id)
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -6,6 +6,7 @@
 
 from fescuecrank_scheduler.advice import AdviceCache
 from fescuecrank_scheduler.arrivals import Arrivals
+from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.deadlines import Deadlines
 from fescuecrank_scheduler.effects import Effect, LogLine
 from fescuecrank_scheduler.events import MachineRow
@@ -19,6 +20,9 @@
 from fescuecrank_scheduler.waiting_jobs import WaitingJobs
 from fescuecrank_scheduler.workers import Run, Worker
 
+# Time that a machine order may take to reach the platform.
+ORDER_MARGIN_MS = 200
+
 
 @attrs.define
 class LeaderState:
@@ -33,6 +37,9 @@
     started_ms: int = 0
     # When this leadership was last renewed in the store.
     renewed_ms: int = 0
+    # When the newest stored renewal, or the claim, was sent: no successor counts its silence from
+    # an earlier time.
+    renewal_sent_ms: int = 0
     # Reads of the intake stream since this leadership began; see `jobs_loaded`.
     intake_reads: int = 0
     # A call was rejected because of a newer leader; this leadership ends.
@@ -109,6 +116,15 @@
         """Add a record to the next append."""
         self.queued_records.append(record)
 
+    def may_order_machines(self, now: Now) -> bool:
+        """Return whether no successor can have claimed the leadership yet.
+
+        Workers reject the orders of a replaced leader; not every platform does so for machines. A
+        process that was paused may have been replaced meanwhile.
+        """
+        passed_ms = now.mono_ms - self.renewal_sent_ms
+        return not self.resigning and passed_ms < self.limits.leader_silence_ms - ORDER_MARGIN_MS
+
     def forget_unplaced(self, pool: str) -> None:
         """Discard what the last placement pass found to be waiting in a pool."""
         self.waiting_work.pop(pool, None)
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -40,8 +40,11 @@
     claim_handicap_ms: int = 0
     # A leader whose own renewal is older than this stops renewing the leases of workers.
     leader_validity_ms: int = 3_500
-    # A local copy of the store older than this cannot prove that a job does not exist.
+    # Without a read of the store for this long, its state and the leader's are unknown.
     stale_ms: int = 2_000
+    # A copy of the store older than this cannot prove that a job does not exist. A bound of the
+    # deployment says how long after its acceptance a job has to be known everywhere.
+    max_copy_age_ms: int = 2_700
     # Least time between appends; changes within it share one.
     min_append_interval_ms: int = 12
     # Interval at which an unanswered stop is repeated.
--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -26,6 +26,8 @@
     acks: dict[str, int]
     # Leases that the renewal reports as not renewed; None if the append contains no renewal.
     unrenewed_leases: dict[str, int] | None
+    # When it was sent, if it contains a renewal.
+    renewal_sent_ms: int | None
 
 
 @attrs.define
@@ -47,6 +49,8 @@
             return
         self.pending, self.state.append_pending = None, False
         self.state.renewed_ms = now.mono_ms
+        if pending.renewal_sent_ms is not None:
+            self.state.renewal_sent_ms = pending.renewal_sent_ms
         self.state.resigned = not self.state.leader.holder
         for job_id, outcome in pending.outcomes.items():
             self._publish_outcome(job_id, outcome)
@@ -157,7 +161,12 @@
         }
         unrenewed_leases = self.state.leader.unrenewed_leases if renewal_due else None
         self.pending = PendingAppend(
-            self.sequence, self.state.planned, outcomes, acks, unrenewed_leases
+            self.sequence,
+            self.state.planned,
+            outcomes,
+            acks,
+            unrenewed_leases,
+            now.mono_ms if renewal_due else None,
         )
         self.state.append_pending = True
         self.state.planned, self.state.changed_jobs, self.state.queued_records = [], set(), []
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -56,9 +56,12 @@
     balancer: Balancer | None = None
     _loop: LoopMonitor = attrs.field(factory=LoopMonitor)
     _last_read_ms: dict[Topic, int] = attrs.field(factory=dict)
+    # As of when each stream has been read whole.
+    _as_of_ms: dict[Topic, int] = attrs.field(factory=dict)
     _progress_end: int = 0
     _claim_offset: int | None = None
     _claim_sequence: int = 0
+    _claim_sent_ms: int = 0
     _previous_leader: Leadership | None = None
     _stopping_ms: int | None = None
     _machines_checked_ms: int = 0
@@ -109,6 +112,17 @@
         effects, self._effects = self._effects, []
         return effects
 
+    def recover(self, now: Now) -> list[Effect]:
+        """Return to a known state after an event whose handling failed midway.
+
+        What a leader had changed and not stored is given up; it is read again from the store, by
+        this process or by another that takes over.
+        """
+        if self.scheduler is not None:
+            self._step_down("event_failed", now)
+        effects, self._effects = self._effects, []
+        return effects
+
     def _handle_as_leader(self, event: Event, now: Now) -> None:
         scheduler, maintenance = self.scheduler, self.maintenance
         if scheduler is None or maintenance is None:
@@ -154,8 +168,11 @@
             self._progress_end = event.end
             self.election.observe(self.table.leader, now.mono_ms, now.wall_ms)
             self._check_claim(now)
-        if len(self._last_read_ms) == len(Topic):
-            self.intake.synced_ms = min(self._last_read_ms.values())
+        if event.as_of_ms is not None:
+            self._as_of_ms[event.topic] = event.as_of_ms
+        if len(self._as_of_ms) == len(Topic):
+            # Whether a job exists is known from the intake stream alone.
+            self.intake.synced_ms = self._as_of_ms[Topic.INTAKE]
         changed = self.table.take_changed()
         if self.scheduler is not None:
             if event.topic is Topic.INTAKE:
@@ -182,6 +199,7 @@
         self._previous_leader = self.table.leader
         leader = self.election.claim(now.wall_ms)
         self._claim_offset = None
+        self._claim_sent_ms = now.mono_ms
         # A random sequence number keeps the store from taking the claims of two candidates for the
         # same epoch as retries of one append.
         sequence = self.rng.getrandbits(40)
@@ -202,6 +220,7 @@
         assert leader is not None
         self.election.role = Role.LEADER
         state = LeaderState(self.limits, self.table, self.config, leader, self._previous_leader)
+        state.renewal_sent_ms = self._claim_sent_ms
         self.scheduler = Scheduler(state, self._claim_sequence + 1)
         self.maintenance = Maintenance(state, self.scheduler.runs)
         self.balancer = Balancer(state, self.maintenance)
@@ -249,7 +268,8 @@
         if self.scheduler is not None and self.maintenance and self.balancer:
             self.scheduler.tick(now)
             self._check_loop(self.scheduler, now)
-            if now.mono_ms - self._machines_checked_ms >= MACHINES_INTERVAL_MS:
+            due = now.mono_ms - self._machines_checked_ms >= MACHINES_INTERVAL_MS
+            if due and self.scheduler.state.may_order_machines(now):
                 self._machines_checked_ms = now.mono_ms
                 self._effects += self.maintenance.tick(now, self.balancer.target_pools())
                 self._effects += self.balancer.tick(now)
--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -2,7 +2,7 @@
 
 import attrs
 import pytest
-from fescuecrank_scheduler.events import Cancel, Lookup, ShutDown, Submit, Topic
+from fescuecrank_scheduler.events import Cancel, Lookup, RecordsRead, ShutDown, Submit, Topic
 from fescuecrank_scheduler.fleet import Resources, Team
 from fescuecrank_scheduler.limits import Limits
 from fleet_simulation import Simulation
@@ -325,6 +325,18 @@
         path = f"/checks/{JOB}"
         assert self.send(sim, lambda t: Lookup(t, "host.example", path, KEY)).status == 503
 
+    def test_process_with_an_old_copy_does_not_deny_a_job(self):
+        # After a loss of power the copy that was just loaded was seconds old already, and requests
+        # for jobs that other processes had accepted meanwhile were answered 410.
+        sim = start_up(Simulation(nodes=1))
+        node = sim.nodes["entry-1"]
+        node.unread_topics = set(Topic)
+        for age_ms, status in ((2_900, 503), (100, 410)):
+            read = RecordsRead(Topic.INTAKE, (), 0, sim.now_ms - age_ms)
+            sim.post(node, read)
+            answer = self.send(sim, lambda t: Lookup(t, "host.example", f"/checks/{JOB}", KEY))
+            assert answer.status == status
+
     def test_pending_counts_jobs_that_have_not_started(self):
         sim = start_up(Simulation())
         for number in range(3):
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -1,6 +1,7 @@
 """Maintenance waves and moves of machines in a simulated fleet."""
 
 import attrs
+import pytest
 from fescuecrank_scheduler.fleet import Pool, Wave
 from fleet_simulation import Simulation
 from scheduler_builders import config, entry, job, step
@@ -301,3 +302,29 @@
     others = [worker for worker in sim.workers.values() if worker.runs and worker is not lost]
     assert len(others) == 2
     assert all(len(rows) == 1 for rows in sim.starts().values())
+
+
+@pytest.mark.parametrize("cut_after_ms", range(500, 5_000, 500))
+def test_leader_cut_off_from_the_store_orders_no_machine_after_its_successor(cut_after_ms):
+    # Where the platform does not check epochs, both went on ordering machines.
+    sim = simulation_with_standby()
+    sim.machines.checks_epochs = False
+    sim.run(cut_after_ms)
+    sim.leader().store_reachable = False
+    for number in range(30):
+        sim.submit(job(f"{number:016x}", step(4), accepted_ms=sim.now.wall_ms))
+        sim.run(250)
+    sim.run(8_000)
+    assert len(set(sim.machines.epochs)) >= 1
+    assert sim.machines.epochs == sorted(sim.machines.epochs)
+
+
+@pytest.mark.parametrize("pause_ms", [1_600, 2_000, 3_400])
+def test_leader_that_was_paused_orders_no_machine_before_it_has_renewed(pause_ms):
+    sim = simulation_with_standby()
+    leader = sim.leader()
+    sim.run(500)
+    leader.frozen = True
+    sim.run(pause_ms)
+    reducer = leader.reducer
+    assert reducer.scheduler.state.may_order_machines(sim.now) is False
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -1,6 +1,8 @@
 """Passes events to the reducer and executes its effects, on one asyncio loop."""
 
 import asyncio
+import functools
+import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -11,7 +13,6 @@
 from fescuecrank_scheduler.effects import Effect, FollowMode
 from fescuecrank_scheduler.events import Event, Topic
 from fescuecrank_scheduler.leadership import LEADER_TICK_MS
-from fescuecrank_scheduler.records import StoredRecord
 from fescuecrank_scheduler.reducer import Reducer
 
 from fescuecrank_service.appenders import IntakeAppender, ProgressAppender
@@ -19,7 +20,7 @@
 from fescuecrank_service.interfaces import FleetClient, Store, WorkerClient
 from fescuecrank_service.log_lines import JsonLineLogger
 from fescuecrank_service.metrics import Metrics
-from fescuecrank_service.topic_reader import READ_WAIT_MS, TopicReader
+from fescuecrank_service.topic_reader import READ_WAIT_MS, Batch, TopicReader
 
 # Followers only watch whether the leader renews its claim.
 FOLLOWER_TICK_MS = 120
@@ -51,6 +52,49 @@
     FollowMode.LEADER: {Topic.INTAKE: Polling(0), Topic.PROGRESS: Polling(None)},
 }
 
+# Events that stand for the outcome of a call whose client failed unexpectedly; the call may have
+# been executed.
+FAILED_CALLS: dict[type, Callable[[Any], Event]] = {
+    effects.HoldWorker: lambda call: events.HoldDone(
+        call.worker, call.number, events.CallResult.NO_ANSWER
+    ),
+    effects.StartRun: lambda call: events.StartDone(
+        call.worker, call.task, call.run, events.CallResult.NO_ANSWER
+    ),
+    effects.StopRun: lambda call: events.StopDone(
+        call.worker, call.task, call.run, events.CallResult.NO_ANSWER
+    ),
+    effects.PaceRun: lambda call: events.PaceDone(
+        call.worker, call.task, call.percent, events.CallResult.NO_ANSWER
+    ),
+    effects.MoveMachine: lambda call: events.MachineOrderDone(
+        call.machine, None, events.OrderResult.NO_ANSWER
+    ),
+    effects.MaintainMachine: lambda call: events.MachineOrderDone(
+        call.machine, call.wave, events.OrderResult.NO_ANSWER
+    ),
+    effects.Advise: lambda call: events.Advised(
+        call.job, call.occurrence, call.step, call.workers, None
+    ),
+}
+
+# Characters of an event that are written to the log when it failed.
+MAX_LOGGED_INPUT = 300
+
+
+def _describe_failure(step: str, item: object, exc: Exception) -> dict[str, Any]:
+    """Return the log fields of an unexpected error: the step, its peer, its input and its place."""
+    text = repr(item)
+    place = traceback.extract_tb(exc.__traceback__)[-1]
+    return {
+        "step": step,
+        "peer": str(getattr(item, "worker", "")),
+        "error": repr(exc),
+        "at": f"{place.filename.rsplit('/', 1)[-1]}:{place.lineno}",
+        "input_size": len(text),
+        "input": text[:MAX_LOGGED_INPUT],
+    }
+
 
 class Engine:
     """Runs one process: connects the reducer with store, workers, platform and callers."""
@@ -81,19 +125,28 @@
         )
         self._newest_operator_values: dict[str, bytes] = {}
         self._config_reader = TopicReader(
-            "operators", store.operator_stream(), self._on_operator_records, self._on_read_failure
+            "operators",
+            store.operator_stream(),
+            clock,
+            self._on_operator_records,
+            self._on_read_failure,
         )
         self._worker_reader = TopicReader(
-            "workers", store.worker_stream(), self._on_worker_records, self._on_read_failure
+            "workers",
+            store.worker_stream(),
+            clock,
+            self._on_worker_records,
+            self._on_read_failure,
         )
         self._readers = {
             topic: TopicReader(
-                topic.value, store.shared_stream(topic), deliver, self._on_read_failure
-            )
-            for topic, deliver in (
-                (Topic.INTAKE, self._on_intake_records),
-                (Topic.PROGRESS, self._on_progress_records),
+                topic.value,
+                store.shared_stream(topic),
+                clock,
+                functools.partial(self._on_shared_records, topic),
+                self._on_read_failure,
             )
+            for topic in Topic
         }
         self._failing_streams: set[str] = set()
         self._background_tasks: set[asyncio.Task[None]] = set()
@@ -129,12 +182,28 @@
             self.post(events.Tick())
 
     def post(self, event: Event) -> None:
-        """Pass one event to the reducer and execute the effects that it returns."""
+        """Pass one event to the reducer and execute the effects that it returns.
+
+        An unexpected error ends only this event. A leader whose state may be half changed by it
+        steps down and reads the store again.
+        """
         now = self._clock.now()
-        self._metrics.event_counts[type(event).__name__] += 1
-        for effect in self.reducer.handle(event, now):
+        name = type(event).__name__
+        self._metrics.event_counts[name] += 1
+        try:
+            returned = self.reducer.handle(event, now)
+        except Exception as exc:  # noqa: BLE001 - the process has to go on serving
+            self._metrics.event_failures[name] += 1
+            self._log.write("event_failed", _describe_failure(name, event, exc))
+            returned = self.reducer.recover(now)
+        for effect in returned:
             self._metrics.effect_counts[type(effect).__name__] += 1
-            self._execute(effect)
+            try:
+                self._execute(effect)
+            except Exception as exc:  # noqa: BLE001 - the other effects have to be executed
+                effect_name = type(effect).__name__
+                self._metrics.event_failures[effect_name] += 1
+                self._log.write("effect_failed", _describe_failure(effect_name, effect, exc))
         self._schedule_wake(now)
 
     def _schedule_wake(self, now: Instant) -> None:
@@ -219,14 +288,25 @@
 
     async def _await_call(self, effect: Effect, call: Awaitable[Event]) -> None:
         started_ms = self._clock.now().mono_ms
-        event = await call
+        try:
+            event = await call
+        except Exception as exc:  # noqa: BLE001 - the reducer waits for an event
+            name = type(effect).__name__
+            self._metrics.event_failures[name] += 1
+            self._log.write("call_failed", _describe_failure(name, effect, exc))
+            event = FAILED_CALLS[type(effect)](effect)
         result = str(getattr(event, "result", "ok"))
         self._metrics.record_call(type(effect).__name__, result, started_ms)
         self.post(event)
 
     async def _list_machines(self) -> None:
         sent_ms = self._clock.now().mono_ms
-        self.post(events.MachinesListed(await self._fleet_client.list_machines(), sent_ms))
+        try:
+            machines = await self._fleet_client.list_machines()
+        except Exception as exc:  # noqa: BLE001 - the reducer waits for an event
+            self._log.write("call_failed", {"step": "ListMachines", "error": repr(exc)})
+            machines = None
+        self.post(events.MachinesListed(machines, sent_ms))
 
     async def _put_wave_state(self, effect: effects.StoreWaveState) -> None:
         while not await self._store.put_wave_state(effect):
@@ -249,38 +329,31 @@
         if effect.mode is FollowMode.FOLLOWER:
             self._progress.stop()
 
-    def _on_intake_records(
-        self, records: tuple[StoredRecord, ...], end_offset: int, complete: bool
-    ) -> None:
-        self._on_read_success("intake")
-        self.post(events.RecordsRead(Topic.INTAKE, records, end_offset))
-
-    def _on_progress_records(
-        self, records: tuple[StoredRecord, ...], end_offset: int, complete: bool
-    ) -> None:
-        self._on_read_success("progress")
-        self.post(events.RecordsRead(Topic.PROGRESS, records, end_offset))
+    def _on_shared_records(self, topic: Topic, batch: Batch) -> None:
+        self._on_read_success(topic.value)
+        self.post(
+            events.RecordsRead(topic, batch.records, batch.next_offset, as_of_ms=batch.as_of_ms)
+        )
 
-    def _on_worker_records(
-        self, records: tuple[StoredRecord, ...], end_offset: int, complete: bool
-    ) -> None:
+    def _on_worker_records(self, batch: Batch) -> None:
         self._on_read_success("workers")
-        self.post(self._store.decode_workers(records, complete))
+        self.post(self._store.decode_workers(batch.records, batch.complete))
 
-    def _on_operator_records(
-        self, records: tuple[StoredRecord, ...], end_offset: int, complete: bool
-    ) -> None:
+    def _on_operator_records(self, batch: Batch) -> None:
         self._on_read_success("operators")
-        for stored in records:
+        for stored in batch.records:
             self._newest_operator_values[stored.record.key] = stored.record.value
-        if not records:
+        if not batch.records:
             return
         decoded = self._store.decode_configuration(self._newest_operator_values)
         if decoded.is_err():
             self._log.write("config_unreadable", {"reason": str(decoded.err_value)})
             return
-        config, waves = decoded.ok_value
-        self.post(events.ConfigRead(config, waves))
+        configuration = decoded.ok_value
+        if configuration.problems:
+            fields = {"version": configuration.config.version, "entries": configuration.problems}
+            self._log.write("config_entries_skipped", fields)
+        self.post(events.ConfigRead(configuration.config, configuration.waves))
 
     def _on_read_failure(self, name: str, failure: Failure) -> None:
         if name not in self._failing_streams:
--- a/packages/service/src/fescuecrank_service/interfaces.py
+++ b/packages/service/src/fescuecrank_service/interfaces.py
@@ -73,6 +73,15 @@
         """
 
 
+@attrs.frozen
+class Configuration:
+    """What operators publish; `problems` names the entries that were unreadable and left out."""
+
+    config: FleetConfig
+    waves: tuple[Wave, ...]
+    problems: tuple[str, ...] = ()
+
+
 class Store(ABC):
     """The platform's store."""
 
@@ -93,9 +102,7 @@
         """Store the state of a wave for operators; return whether it was stored."""
 
     @abstractmethod
-    def decode_configuration(
-        self, values: dict[str, bytes]
-    ) -> Result[tuple[FleetConfig, tuple[Wave, ...]], Failure]:
+    def decode_configuration(self, values: dict[str, bytes]) -> Result[Configuration, Failure]:
         """Return configuration and waves from the newest value of each key of their stream."""
 
     @abstractmethod
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -24,6 +24,8 @@
     clock: Clock
     event_counts: Counter = attrs.field(factory=Counter)
     effect_counts: Counter = attrs.field(factory=Counter)
+    # Events, effects and calls that ended with an unexpected error.
+    event_failures: Counter = attrs.field(factory=Counter)
     response_counts: Counter = attrs.field(factory=Counter)
     call_counts: Counter = attrs.field(factory=Counter)
     _library: Any = None
@@ -43,6 +45,13 @@
         registry = self._library.Registry()
         self._add_counter(registry, "events_total", "Events by kind.", "kind", self.event_counts)
         self._add_counter(registry, "effects_total", "Effects by kind.", "kind", self.effect_counts)
+        self._add_counter(
+            registry,
+            "failures_total",
+            "Events, effects and calls that ended with an unexpected error.",
+            "kind",
+            self.event_failures,
+        )
         self._add_counter(
             registry, "answers_total", "Answers by status.", "status", self.response_counts
         )
--- a/packages/service/src/fescuecrank_service/topic_reader.py
+++ b/packages/service/src/fescuecrank_service/topic_reader.py
@@ -1,12 +1,19 @@
-"""Reads one stream of the store: first the newest record of each key, then the tail."""
+"""Reads one stream of the store: first the newest record of each key, then the tail.
+
+After a loss of power all entries load the stream at the same time, which takes seconds on a small
+machine, while others accept jobs already. What was read is therefore as old as the request of its
+first page, not as its arrival.
+"""
 
 import asyncio
 from collections.abc import Callable
 from typing import Any
 
-from fescuecrank_core.errors import Failure
+import attrs
+from fescuecrank_core.clock import Clock
+from fescuecrank_core.errors import Failure, FailureKind
 from fescuecrank_scheduler.records import StoredRecord
-from result import Result
+from result import Err, Result
 
 from fescuecrank_service.interfaces import OffsetExpired, Stream
 
@@ -15,14 +22,26 @@
 
 READ_RETRY_MS = 150
 
-Deliver = Callable[[tuple[StoredRecord, ...], int, bool], None]
+
+@attrs.frozen
+class Batch:
+    """Records read from a stream, and the offset after the last one."""
+
+    records: tuple[StoredRecord, ...]
+    next_offset: int
+    # Whether the records are the newest of all keys.
+    complete: bool
+    # Time of our clock as of which nothing that was stored is missing; None if more can be read.
+    as_of_ms: int | None
+
+
+Deliver = Callable[[Batch], None]
 
 
 class TopicReader:
     """Reads a stream in the background.
 
-    `deliver` gets the records, the offset after the last one, and whether the records are the
-    newest of all keys. As their pages are no snapshot, the tail is read from the end offset of the
+    As the pages of the newest records are no snapshot, the tail is read from the end offset of the
     first page: changes made while the pages were read are then delivered again.
     """
 
@@ -30,11 +49,13 @@
         self,
         name: str,
         stream: Stream,
+        clock: Clock,
         deliver: Deliver,
         on_failure: Callable[[str, Failure], None],
     ) -> None:
         self._name = name
         self._stream = stream
+        self._clock = clock
         self._deliver = deliver
         self._on_failure = on_failure
         self._next_offset: int | None = None
@@ -69,11 +90,15 @@
     async def _run(self, loop_number: int, pause_ms: int, wait_ms: int) -> None:
         while loop_number == self._loop_number:
             has_offset = self._next_offset is not None
-            read = await (
-                self._read_tail(loop_number, wait_ms)
-                if has_offset
-                else self._read_newest(loop_number)
-            )
+            try:
+                read = await (
+                    self._read_tail(loop_number, wait_ms)
+                    if has_offset
+                    else self._read_newest(loop_number)
+                )
+            except Exception as exc:  # noqa: BLE001 - without its reader the process is blind
+                detail = f"unexpected error: {exc!r}"
+                read = Err(Failure(FailureKind.INVALID, "stream.read", self._name, detail))
             if loop_number != self._loop_number:
                 return
             if read.is_err():
@@ -86,6 +111,7 @@
         records: list[StoredRecord] = []
         after_key: str | None = None
         end_offset: int | None = None
+        sent_ms = self._clock.now().mono_ms
         while True:
             page = await self._stream.read_newest(after_key)
             if page.is_err():
@@ -97,11 +123,12 @@
             after_key = page.ok_value.records[-1].record.key
         if loop_number == self._loop_number:
             self._next_offset = end_offset
-            self._deliver(tuple(records), end_offset, True)
+            self._deliver(Batch(tuple(records), end_offset, complete=True, as_of_ms=sent_ms))
         return page
 
     async def _read_tail(self, loop_number: int, wait_ms: int) -> Result[Any, Failure]:
         assert self._next_offset is not None
+        as_of_ms: int | None = self._clock.now().mono_ms
         page = await self._stream.read(self._next_offset, wait_ms)
         if page.is_err() or loop_number != self._loop_number:
             return page
@@ -111,5 +138,10 @@
         records = page.ok_value.records
         if records:
             self._next_offset = records[-1].offset + 1
-        self._deliver(records, self._next_offset, False)
+            if self._next_offset < page.ok_value.end_offset:
+                as_of_ms = None
+        else:
+            # The store responds without records only after the whole wait.
+            as_of_ms += wait_ms
+        self._deliver(Batch(records, self._next_offset, complete=False, as_of_ms=as_of_ms))
         return page
