--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -221,8 +221,8 @@
 def _encode_request(
     address: str, method: str, path: str, body: bytes | None, headers: dict[str, str] | None
 ) -> bytes:
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
-    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in ({"Host": address} | (headers or {})).items()]
     if body is not None:
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join((*lines, "", "")).encode("latin-1") + (body or b"")
