--- a/packages/daemon/tests/test_platform_entries.py
+++ b/packages/daemon/tests/test_platform_entries.py
@@ -151,7 +151,7 @@
         # The stopping entry still answers on open connections and closes them.
         response = await fleet.call(leader, "GET", f"/checks/{JOB}")
         assert response.code in (200, 410)
-        assert response.headers["Connection"] == "close"
+        assert response.headers["connection"] == "close"
 
         async def completed() -> bool:
             return await fleet.state(other) == "completed"
@@ -167,7 +167,7 @@
         fleet.store.down = True
         response = await fleet.call(0, "POST", f"/checks/{JOB}", SPEC)
         assert response.code == 503
-        assert int(response.headers["Retry-After"]) >= 1
+        assert int(response.headers["retry-after"]) >= 1
         fleet.store.down = False
 
         async def accepted() -> bool:
