Choose the jobs to be in time by value, and by the speed that a pool really has

Cause: under overload the rule for jobs in time took the pool as idle and its cores as usable to the last, so it promised more than the pool could do; and a fresh job pushed out one that had done its first step, which threw its work away.

--- a/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
@@ -90,9 +90,9 @@
     def _place_pool(self, pool: str, demands: list[Demand], usable: list[Worker], now: Now) -> None:
         """Place the waiting tasks of one pool in the order of its demands."""
         self._full_for.clear()
-        cores = sum(worker.capacity.cpu for worker in usable) / 1_000
+        speed = ordering.PoolSpeed.of_workers(usable)
         unplaced = unplaced_on_time = 0.0
-        for demand in ordering.order_demands(demands, cores, now.wall_ms):
+        for demand in ordering.order_demands(demands, speed, now.wall_ms):
             work = self._schedule_job(demand, usable, now)
             unplaced += work
             if now.wall_ms + demand.critical_path_ms <= demand.due_ms:
--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -13,6 +13,7 @@
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job
 from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.ordering import LATE_LIMIT_FACTOR
 from fescuecrank_scheduler.records import encode_cancel, encode_job
 
 ID_LENGTH = 16
@@ -22,9 +23,6 @@
 RETRY_STORE_MS = 1_000
 RETRY_START_MS = 500
 
-# A job that ends later than this many times its objective is useless to its caller.
-LATE_LIMIT_FACTOR = 3
-
 
 @attrs.define
 class PendingRequest:
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -102,6 +102,10 @@
     failure_streak: int = 0
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
     used: Resources = NO_RESOURCES
+    # Thousandths of a core that long-running runs reserve.
+    long_running_cpu: int = 0
+    # Work of all other runs, in core-ms, as estimated when they started.
+    started_work: float = 0.0
     # Capacity that no run reserves.
     free: Resources = NO_RESOURCES
 
@@ -143,14 +147,22 @@
         """Add a run and reserve its resources."""
         self.runs[run.task] = run
         self._set_used(self.used.plus(run.step.reservation))
+        self._count_work(run.step, 1)
 
     def remove_run(self, task: TaskId) -> Run | None:
         """Remove a run and release its resources."""
         run = self.runs.pop(task, None)
         if run is not None:
             self._set_used(self.used.minus(run.step.reservation))
+            self._count_work(run.step, -1)
         return run
 
+    def _count_work(self, step: Step, sign: int) -> None:
+        if step.long_running:
+            self.long_running_cpu += sign * step.reservation.cpu
+        else:
+            self.started_work += sign * step.need.cpu / 1_000 * step.estimate_ms
+
     def _set_used(self, used: Resources) -> None:
         self.used, self.free = used, self.capacity.minus(used)
 
--- a/packages/scheduler/tests/test_decisions.py
+++ b/packages/scheduler/tests/test_decisions.py
@@ -51,7 +51,8 @@
         return [ordering.compute_demand(each, config()) for each in jobs]
 
     def order(self, *jobs: Job, cores: float = 4.0, now_ms: int = WALL_MS) -> list[str]:
-        return [each.job.id for each in ordering.order_demands(self.demands(*jobs), cores, now_ms)]
+        speed = ordering.PoolSpeed(cores)
+        return [each.job.id for each in ordering.order_demands(self.demands(*jobs), speed, now_ms)]
 
     def test_overload_serves_the_largest_number_on_time(self):
         # The objective is 1.6 x 1 s + 0.6 s; four cores do 8.8 s of work in this time.
@@ -60,6 +61,46 @@
         order = self.order(large, *small)
         assert order[-1] == "large"
 
+    def test_runs_in_progress_take_time_from_the_waiting_jobs(self):
+        # In a burst the pool is busy for another second, and of six jobs that would fit into an
+        # idle pool all were late. The four cores do 8.8 s of work until the jobs are due.
+        jobs = [job(f"{n}", step(4, cpu=333)) for n in range(6)]
+        demands = self.demands(*jobs)
+        idle, busy = ordering.PoolSpeed(4.0), ordering.PoolSpeed(4.0, busy_ms=1_300)
+        assert len(ordering.on_time_jobs(demands, idle, WALL_MS)) == 6
+        assert len(ordering.on_time_jobs(demands, busy, WALL_MS)) == 2
+
+    def test_pool_is_as_fast_as_the_tasks_that_fit_on_its_workers(self):
+        # Two tasks of 6 cores fit on a worker with 16.
+        (demand,) = self.demands(job("a", step(8, cpu=6_000)))
+        speed = ordering.PoolSpeed(32.0, worker_cpu=16_000)
+        assert speed.share_ms(demand) == pytest.approx(48_000 / 24)
+
+    def test_job_that_is_half_done_is_kept_before_a_fresh_one_of_the_same_size(self):
+        # Bursts of two-step jobs: each new job pushed out one that had done its first step.
+        half_done = job("half", step(4), step(4, after=(0,)), accepted_ms=WALL_MS - 1_200)
+        fresh = job("fresh", step(4), step(4, after=(0,)))
+        demands = self.demands(half_done, fresh)
+        for task in half_done.tasks[0, 0]:
+            task.phase = Phase.DONE
+        demands[0] = ordering.compute_demand(half_done, config())
+        speed = ordering.PoolSpeed(4.0, busy_ms=1_500)
+        assert ordering.on_time_jobs(demands, speed, WALL_MS) == {"half"}
+
+    def test_value_counts_the_work_of_a_job(self):
+        # By their number alone, the two small jobs would push out the large one.
+        small = [job(f"small-{n}", step(1)) for n in range(2)]
+        large = job("large", step(6))
+        chosen = ordering.on_time_jobs(
+            self.demands(large, *small), ordering.PoolSpeed(4.0), WALL_MS
+        )
+        assert "large" in chosen
+
+    def test_useless_job_goes_after_a_late_one(self):
+        late = job("late", step(8), accepted_ms=WALL_MS - 3_000)
+        useless = job("useless", step(1), accepted_ms=WALL_MS - 9_000)
+        assert self.order(useless, late) == ["late", "useless"]
+
     def test_job_that_is_late_already_goes_last(self):
         late = job("late", step(1), accepted_ms=WALL_MS - 10_000)
         assert self.order(late, job("fresh", step(4)))[-1] == "late"
@@ -70,7 +111,8 @@
         for each in jobs:
             each.create_occurrence(0)
         demands = [ordering.compute_demand(each, cfg) for each in jobs]
-        assert [d.job.id for d in ordering.order_demands(demands, 4.0, WALL_MS)] == ["a", "b"]
+        speed = ordering.PoolSpeed(4.0)
+        assert [d.job.id for d in ordering.order_demands(demands, speed, WALL_MS)] == ["a", "b"]
 
     def test_long_running_jobs_go_first(self):
         long_running = job("service", step(1, long_running=True), accepted_ms=WALL_MS - 60_000)
@@ -81,7 +123,9 @@
         sample.create_occurrence(0)
         sample.tasks[0, 0][0].phase = Phase.DONE
         sample.create_occurrence(1)
-        assert ordering.due_ms(sample, config()) == WALL_MS + 5_000 + 1_600 + 600
+        due_ms, useless_ms = ordering.due_times_ms(sample, config())
+        assert due_ms == WALL_MS + 5_000 + 1_600 + 600
+        assert useless_ms == WALL_MS + 5_000 + 3 * (1_600 + 600)
 
 
 class TestArrivals:
