Give appends to a slow store the time that they take

Change: an attempt gets three times the recent duration of attempts. Stops for workers whose address is not known yet are not sent (they failed in the client and are retried), and a malformed address is a call that sent nothing.

--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -165,7 +165,12 @@
         self.send_stop(worker, run.task, run.number)
 
     def send_stop(self, worker: Worker, task: TaskId, number: int) -> None:
-        """Send the stop of a run, which this leader need not have a record of."""
+        """Send the stop of a run, which this leader need not have a record of.
+
+        The address of a worker that has not been listed yet is unknown; the stop is retried.
+        """
+        if not worker.address:
+            return
         self.state.effects.append(
             StopRun(
                 worker.id,
--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -17,10 +17,15 @@
 
 from fescuecrank_service.interfaces import Stream
 
-# Time-outs of successive attempts. A healthy store responds in a few milliseconds, a slow one in
-# some hundreds. A timed-out connection is closed, so the next attempt uses another one.
+# Least time-outs of successive attempts. A healthy store responds in a few milliseconds, a slow one
+# in some hundreds. A timed-out connection is closed, so the next attempt uses another one.
 ATTEMPT_TIMEOUTS_MS = (400, 700, 1_200, 2_000)
 
+# An attempt gets this many times the recent duration of attempts. The store executes the appends of
+# all processes one after the other; when it is slow, repeating those that still wait there doubles
+# its load, until nothing is stored in time.
+DURATION_FACTOR = 3
+
 # Exponential backoff after an attempt that the store refused.
 REFUSED_BACKOFF_MS = 60
 MAX_REFUSED_BACKOFF_MS = 500
@@ -41,9 +46,24 @@
 MAX_BATCH_RECORDS = 200
 
 
-def attempt_timeout_ms(attempt: int) -> int:
-    """Return the time-out of an attempt, counted from 0."""
-    return ATTEMPT_TIMEOUTS_MS[min(attempt, len(ATTEMPT_TIMEOUTS_MS) - 1)]
+@attrs.define
+class AttemptTimeouts:
+    """Time-outs of attempts, which follow the recent durations."""
+
+    recent_ms: float = 0.0
+
+    def timeout_ms(self, attempt: int) -> int:
+        """Return the time-out of an attempt, counted from 0."""
+        least_ms = ATTEMPT_TIMEOUTS_MS[min(attempt, len(ATTEMPT_TIMEOUTS_MS) - 1)]
+        wanted_ms = max(least_ms, DURATION_FACTOR * self.recent_ms)
+        return int(min(wanted_ms, ATTEMPT_TIMEOUTS_MS[-1]))
+
+    def record(self, duration_ms: int, timed_out: bool) -> None:
+        """Record the duration of an attempt; one that timed out would have taken longer."""
+        if timed_out:
+            self.recent_ms = max(self.recent_ms, duration_ms)
+        else:
+            self.recent_ms = (self.recent_ms + duration_ms) / 2
 
 
 @attrs.frozen
@@ -69,6 +89,7 @@
         self._epoch = 1
         self._sequence = 0
         self._failing = False
+        self._timeouts = AttemptTimeouts()
 
     def add(self, effect: StoreIntake) -> None:
         """Queue one record."""
@@ -99,7 +120,7 @@
         may_be_stored, attempt, backoff_ms = False, 0, REFUSED_BACKOFF_MS
         while True:
             elapsed_ms = self._clock.now().mono_ms - started_ms
-            timeout_ms = min(attempt_timeout_ms(attempt), INTAKE_DEADLINE_MS - elapsed_ms)
+            timeout_ms = min(self._timeouts.timeout_ms(attempt), INTAKE_DEADLINE_MS - elapsed_ms)
             outcome = await self._stream.append(
                 records,
                 self._producer,
@@ -109,7 +130,9 @@
                 max(timeout_ms, MIN_ATTEMPT_TIMEOUT_MS),
             )
             attempt += 1
-            elapsed_ms = self._clock.now().mono_ms - started_ms
+            sent_after_ms, elapsed_ms = elapsed_ms, self._clock.now().mono_ms - started_ms
+            timed_out = outcome.result is StoreResult.UNKNOWN
+            self._timeouts.record(elapsed_ms - sent_after_ms, timed_out)
             match outcome.result:
                 case StoreResult.STORED:
                     self._sequence += 1
@@ -140,7 +163,7 @@
 
     async def _probe(self) -> None:
         outcome = await self._stream.append(
-            (), self._producer, self._epoch, self._sequence, None, attempt_timeout_ms(0)
+            (), self._producer, self._epoch, self._sequence, None, self._timeouts.timeout_ms(0)
         )
         if outcome.result is StoreResult.STORED:
             self._set_failing(failing=False)
@@ -164,6 +187,7 @@
         self._clock = clock
         self._post = post
         self._generation = 0
+        self._timeouts = AttemptTimeouts()
         self._task: asyncio.Task[None] | None = None
 
     def append(self, effect: StoreProgress) -> None:
@@ -183,15 +207,18 @@
     async def _run(self, generation: int, effect: StoreProgress) -> None:
         attempt, backoff_ms = 0, REFUSED_BACKOFF_MS
         while True:
+            sent_ms = self._clock.now().mono_ms
             outcome = await self._stream.append(
                 effect.records,
                 self._producer,
                 effect.epoch,
                 effect.sequence,
                 effect.expected_end,
-                attempt_timeout_ms(attempt),
+                self._timeouts.timeout_ms(attempt),
             )
             attempt += 1
+            duration_ms = self._clock.now().mono_ms - sent_ms
+            self._timeouts.record(duration_ms, outcome.result is StoreResult.UNKNOWN)
             if generation != self._generation:
                 return
             if outcome.result is StoreResult.REFUSED:
--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -173,7 +173,8 @@
                 return Ok(await conn.exchange(request))
         except TimeoutError:
             detail = f"no response within {timeout_ms} ms"
-        except OSError as exc:
+        except (OSError, ValueError) as exc:
+            # A malformed address is reported like one that refuses connections.
             detail = str(exc)
         finally:
             if conn is not None:
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -16,7 +16,12 @@
     StoreResult,
 )
 from fescuecrank_scheduler.records import Record, StoredRecord
-from fescuecrank_service.appenders import IntakeAppender, ProgressAppender
+from fescuecrank_service.appenders import (
+    ATTEMPT_TIMEOUTS_MS,
+    AttemptTimeouts,
+    IntakeAppender,
+    ProgressAppender,
+)
 from fescuecrank_service.file_watch import FileWatcher
 from fescuecrank_service.http_client import HttpClient
 from fescuecrank_service.http_frontend import HttpFrontend, retry_after_seconds
@@ -144,6 +149,49 @@
         assert posted[0].result is StoreResult.FENCED
 
 
+class TestAttemptTimeouts:
+    """Time-outs of appends."""
+
+    def test_healthy_store_gets_the_least_time(self):
+        timeouts = AttemptTimeouts()
+        for _ in range(5):
+            timeouts.record(12, timed_out=False)
+        assert [timeouts.timeout_ms(attempt) for attempt in range(5)] == [
+            *ATTEMPT_TIMEOUTS_MS,
+            ATTEMPT_TIMEOUTS_MS[-1],
+        ]
+
+    def test_appends_to_a_slow_store_are_not_repeated_while_they_wait_there(self):
+        # 97 processes, an append each 60 ms, and a store that takes 72 ms for one instead of 2 ms:
+        # each attempt beyond the first takes the place of a new append.
+        def attempts(adaptive):
+            timeouts = [AttemptTimeouts() for _ in range(97)]
+            free_ms = sent = 0
+            for number in range(80):
+                now_ms, chosen = 60 * number, timeouts[number % 97 % 8]
+                attempt, start_ms = 0, now_ms
+                while True:
+                    free_ms = max(free_ms, start_ms) + 72
+                    sent += 1
+                    timeout_ms = (chosen if adaptive else AttemptTimeouts()).timeout_ms(attempt)
+                    if free_ms - start_ms <= timeout_ms:
+                        chosen.record(free_ms - start_ms, timed_out=False)
+                        break
+                    chosen.record(timeout_ms, timed_out=True)
+                    attempt, start_ms = attempt + 1, start_ms + timeout_ms
+            return sent
+
+        assert attempts(adaptive=True) <= 1.2 * 80
+        assert attempts(adaptive=False) >= 1.5 * 80
+
+    def test_dead_connection_does_not_make_the_next_attempts_slow_for_long(self):
+        timeouts = AttemptTimeouts()
+        timeouts.record(400, timed_out=True)
+        for _ in range(3):
+            timeouts.record(12, timed_out=False)
+        assert timeouts.timeout_ms(0) == ATTEMPT_TIMEOUTS_MS[0]
+
+
 class TestTopicReader:
     """Reads of the newest records and of the tail."""
 
@@ -331,6 +379,13 @@
 
         asyncio.run(scenario())
 
+    def test_call_to_a_malformed_address_sends_nothing(self):
+        async def scenario():
+            result = await HttpClient(2).call("worker.stop", "", "POST", "/", 100, b"")
+            assert result.err_value.kind is FailureKind.UNAVAILABLE
+
+        asyncio.run(scenario())
+
     def test_server_that_does_not_respond_is_a_timeout(self):
         async def scenario():
             server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
