--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -2,7 +2,15 @@
 
 import attrs
 import pytest
-from fescuecrank_scheduler.events import Cancel, Lookup, RecordsRead, ShutDown, Submit, Topic
+from fescuecrank_scheduler.events import (
+    Cancel,
+    ConfigRead,
+    Lookup,
+    RecordsRead,
+    ShutDown,
+    Submit,
+    Topic,
+)
 from fescuecrank_scheduler.fleet import Resources, Team
 from fescuecrank_scheduler.limits import Limits
 from fleet_simulation import Simulation
@@ -436,3 +444,30 @@
     sim.run(50_000)
     assert sim.state(JOB, sim.leader().name) == "completed"
     assert max(len(rows) for rows in sim.starts().values()) == 2
+
+
+def test_older_configuration_is_not_taken():
+    # After a restart of the store's reader an old page must not bring a withdrawn key back.
+    sim = start_up(Simulation(nodes=1))
+    node = sim.nodes["entry-1"]
+    newer = config(version=5, teams=(Team("team-a", ("new-key",)),))
+    sim.post(node, ConfigRead(newer, ()))
+    sim.post(node, ConfigRead(config(version=4), ()))
+    assert node.reducer.config.version == 5
+    token = sim.request(node, lambda t: Lookup(t, "host.example", f"/checks/{JOB}", KEY))
+    assert sim.replies[token].status == 401
+
+
+def test_worker_that_left_is_not_used_after_a_restart():
+    sim = start_up(Simulation(nodes=2, workers=2))
+    gone = sim.workers["worker-1"]
+    gone.crash(sim.now_ms)
+    sim.run(500)
+    for name in list(sim.nodes):
+        sim.kill(name)
+        sim.add_node(name)
+    sim.run(4_000)
+    sim.submit(job(JOB, step(6)))
+    sim.run(4_000)
+    assert sim.state(JOB) == "completed"
+    assert {row[2] for rows in sim.starts().values() for row in rows} == {"worker-2"}
