Replace a lost leader after a second, and give a slow one more time

Change: renewals each 0.3 s, replaced after 1.0 s of silence or three times the recent interval of renewals, at most 2.5 s; a failed read is no silence.

--- a/packages/scheduler/src/fescuecrank_scheduler/events.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/events.py
@@ -61,6 +61,13 @@
     as_of_ms: int | None
 
 
+@attrs.frozen
+class ReadFailed(Event):
+    """A read of one stream got no usable response; it is retried."""
+
+    topic: Topic
+
+
 @attrs.frozen
 class WorkerEntry:
     """A worker's own entry in the list of workers."""
--- a/packages/scheduler/src/fescuecrank_scheduler/leadership.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -12,6 +12,11 @@
 # A vacant leadership is claimed after the usual random delay divided by this.
 VACANT_DELAY_DIVISOR = 4
 
+# Nothing starts while there is no leader, so the silence that is tolerated follows the interval at
+# which renewals have been coming: short while the store is fast, longer while it is slow.
+SILENCE_FACTOR = 3
+MAX_SILENCE_MS = 2_500
+
 # Size of a machine that carries the leader of some hundred workers at a fraction of its capacity;
 # see docs/CAPACITY.md. Smaller ones delay their claims, by at most the handicap.
 LEADER_CORES = 1.0
@@ -63,6 +68,9 @@
     # From when on the leadership counts as vacant; None before the first read of the store.
     _vacant_from_ms: int | None = None
     _claim_delay_ms: int = 0
+    # When the newest renewal was seen, and the average time between renewals.
+    _renewal_seen_ms: int | None = None
+    _renewal_gap_ms: float = 0.0
     # Until then this process leaves the claim to others if they make one.
     _stands_back_until_ms: int = 0
 
@@ -71,6 +79,7 @@
         first = self._vacant_from_ms is None
         if not first and leader == self._observed:
             return
+        self._record_renewal(leader, now_ms)
         self._observed = leader
         self._watch_from(now_ms)
         if first and leader is not None and leader.holder:
@@ -80,8 +89,23 @@
             age_ms = self.limits.leader_silence_ms if own else max(0, wall_ms - leader.wall_ms)
             self._vacant_from_ms = max(now_ms, now_ms + self.limits.leader_silence_ms - age_ms)
 
+    def _record_renewal(self, leader: Leadership | None, now_ms: int) -> None:
+        same = leader and self._observed and leader.epoch == self._observed.epoch
+        if same and self._renewal_seen_ms is not None:
+            gap_ms = min(now_ms - self._renewal_seen_ms, MAX_SILENCE_MS)
+            self._renewal_gap_ms += (gap_ms - self._renewal_gap_ms) / 2
+        else:
+            self._renewal_gap_ms = self.limits.renew_interval_ms
+        self._renewal_seen_ms = now_ms
+
+    @property
+    def silence_ms(self) -> int:
+        """Time without a renewal after which the leader counts as gone."""
+        expected_ms = min(SILENCE_FACTOR * self._renewal_gap_ms, MAX_SILENCE_MS)
+        return max(self.limits.leader_silence_ms, int(expected_ms))
+
     def _watch_from(self, now_ms: int) -> None:
-        self._vacant_from_ms = now_ms if self.vacant else now_ms + self.limits.leader_silence_ms
+        self._vacant_from_ms = now_ms if self.vacant else now_ms + self.silence_ms
         self._claim_delay_ms = self.rng.randrange(self.limits.claim_spread_ms)
 
     @property
@@ -92,7 +116,8 @@
     def store_recovered(self, now_ms: int) -> None:
         """Restart the silence time-out after the store was unreachable."""
         if self._vacant_from_ms is not None:
-            silent_from_ms = now_ms if self.vacant else now_ms + self.limits.leader_silence_ms
+            self._renewal_seen_ms = None
+            silent_from_ms = now_ms if self.vacant else now_ms + self.silence_ms
             self._vacant_from_ms = max(self._vacant_from_ms, silent_from_ms)
 
     def should_claim(self, now_ms: int) -> bool:
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -31,9 +31,9 @@
     start_timeout_ms: int = 500
     stop_timeout_ms: int = 500
     # Interval between a leader's renewals in the store.
-    renew_interval_ms: int = 500
-    # A leader whose renewals stop for this long is replaced.
-    leader_silence_ms: int = 1_700
+    renew_interval_ms: int = 300
+    # A leader whose renewals stop for this long is replaced; longer while they come slowly.
+    leader_silence_ms: int = 1_000
     # Jitter that spreads the claims of several candidates.
     claim_spread_ms: int = 300
     # Delay of this process's claims, for a machine that is small; see `claim_handicap_ms`.
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -56,6 +56,8 @@
     balancer: Balancer | None = None
     _loop: LoopMonitor = attrs.field(factory=LoopMonitor)
     _last_read_ms: dict[Topic, int] = attrs.field(factory=dict)
+    # Streams whose latest read failed. A leader is not silent if only we do not hear it.
+    _unreadable: set[Topic] = attrs.field(factory=set)
     # As of when each stream has been read whole.
     _as_of_ms: dict[Topic, int] = attrs.field(factory=dict)
     _progress_end: int = 0
@@ -97,6 +99,8 @@
                 self._apply_config(event, now)
             case events.RecordsRead():
                 self._apply_records(event, now)
+            case events.ReadFailed():
+                self._unreadable.add(event.topic)
             case events.ProgressStored():
                 self._on_progress_stored(event, now)
             case events.ShutDown():
@@ -161,7 +165,9 @@
             except ValueError as exc:
                 self._log("record_skipped", key=stored.record.key, reason=str(exc))
         last = self._last_read_ms.get(event.topic)
-        if last is not None and now.mono_ms - last > self.limits.stale_ms:
+        silent = last is not None and now.mono_ms - last > self.limits.stale_ms
+        if silent or event.topic in self._unreadable:
+            self._unreadable.discard(event.topic)
             self.election.store_recovered(now.mono_ms)
         self._last_read_ms[event.topic] = now.mono_ms
         if event.topic is Topic.PROGRESS:
@@ -295,6 +301,7 @@
             self._stopping_ms is None
             and self.intake.ready
             and read_ms is not None
+            and Topic.PROGRESS not in self._unreadable
             and now.mono_ms - read_ms < self.limits.stale_ms
             and self.election.should_claim(now.mono_ms)
         )
--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -6,6 +6,7 @@
     Cancel,
     ConfigRead,
     Lookup,
+    ReadFailed,
     RecordsRead,
     ShutDown,
     Submit,
@@ -471,3 +472,19 @@
     sim.run(4_000)
     assert sim.state(JOB) == "completed"
     assert {row[2] for rows in sim.starts().values() for row in rows} == {"worker-2"}
+
+
+def test_process_that_cannot_read_does_not_take_the_leader_for_silent():
+    # A third of the entries was turned away by the store and claimed all the time.
+    sim = start_up(Simulation(nodes=3))
+    other = next(node for node in sim.nodes.values() if node is not sim.leader())
+    other.unread_topics = {Topic.PROGRESS}
+    sim.post(other, ReadFailed(Topic.PROGRESS))
+    sim.run(1_900)
+    assert not [f for f in sim.logged("leadership_claimed") if f["epoch"] > 1]
+    other.unread_topics = set()
+    sim.run(3_000)
+    assert not [f for f in sim.logged("leadership_claimed") if f["epoch"] > 1]
+    sim.kill(sim.leader().name)
+    sim.run(2_000)
+    assert sim.leader() is not None
--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -30,8 +30,11 @@
 REFUSED_BACKOFF_MS = 60
 MAX_REFUSED_BACKOFF_MS = 500
 
-# Requests are answered before the usual deadline of callers, 3 s.
+# Requests are answered before the usual deadline of callers, 3 s. If the store has been fast and
+# now does not respond, this process is probably cut off from it, and the caller does better to try
+# another one soon; the id makes the repetition harmless.
 INTAKE_DEADLINE_MS = 2_500
+CUT_OFF_DEADLINE_MS = 1_300
 # Refused appends are not retried for longer: a late refusal serves the caller no better than an
 # immediate one.
 INTAKE_REFUSAL_DEADLINE_MS = 130
@@ -58,6 +61,11 @@
         wanted_ms = max(least_ms, DURATION_FACTOR * self.recent_ms)
         return int(min(wanted_ms, ATTEMPT_TIMEOUTS_MS[-1]))
 
+    def deadline_ms(self) -> int:
+        """Return the time after which an append of callers' requests is given up."""
+        expected_ms = DURATION_FACTOR * self.recent_ms + CUT_OFF_DEADLINE_MS
+        return int(min(expected_ms, INTAKE_DEADLINE_MS))
+
     def record(self, duration_ms: int, timed_out: bool) -> None:
         """Record the duration of an attempt; one that timed out would have taken longer."""
         if timed_out:
@@ -117,10 +125,11 @@
 
     async def _append(self, records: tuple[Record, ...]) -> StoreResult:
         started_ms = self._clock.now().mono_ms
+        deadline_ms = self._timeouts.deadline_ms()
         may_be_stored, attempt, backoff_ms = False, 0, REFUSED_BACKOFF_MS
         while True:
             elapsed_ms = self._clock.now().mono_ms - started_ms
-            timeout_ms = min(self._timeouts.timeout_ms(attempt), INTAKE_DEADLINE_MS - elapsed_ms)
+            timeout_ms = min(self._timeouts.timeout_ms(attempt), deadline_ms - elapsed_ms)
             outcome = await self._stream.append(
                 records,
                 self._producer,
@@ -152,7 +161,7 @@
                 case _:
                     # Another incarnation of this process has used the sequence numbers.
                     self._start_epoch()
-            if elapsed_ms >= INTAKE_DEADLINE_MS - MIN_ATTEMPT_TIMEOUT_MS:
+            if elapsed_ms >= deadline_ms - MIN_ATTEMPT_TIMEOUT_MS:
                 self._set_failing(failing=True)
                 self._start_epoch()
                 return StoreResult.UNKNOWN if may_be_stored else StoreResult.REFUSED
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -356,6 +356,8 @@
         self.post(events.ConfigRead(configuration.config, configuration.waves))
 
     def _on_read_failure(self, name: str, failure: Failure) -> None:
+        if name in set(Topic):
+            self.post(events.ReadFailed(Topic(name)))
         if name not in self._failing_streams:
             self._failing_streams.add(name)
             self._log.write("stream_lost", {"stream": name, "reason": str(failure)})
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -184,6 +184,15 @@
         assert attempts(adaptive=True) <= 1.2 * 80
         assert attempts(adaptive=False) >= 1.5 * 80
 
+    def test_request_is_given_up_sooner_where_the_store_was_fast(self):
+        # A process cut off from the store held callers for 2.5 s, longer than their objective.
+        fast, slow = AttemptTimeouts(), AttemptTimeouts()
+        fast.record(12, timed_out=False)
+        for _ in range(4):
+            slow.record(900, timed_out=False)
+        assert fast.deadline_ms() < 1_400
+        assert slow.deadline_ms() == 2_500
+
     def test_dead_connection_does_not_make_the_next_attempts_slow_for_long(self):
         timeouts = AttemptTimeouts()
         timeouts.record(400, timed_out=True)
