Pass requests on to the leader where the store cannot be reached

Ruled out: Retry-After of 0, which burns all tries of a caller when the store is away for everybody. Change: the leader's record names its address; an entry whose appends or reads fail passes the request on unchanged and answers as the leader does. A refusal is passed on only if the entry itself cannot have stored the request. Such an entry is not ready, so that new connections go to others.

--- a/packages/daemon/src/fescuecrank_daemon/platform_main.py
+++ b/packages/daemon/src/fescuecrank_daemon/platform_main.py
@@ -39,6 +39,8 @@
 
 # Limit on concurrent calls to the store, the machine list and the advice service.
 MAX_STORE_CALLS = 24
+# Limit on concurrent requests that are passed on to another entry.
+MAX_PEER_CALLS = 64
 # Limit on concurrent calls to workers: one hold and some orders for each worker.
 MAX_WORKER_CALLS = 400
 
@@ -122,7 +124,8 @@
     rng = random.Random()
     endpoints = Endpoints.from_settings(cfg)
     client = HttpClient(MAX_STORE_CALLS)
-    clients = [client]
+    peer_client = HttpClient(MAX_PEER_CALLS)
+    clients = [client, peer_client]
 
     def make_worker_client() -> HttpWorkerClient:
         # Created on demand, as only the leader calls workers.
@@ -131,11 +134,12 @@
 
     metrics = Metrics(clock)
     engine = Engine(
-        Reducer(cfg.node, cfg.limits(), rng),
+        Reducer(cfg.node, cfg.limits(), rng, cfg.front_address),
         clock,
         LogStore(client, endpoints),
         make_worker_client,
         HttpFleetClient(client, endpoints, cfg.node),
+        peer_client,
         # Unique for each process, as a process numbers its appends from the start again.
         f"{cfg.node}-{rng.getrandbits(48):x}",
         log,
--- a/packages/scheduler/src/fescuecrank_scheduler/effects.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/effects.py
@@ -24,6 +24,15 @@
     retry_after_ms: int | None = None
 
 
+@attrs.frozen
+class ForwardRequest(Effect):
+    """Pass a caller's request on to another process, unchanged; answered by `Forwarded`."""
+
+    token: int
+    # Address at which the other process takes requests.
+    address: str
+
+
 @attrs.frozen
 class StoreIntake(Effect):
     """Append the record of a caller's request; answered by `IntakeStored`."""
--- a/packages/scheduler/src/fescuecrank_scheduler/events.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/events.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from typing import Any
 
 import attrs
 
@@ -308,6 +309,8 @@
     host: str
     path: str
     key: str | None
+    # Whether another process has passed it on.
+    forwarded: bool = attrs.field(default=False, kw_only=True)
 
 
 @attrs.frozen
@@ -330,3 +333,24 @@
 @attrs.frozen
 class Cancel(Request):
     """Cancel a job."""
+
+
+@attrs.frozen
+class PeerAnswer:
+    """Answer of another process to a request that was passed on to it."""
+
+    status: int
+    body: dict[str, Any]
+    retry_after_ms: int | None
+
+
+@attrs.frozen
+class Forwarded(Event):
+    """Outcome of `ForwardRequest`.
+
+    Without an answer, `sent` says whether the other process may have carried the request out.
+    """
+
+    token: int
+    answer: PeerAnswer | None
+    sent: bool
--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -2,13 +2,24 @@
 
 A job is accepted once its record is stored. An append with an unknown outcome is neither accepted
 nor refused: the caller retries the request and is answered from the record.
+
+Often the store turns away or loses a part of the processes, a third of them for many seconds,
+while it serves the others. A caller that is refused comes back a second later, which makes most
+jobs late. A process without the store therefore passes requests on to the leader, which has it.
 """
 
 import attrs
 
 from fescuecrank_scheduler.clocks import Now
-from fescuecrank_scheduler.effects import Effect, LogLine, Reply, StoreIntake
-from fescuecrank_scheduler.events import Cancel, Lookup, Request, StoreResult, Submit
+from fescuecrank_scheduler.effects import Effect, ForwardRequest, LogLine, Reply, StoreIntake
+from fescuecrank_scheduler.events import (
+    Cancel,
+    Forwarded,
+    Lookup,
+    Request,
+    StoreResult,
+    Submit,
+)
 from fescuecrank_scheduler.fleet import EMPTY_CONFIG, FleetConfig, Queue
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job
@@ -19,6 +30,9 @@
 ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
+# Statuses that say that a request was not accepted.
+REFUSALS = frozenset({429, 503})
+
 # Values of `Retry-After` while the store is unavailable and during startup.
 RETRY_STORE_MS = 1_000
 RETRY_START_MS = 500
@@ -28,34 +42,52 @@
 class PendingRequest:
     """A request whose record is being stored."""
 
+    request: Request
     job_id: str
     operation: str
     since_ms: int
 
 
+@attrs.frozen
+class ForwardedRequest:
+    """A request that was passed on; `may_be_stored` if an append of its record has no outcome."""
+
+    request: Request
+    may_be_stored: bool
+
+
 @attrs.define
 class Intake:
     """Requests of callers at this process."""
 
     limits: Limits
     table: JobTable
+    # Address of this process, to which it passes nothing on.
+    address: str = ""
     config: FleetConfig = EMPTY_CONFIG
     # As of when the local copy of the intake stream is complete.
     synced_ms: int | None = None
     # While appends fail, requests are refused at once instead of keeping their callers waiting.
     store_failing: bool = False
+    # Whether the latest read of the intake stream failed.
+    unreadable: bool = False
     draining: bool = False
     _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
+    _forwarded: dict[int, ForwardedRequest] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
-        """Whether this process accepts new connections."""
-        return self.config.version >= 0 and self.synced_ms is not None and not self.draining
+        """Whether this process accepts new connections.
+
+        Without the store it can only pass requests on, so others should get them.
+        """
+        loaded = self.config.version >= 0 and self.synced_ms is not None
+        return loaded and not self.draining and not self.store_failing and not self.unreadable
 
     @property
     def open_requests(self) -> int:
-        """Number of requests whose records are being stored."""
-        return len(self._pending)
+        """Number of requests whose records are being stored or that were passed on."""
+        return len(self._pending) + len(self._forwarded)
 
     def handle_request(self, req: Request, now: Now) -> list[Effect]:
         """Answer a request, or start to store it."""
@@ -67,8 +99,12 @@
         team = self.config.team_for_key(req.key) if req.key else None
         if team is None and not queue.is_open:
             return [Reply(req.token, 401)]
+        if self.store_failing and self._may_forward(req):
+            return self._forward(req, may_be_stored=False)
         name = team.name if team else ""
         job_id = req.path[len(queue.prefix) :]
+        if isinstance(req, Lookup) and self._is_stale(now) and self._may_forward(req):
+            return self._forward(req, may_be_stored=False)
         match req:
             case Submit():
                 return self._submit(req, queue, name, job_id, now)
@@ -95,7 +131,7 @@
         job = attrs.evolve(
             req.job, id=job_id, queue=queue.name, team=team, accepted_ms=now.wall_ms, tasks={}
         )
-        self._pending[req.token] = PendingRequest(job_id, "submit", now.mono_ms)
+        self._pending[req.token] = PendingRequest(req, job_id, "submit", now.mono_ms)
         return [StoreIntake(req.token, encode_job(job))]
 
     def _lateness_ms(self, queue: Queue, job: Job, now: Now) -> int:
@@ -153,7 +189,7 @@
             return [Reply(req.token, 200)]
         if self.store_failing:
             return [Reply(req.token, 503, retry_after_ms=RETRY_STORE_MS)]
-        self._pending[req.token] = PendingRequest(job_id, "cancel", now.mono_ms)
+        self._pending[req.token] = PendingRequest(req, job_id, "cancel", now.mono_ms)
         return [StoreIntake(req.token, encode_cancel(job_id))]
 
     def on_stored(self, token: int, result: StoreResult, now: Now) -> list[Effect]:
@@ -170,9 +206,46 @@
                 "took_ms": now.mono_ms - pending.since_ms,
             },
         )
-        match result:
-            case StoreResult.STORED:
-                return [line, Reply(token, 200)]
-            case StoreResult.REFUSED:
-                return [line, Reply(token, 503, retry_after_ms=RETRY_STORE_MS)]
-        return [line, Reply(token, 504, {"error": "outcome unknown"})]
+        if result is StoreResult.STORED:
+            return [line, Reply(token, 200)]
+        refused = result is StoreResult.REFUSED
+        if self._may_forward(pending.request):
+            return [line, *self._forward(pending.request, may_be_stored=not refused)]
+        return [line, self._without_answer(token, may_be_stored=not refused)]
+
+    # Requests that are passed on.
+
+    def _may_forward(self, req: Request) -> bool:
+        """Return whether another process may answer; a request is passed on once at most."""
+        leader = self.table.leader
+        address = leader.address if leader is not None else ""
+        return bool(address) and address != self.address and not req.forwarded
+
+    def _forward(self, req: Request, may_be_stored: bool) -> list[Effect]:
+        assert self.table.leader is not None
+        self._forwarded[req.token] = ForwardedRequest(req, may_be_stored)
+        address = self.table.leader.address
+        line = LogLine("request_forwarded", {"path": req.path, "peer": address})
+        return [line, ForwardRequest(req.token, address)]
+
+    def on_forwarded(self, event: Forwarded, now: Now) -> list[Effect]:
+        """Answer the caller of a request that was passed on.
+
+        A refusal by the other process says only that it has not stored the request; this one may
+        have, if it tried.
+        """
+        pending = self._forwarded.pop(event.token, None)
+        if pending is None:
+            return []
+        changes = not isinstance(pending.request, Lookup)
+        may_be_stored = pending.may_be_stored or (changes and event.answer is None and event.sent)
+        answer = event.answer
+        if answer is None or (answer.status in REFUSALS and may_be_stored):
+            return [self._without_answer(event.token, may_be_stored)]
+        return [Reply(event.token, answer.status, answer.body, answer.retry_after_ms)]
+
+    @staticmethod
+    def _without_answer(token: int, may_be_stored: bool) -> Reply:
+        if may_be_stored:
+            return Reply(token, 504, {"error": "outcome unknown"})
+        return Reply(token, 503, {"error": "store_unavailable"}, retry_after_ms=RETRY_STORE_MS)
--- a/packages/scheduler/src/fescuecrank_scheduler/leadership.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -61,6 +61,8 @@
     name: str
     limits: Limits
     rng: random.Random
+    # Address at which this process takes callers' requests.
+    address: str = ""
     role: Role = Role.FOLLOWER
     epoch: int = 0
     nonce: int = 0
@@ -139,7 +141,7 @@
         self.role = Role.CANDIDATE
         self.epoch = (self._observed.epoch if self._observed else 0) + 1
         self.nonce = self.rng.getrandbits(40)
-        return Leadership(self.epoch, self.name, 0, self.nonce, wall_ms)
+        return Leadership(self.epoch, self.name, 0, self.nonce, wall_ms, address=self.address)
 
     def owns(self, leader: Leadership | None) -> bool:
         """Return whether a leadership record is this process's own claim."""
--- a/packages/scheduler/src/fescuecrank_scheduler/records.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/records.py
@@ -72,6 +72,8 @@
     unrenewed_leases: dict[str, int] = attrs.field(factory=dict)
     # Time that each pool needs for its waiting work.
     backlog_ms: dict[str, int] = attrs.field(factory=dict)
+    # Address at which the holder takes callers' requests.
+    address: str = ""
 
 
 @attrs.frozen
@@ -181,6 +183,7 @@
         leader.wall_ms,
         leader.unrenewed_leases,
         leader.backlog_ms,
+        leader.address,
     ]
     return Record(LEADER_KEY, orjson.dumps(value))
 
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -46,6 +46,8 @@
     name: str
     limits: Limits
     rng: random.Random
+    # Address at which this process takes callers' requests, for processes cut off from the store.
+    address: str = ""
     table: JobTable = attrs.field(factory=JobTable)
     config: FleetConfig = EMPTY_CONFIG
     waves: tuple[Wave, ...] = ()
@@ -71,11 +73,11 @@
 
     @intake.default
     def _make_intake(self) -> Intake:
-        return Intake(self.limits, self.table)
+        return Intake(self.limits, self.table, self.address)
 
     @election.default
     def _make_election(self) -> Election:
-        return Election(self.name, self.limits, self.rng)
+        return Election(self.name, self.limits, self.rng, self.address)
 
     @property
     def ready(self) -> bool:
@@ -91,6 +93,8 @@
                 if event.failing != self.intake.store_failing:
                     self._log("store_lost" if event.failing else "store_regained")
                 self.intake.store_failing = event.failing
+            case events.Forwarded():
+                self._effects += self.intake.on_forwarded(event, now)
             case events.IntakeStored():
                 self._effects += self.intake.on_stored(event.token, event.result, now)
             case events.Tick():
@@ -101,6 +105,7 @@
                 self._apply_records(event, now)
             case events.ReadFailed():
                 self._unreadable.add(event.topic)
+                self.intake.unreadable = event.topic is Topic.INTAKE or self.intake.unreadable
             case events.ProgressStored():
                 self._on_progress_stored(event, now)
             case events.ShutDown():
@@ -168,6 +173,7 @@
         silent = last is not None and now.mono_ms - last > self.limits.stale_ms
         if silent or event.topic in self._unreadable:
             self._unreadable.discard(event.topic)
+            self.intake.unreadable = Topic.INTAKE in self._unreadable
             self.election.store_recovered(now.mono_ms)
         self._last_read_ms[event.topic] = now.mono_ms
         if event.topic is Topic.PROGRESS:
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -16,6 +16,8 @@
 from fescuecrank_scheduler.reducer import Reducer
 
 from fescuecrank_service.appenders import IntakeAppender, ProgressAppender
+from fescuecrank_service.forwarding import forward
+from fescuecrank_service.http_client import HttpClient
 from fescuecrank_service.http_frontend import HttpFrontend
 from fescuecrank_service.interfaces import FleetClient, Store, WorkerClient
 from fescuecrank_service.log_lines import JsonLineLogger
@@ -73,6 +75,7 @@
     effects.MaintainMachine: lambda call: events.MachineOrderDone(
         call.machine, call.wave, events.OrderResult.NO_ANSWER
     ),
+    effects.ForwardRequest: lambda call: events.Forwarded(call.token, None, sent=True),
     effects.Advise: lambda call: events.Advised(
         call.job, call.occurrence, call.step, call.workers, None
     ),
@@ -106,6 +109,7 @@
         store: Store,
         make_worker_client: Callable[[], WorkerClient],
         fleet_client: FleetClient,
+        peer_client: HttpClient,
         producer: str,
         log: JsonLineLogger,
         metrics: Metrics,
@@ -117,6 +121,7 @@
         self._make_worker_client = make_worker_client
         self._worker_client: WorkerClient | None = None
         self._fleet_client = fleet_client
+        self._peer_client = peer_client
         self._log = log
         self._metrics = metrics
         self._intake = IntakeAppender(store.shared_stream(Topic.INTAKE), producer, clock, self.post)
@@ -235,6 +240,8 @@
                     self.frontend.send_reply(effect)
             case effects.LogLine():
                 self._log.write(effect.event, effect.fields)
+            case effects.ForwardRequest():
+                self._run_in_background(self._forward(effect))
             case effects.StoreIntake():
                 self._intake.add(effect)
             case effects.StoreProgress():
@@ -299,6 +306,10 @@
         self._metrics.record_call(type(effect).__name__, result, started_ms)
         self.post(event)
 
+    async def _forward(self, effect: effects.ForwardRequest) -> None:
+        req = self.frontend.original(effect.token) if self.frontend is not None else None
+        await self._await_call(effect, forward(self._peer_client, effect, req))
+
     async def _list_machines(self) -> None:
         sent_ms = self._clock.now().mono_ms
         try:
--- a/packages/service/src/fescuecrank_service/http_frontend.py
+++ b/packages/service/src/fescuecrank_service/http_frontend.py
@@ -19,6 +19,9 @@
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
+# Marks a request that another entry has passed on; it is not passed on again.
+FORWARDED_HEADER = "X-Fescuecrank-Forwarded"
+
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -127,9 +130,15 @@
         if isinstance(decoded, ServerResponse):
             self._respond(req, decoded)
             return
+        if FORWARDED_HEADER in req.headers:
+            decoded = attrs.evolve(decoded, forwarded=True)
         self._pending[token] = req
         self.post(decoded)
 
+    def original(self, token: int) -> HTTPServerRequest | None:
+        """Return a request that waits for its response; None if it does not any more."""
+        return self._pending.get(token)
+
     def send_reply(self, reply: Reply) -> None:
         """Respond to the request with the token of a reply."""
         req = self._pending.pop(reply.token, None)
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -7,10 +7,12 @@
 import pytest
 from fescuecrank_core.clock import ManualClock
 from fescuecrank_core.errors import Failure, FailureKind
-from fescuecrank_scheduler.effects import Reply, StoreIntake, StoreProgress
+from fescuecrank_scheduler.effects import ForwardRequest, Reply, StoreIntake, StoreProgress
 from fescuecrank_scheduler.events import (
+    Forwarded,
     IntakeStored,
     Lookup,
+    PeerAnswer,
     ProgressStored,
     StoreHealth,
     StoreResult,
@@ -23,13 +25,15 @@
     ProgressAppender,
 )
 from fescuecrank_service.file_watch import FileWatcher
+from fescuecrank_service.forwarding import forward
 from fescuecrank_service.http_client import HttpClient
-from fescuecrank_service.http_frontend import HttpFrontend, retry_after_seconds
+from fescuecrank_service.http_frontend import FORWARDED_HEADER, HttpFrontend, retry_after_seconds
 from fescuecrank_service.interfaces import AppendOutcome, NewestPage, OffsetExpired, Page, Stream
 from fescuecrank_service.log_lines import MAX_LINES_PER_SECOND, JsonLineLogger
 from fescuecrank_service.topic_reader import TopicReader
 from result import Err, Ok
 from service_builders import MinimalRequestFormat, free_port, until
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, RequestStartLine
 
 RECORD = Record("j/1", b"x")
 READ_FAILURE = Failure(FailureKind.TIMEOUT, "store.read", "store", "timed out")
@@ -499,3 +503,39 @@
         )
         (result,) = self.call_in_turn(RawServer(chunked), 500)
         assert result.ok_value.body == b"abc"
+
+
+class TestForward:
+    """A caller's request passed on to another entry."""
+
+    def run(self, *responses, address=None):
+        async def scenario():
+            server = await RawServer(*responses).start()
+            headers = {"Host": "h.example", "Authorization": "Bearer k", "X-A": "1"}
+            req = HTTPServerRequest(
+                start_line=RequestStartLine("POST", "/checks/1?x=2", "HTTP/1.1"),
+                headers=HTTPHeaders(headers),
+                body=b"{}",
+            )
+            client = HttpClient(2)
+            effect = ForwardRequest(7, address or server.address)
+            return server, await forward(client, effect, req)
+
+        return asyncio.run(scenario())
+
+    def test_request_is_passed_on_as_it_came_and_marked(self):
+        server, event = self.run(http(b'{"state":"queued"}', b"Retry-After: 2"))
+        head = server.requests[0].decode()
+        assert head.startswith("POST /checks/1?x=2 HTTP/1.1\r\nHost: h.example\r\n")
+        assert "Authorization: Bearer k" in head
+        assert FORWARDED_HEADER in head
+        assert "X-A" not in head
+        assert event == Forwarded(7, PeerAnswer(200, {"state": "queued"}, 2_000), sent=True)
+
+    @pytest.mark.parametrize("response", [http(b"[1"), http(b"[]"), None])
+    def test_answer_that_cannot_be_read_is_an_unknown_outcome(self, response):
+        assert self.run(response)[1] == Forwarded(7, None, sent=True)
+
+    def test_request_to_an_entry_that_is_gone_was_not_sent(self):
+        _, event = self.run(address=f"127.0.0.1:{free_port()}")
+        assert event == Forwarded(7, None, sent=False)
