--- a/packages/cli/src/fescuecrank_cli/main.py
+++ b/packages/cli/src/fescuecrank_cli/main.py
@@ -21,6 +21,7 @@
 from fescuecrank_cli.client import EntryClient, Submission, new_record_id
 from fescuecrank_cli.ids import new_trace_id, traceparent, uuid7
 from fescuecrank_cli.key_material import NewKey, new_key
+from fescuecrank_cli.losses import compute_losses, read_lines, render_losses
 from fescuecrank_cli.render import OutputFormat
 from fescuecrank_cli.session import (
     ENTRIES_VARIABLE,
@@ -542,6 +543,15 @@
         typer.echo(f"missing: {missing}")
 
 
+@app.command(name="losses", rich_help_panel=OPERATORS)
+def show_losses(
+    files: Annotated[list[Path], typer.Argument(help="Logs of the entries.", exists=True)],
+) -> None:
+    """Show how many jobs ended late, and why, by pool and for each two seconds."""
+    for line in render_losses(compute_losses(read_lines(files))):
+        typer.echo(line)
+
+
 def _parse_request(text: str) -> tuple[str, str]:
     service, slash, request_id = text.partition("/")
     if not (service and slash and request_id) or "/" in request_id:
--- a/packages/cli/src/fescuecrank_cli/trace_lines.py
+++ b/packages/cli/src/fescuecrank_cli/trace_lines.py
@@ -47,25 +47,30 @@
     missing: tuple[str, ...]
 
 
-def parse_lines(text: str, job: str) -> Iterable[LogLine]:
-    """Yield the lines about `job` and the lines of context events.
+def parse_line(raw: str, about_job: bool = False) -> LogLine | None:
+    """Return a log line, or None if it is not one.
 
-    Text before the first brace of a line is ignored, so that logs to which a collector added a
-    prefix can be read. Lines that are not JSON are skipped.
+    Text before the first brace is ignored, so that logs to which a collector added a prefix can be
+    read.
     """
+    start = raw.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = orjson.loads(raw[start:])
+        return LogLine(fields.pop("ms"), fields.pop("node"), fields.pop("event"), fields, about_job)
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def parse_lines(text: str, job: str) -> Iterable[LogLine]:
+    """Yield the lines about `job` and the lines of context events; others are skipped."""
     for raw in text.splitlines():
-        start = raw.find("{")
         about_job = job in raw
-        if start < 0 or not (about_job or any(event in raw for event in CONTEXT_EVENTS)):
-            continue
-        try:
-            fields = orjson.loads(raw[start:])
-            line = LogLine(
-                fields.pop("ms"), fields.pop("node"), fields.pop("event"), fields, about_job
-            )
-        except (ValueError, KeyError, TypeError, AttributeError):
+        if not (about_job or any(event in raw for event in CONTEXT_EVENTS)):
             continue
-        if about_job or line.event in CONTEXT_EVENTS:
+        line = parse_line(raw, about_job)
+        if line is not None and (about_job or line.event in CONTEXT_EVENTS):
             yield line
 
 
--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -11,6 +11,7 @@
 from fescuecrank_scheduler.effects import StoreProgress
 from fescuecrank_scheduler.jobs import Outcome, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.ordering import due_times_ms
 from fescuecrank_scheduler.records import encode_leadership, encode_progress
 from fescuecrank_scheduler.runs import Runs
 from fescuecrank_scheduler.workers import RunState
@@ -53,7 +54,7 @@
             self.state.renewal_sent_ms = pending.renewal_sent_ms
         self.state.resigned = not self.state.leader.holder
         for job_id, outcome in pending.outcomes.items():
-            self._publish_outcome(job_id, outcome)
+            self._publish_outcome(job_id, outcome, now)
         for worker_id, task, number in pending.starts:
             self._send_planned(worker_id, task, number, now)
         if pending.unrenewed_leases is not None:
@@ -64,11 +65,21 @@
             if worker is not None and worker.last_seen_end >= number:
                 worker.last_acked_end = max(worker.last_acked_end, number)
 
-    def _publish_outcome(self, job_id: str, outcome: Outcome) -> None:
+    def _publish_outcome(self, job_id: str, outcome: Outcome, now: Now) -> None:
         """Set the outcome of a job in the table and drop its cached placement state."""
         state = self.state
-        state.log("job_ended", job=job_id, outcome=outcome.value)
-        state.table.set_outcome(state.table.jobs[job_id], outcome)
+        job = state.table.jobs[job_id]
+        queue = state.config.queue(job.queue)
+        due_ms, _ = due_times_ms(job, state.config)
+        state.log(
+            "job_ended",
+            job=job_id,
+            outcome=outcome.value,
+            pool=queue.pool if queue is not None else "",
+            age_ms=now.wall_ms - job.accepted_ms,
+            objective_ms=int(due_ms - job.accepted_ms),
+        )
+        state.table.set_outcome(job, outcome)
         state.outcomes.pop(job_id, None)
         state.demands.pop(job_id, None)
         for key in [key for key in state.wait_reasons if key[0] == job_id]:
