--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -82,7 +82,12 @@
         Without the store it can only pass requests on, so others should get them.
         """
         loaded = self.config.version >= 0 and self.synced_ms is not None
-        return loaded and not self.draining and not self.store_failing and not self.unreadable
+        return loaded and not self.draining and not self.without_store
+
+    @property
+    def without_store(self) -> bool:
+        """Whether this process probably cannot reach the store."""
+        return self.store_failing or self.unreadable
 
     @property
     def open_requests(self) -> int:
@@ -99,7 +104,7 @@
         team = self.config.team_for_key(req.key) if req.key else None
         if team is None and not queue.is_open:
             return [Reply(req.token, 401)]
-        if self.store_failing and self._may_forward(req):
+        if self.without_store and self._may_forward(req):
             return self._forward(req, may_be_stored=False)
         name = team.name if team else ""
         job_id = req.path[len(queue.prefix) :]
--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -547,6 +547,17 @@
         sim.post(other, StoreHealth(failing=False))
         assert other.reducer.ready
 
+    def test_process_whose_reads_fail_passes_requests_on_before_an_append_fails(self):
+        # A store that does not respond held the first callers of each process for over a second.
+        sim = start_up(Simulation())
+        other = next(node for node in sim.nodes.values() if node is not sim.leader())
+        other.unread_topics = set(Topic)
+        sim.post(other, ReadFailed(Topic.INTAKE))
+        token = sim.request(other, self.submit)
+        assert [f["path"] for f in sim.logged("request_forwarded")] == [f"/checks/{JOB}"]
+        sim.run(60)
+        assert sim.replies[token].status == 200
+
     def test_forwarded_request_is_not_passed_on_again(self):
         sim, other = self.cut_off()
         answer = self.send(sim, other, lambda t: attrs.evolve(self.submit(t), forwarded=True))
