--- a/packages/scheduler/src/fescuecrank_scheduler/leadership.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -33,6 +33,10 @@
 TOLERATED_LATENESS_MS = 100
 MAX_COUNTED_LATENESS_MS = 500
 
+# Lateness within the same time that is logged, once a second.
+LOGGED_LATENESS_MS = 300
+LOG_INTERVAL_MS = 1_000
+
 # A leader that has just taken over adopts all runs and is late for a moment.
 MIN_LEADERSHIP_MS = 5_000
 
@@ -182,7 +186,12 @@
             self._late.popleft()
         self._last_tick_ms = now_ms
 
+    @property
+    def late_ms(self) -> int:
+        """By how much the ticks of the last `LATENESS_WINDOW_MS` were late together."""
+        return sum(late_ms for _, late_ms in self._late)
+
     @property
     def overloaded(self) -> bool:
         """Whether ticks were late for half of the last seconds."""
-        return sum(late_ms for _, late_ms in self._late) >= LATENESS_WINDOW_MS // 2
+        return self.late_ms >= LATENESS_WINDOW_MS // 2
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -20,7 +20,14 @@
 from fescuecrank_scheduler.intake import Intake
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.leader_state import LeaderState
-from fescuecrank_scheduler.leadership import MIN_LEADERSHIP_MS, Election, LoopMonitor, Role
+from fescuecrank_scheduler.leadership import (
+    LOG_INTERVAL_MS,
+    LOGGED_LATENESS_MS,
+    MIN_LEADERSHIP_MS,
+    Election,
+    LoopMonitor,
+    Role,
+)
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.maintenance import Maintenance
 from fescuecrank_scheduler.records import LEADER_KEY, Leadership, encode_leadership
@@ -57,6 +64,7 @@
     maintenance: Maintenance | None = None
     balancer: Balancer | None = None
     _loop: LoopMonitor = attrs.field(factory=LoopMonitor)
+    _lateness_logged_ms: int = 0
     _last_read_ms: dict[Topic, int] = attrs.field(factory=dict)
     # Streams whose latest read failed. A leader is not silent if only we do not hear it.
     _unreadable: set[Topic] = attrs.field(factory=set)
@@ -79,6 +87,11 @@
     def _make_election(self) -> Election:
         return Election(self.name, self.limits, self.rng, self.address)
 
+    @property
+    def loop_late_ms(self) -> int:
+        """By how much a leader's ticks of the last seconds were late together."""
+        return self._loop.late_ms if self.scheduler is not None else 0
+
     @property
     def ready(self) -> bool:
         """Whether this process accepts new connections."""
@@ -295,6 +308,16 @@
         """Hand over to another process if this one is too slow to lead."""
         state = scheduler.state
         self._loop.record_tick(now.mono_ms)
+        logged = now.mono_ms - self._lateness_logged_ms < LOG_INTERVAL_MS
+        if self._loop.late_ms >= LOGGED_LATENESS_MS and not logged:
+            self._lateness_logged_ms = now.mono_ms
+            self._log(
+                "leader_late",
+                late_ms=self._loop.late_ms,
+                workers=len(state.workers),
+                runs=len(state.placements),
+                waiting_work=sum(state.waiting_work.values()),
+            )
         settled = now.mono_ms - state.started_ms >= MIN_LEADERSHIP_MS
         if self._loop.overloaded and settled and not state.resigning:
             self._log("leader_overloaded", epoch=state.leader.epoch)
--- a/packages/scheduler/tests/test_large_fleet.py
+++ b/packages/scheduler/tests/test_large_fleet.py
@@ -198,6 +198,9 @@
             old.frozen = False
             sim.run(50)
         assert sim.logged("leader_overloaded")
+        lines = [fields["late_ms"] for fields in sim.logged("leader_late")]
+        assert 2 <= len(lines) <= 4
+        assert min(lines) >= 300
         sim.run(1_000)
         assert sim.leader().name != old.name
         sim.run(9_000)
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -97,6 +97,10 @@
     gauges_by_name: dict[str, tuple[str, Samples]] = {
         "leader": ("Whether this process leads.", [({}, float(state is not None))]),
         "epoch": ("Newest epoch seen.", [({}, table.leader.epoch if table.leader else 0)]),
+        "loop_late_ms": (
+            "Lateness of the leader's ticks in the last 2.5 s.",
+            [({}, reducer.loop_late_ms)],
+        ),
         "ready": ("Whether this process takes new connections.", [({}, float(reducer.ready))]),
         "config_version": ("Configuration in force.", [({}, reducer.config.version)]),
         "copy_age_ms": (
