Refuse requests that wait behind a failing append at once

An entry whose connection to the store had gone silent appended one batch until its deadline, and what had come meanwhile waited for the next one, 3.7 s in all.

--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -120,6 +120,8 @@
                 result = await self._append(tuple(pending.record for pending in batch))
                 for pending in batch:
                     self._post(IntakeStored(pending.token, result))
+                if result is not StoreResult.STORED:
+                    self._release_waiting()
             else:
                 await self._probe()
 
@@ -183,6 +185,17 @@
         if failing != self._failing:
             self._failing = failing
             self._post(StoreHealth(failing))
+            if failing:
+                self._release_waiting()
+
+    def _release_waiting(self) -> None:
+        """Report the requests that wait for their turn as refused; nothing of them was sent.
+
+        Behind an append that takes until its deadline they would exceed their own.
+        """
+        waiting, self._pending = self._pending, []
+        for pending in waiting:
+            self._post(IntakeStored(pending.token, StoreResult.REFUSED))
 
 
 class ProgressAppender:
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -20,6 +20,7 @@
 from fescuecrank_scheduler.records import Record, StoredRecord
 from fescuecrank_service.appenders import (
     ATTEMPT_TIMEOUTS_MS,
+    CUT_OFF_DEADLINE_MS,
     AttemptTimeouts,
     IntakeAppender,
     ProgressAppender,
@@ -113,6 +114,27 @@
         _, results = self.run(stream, clock_step_ms=100)
         assert results == [StoreResult.REFUSED]
 
+    def test_requests_behind_an_unanswered_append_are_refused_and_were_not_sent(self):
+        # On a machine whose connection to the store had gone silent, 55 callers waited behind an
+        # append until their deadline.
+        async def scenario():
+            stream = ScriptedStream([StoreResult.UNKNOWN])
+            clock, posted = ManualClock(), []
+            appender = IntakeAppender(stream, "entry-1", clock, posted.append)
+            appender.add(StoreIntake(1, RECORD))
+            await until(lambda: stream.calls)
+            appender.add(StoreIntake(2, RECORD))
+            waiting_ms = 0
+            while IntakeStored(2, StoreResult.REFUSED) not in posted:
+                clock.advance(50)
+                waiting_ms += 50
+                await asyncio.sleep(0.002)
+                assert waiting_ms <= CUT_OFF_DEADLINE_MS
+            assert all(records == 1 for records, _, _ in stream.calls)
+            appender.close()
+
+        asyncio.run(scenario())
+
     def test_probe_detects_that_appends_succeed_again(self):
         async def scenario():
             stream = ScriptedStream([StoreResult.REFUSED])
