--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -245,9 +245,18 @@
         changes = not isinstance(pending.request, Lookup)
         may_be_stored = pending.may_be_stored or (changes and event.answer is None and event.sent)
         answer = event.answer
+        line = LogLine(
+            "forward_answered",
+            {
+                "path": pending.request.path,
+                "status": answer.status if answer is not None else None,
+                "sent": event.sent,
+                "may_be_stored": may_be_stored,
+            },
+        )
         if answer is None or (answer.status in REFUSALS and may_be_stored):
-            return [self._without_answer(event.token, may_be_stored)]
-        return [Reply(event.token, answer.status, answer.body, answer.retry_after_ms)]
+            return [line, self._without_answer(event.token, may_be_stored)]
+        return [line, Reply(event.token, answer.status, answer.body, answer.retry_after_ms)]
 
     @staticmethod
     def _without_answer(token: int, may_be_stored: bool) -> Reply:
--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -586,6 +586,7 @@
         (stored,) = intake.handle_request(self.submit(7), instant(0))
         effects = intake.on_stored(stored.token, outcome, instant(10))
         assert effects[-1] == ForwardRequest(7, "entry-2:80")
-        (reply,) = intake.on_forwarded(Forwarded(7, answer, sent), instant(20))
+        line, reply = intake.on_forwarded(Forwarded(7, answer, sent), instant(20))
+        assert line.fields["status"] == (answer.status if answer else None)
         assert reply.status == status
         assert (reply.retry_after_ms is not None) == (status in (429, 503))
