--- a/packages/scheduler/src/fescuecrank_scheduler/events.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/events.py
@@ -308,7 +308,8 @@
     token: int
     host: str
     path: str
-    key: str | None
+    # Not in the representation, which is logged when an event fails.
+    key: str | None = attrs.field(repr=False)
     # Whether another process has passed it on.
     forwarded: bool = attrs.field(default=False, kw_only=True)
 
--- a/packages/service/tests/test_engine.py
+++ b/packages/service/tests/test_engine.py
@@ -74,6 +74,18 @@
     asyncio.run(scenario())
 
 
+def test_log_line_of_a_failed_request_does_not_contain_its_key():
+    async def scenario():
+        engine, log = make_engine(FailingReducer(fails=(events.Lookup,)))
+        engine.post(events.Lookup(1, "host", "/checks/1", "secret-key"))
+        (failed,) = log.fields_of("event_failed")
+        assert "/checks/1" in failed["input"]
+        assert "secret-key" not in failed["input"]
+        engine.close()
+
+    asyncio.run(scenario())
+
+
 def test_error_in_one_effect_does_not_keep_back_the_others():
     async def scenario():
         line = effects.LogLine("later", {})
