--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -23,6 +23,9 @@
 from fescuecrank_scheduler.runs import Runs, task_label
 from fescuecrank_scheduler.workers import RunState, Worker
 
+# Results of a hold that the worker did not answer; it may be cut off, slow or gone.
+NO_CONTACT = {CallResult.NO_ANSWER, CallResult.REFUSED}
+
 
 @attrs.define
 class Leases:
@@ -83,8 +86,32 @@
         else:
             pause_ms = self.state.limits.hold_retry_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
+            if event.result in NO_CONTACT:
+                self._on_contact_lost(worker, event.result, now)
             self.runs.on_call_rejected(worker, event.result, now)
 
+    def _on_contact_lost(self, worker: Worker, result: CallResult, now: Now) -> None:
+        if worker.contact_lost_ms is not None:
+            return
+        worker.contact_lost_ms = now.mono_ms
+        self.state.log(
+            "worker_contact_lost",
+            worker=worker.id,
+            result=result.value,
+            runs=len(worker.runs),
+            silent_ms=now.mono_ms - worker.last_answer_ms if worker.last_answer_ms else None,
+        )
+
+    def _on_contact(self, worker: Worker, now: Now) -> None:
+        if worker.contact_lost_ms is None:
+            return
+        self.state.log(
+            "worker_contact_regained",
+            worker=worker.id,
+            away_ms=now.mono_ms - worker.contact_lost_ms,
+        )
+        worker.contact_lost_ms = None
+
     def on_pace_done(self, event: PaceDone) -> None:
         """Record that a worker confirmed a run's pace; an unanswered order is sent again."""
         worker = self.state.workers.get(event.worker)
@@ -119,6 +146,7 @@
             worker.started_ms = reply.started_ms
         worker.record_clock(reply, now.mono_ms)
         worker.last_answer_ms = now.mono_ms
+        self._on_contact(worker, now)
         if not worker.epoch_accepted:
             worker.epoch_accepted = True
             self.state.request_placement(worker.pool)
@@ -153,6 +181,8 @@
                 if row.percent != run.percent or not run.progress_ms:
                     run.progress_ms = now.mono_ms
                 run.percent, run.measurement = row.percent, row.measurement
+                if run.state is RunState.RUNNING:
+                    run.reported_ms = max(run.reported_ms, now.mono_ms - run.sent_ms)
                 if run.state is RunState.SENT:
                     run.state = RunState.RUNNING
                 run.running_since_ms = run.running_since_ms or now.mono_ms
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -215,7 +215,19 @@
         """Give up the runs that a worker has lost for `reason`, except those in state `keep`."""
         lost = [run for run in worker.runs.values() if run.state is not keep]
         if lost:
-            self.state.log("runs_lost", worker=worker.id, runs=len(lost), reason=reason)
+            lost_ms = worker.contact_lost_ms
+            self.state.log(
+                "runs_lost",
+                worker=worker.id,
+                runs=len(lost),
+                reason=reason,
+                away_ms=now.mono_ms - lost_ms if lost_ms is not None else 0,
+                # Age at the loss of contact, and for how long the worker had reported the run.
+                ages_ms={
+                    task_label(run.task): [(lost_ms or now.mono_ms) - run.sent_ms, run.reported_ms]
+                    for run in lost
+                },
+            )
         for run in lost:
             self.run_ended(worker, run, "lapsed", "", now)
 
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -49,6 +49,8 @@
     measurement: float | None = None
     # When the progress of the run last rose.
     progress_ms: int = 0
+    # For how long, after its start was sent, the worker has reported the run as running.
+    reported_ms: int = 0
     # Throttle in percent of full speed: wanted, confirmed by the worker; time of the last order.
     pace: int = 100
     pace_confirmed: int = 100
@@ -80,6 +82,8 @@
     # When every lease granted so far has expired.
     lease_expires_ms: int = 0
     last_answer_ms: int = 0
+    # When a hold failed that the last successful one preceded; None while the worker answers.
+    contact_lost_ms: int | None = None
     # Whether the leadership record lists the lease as not renewed. A successor relies on this, so
     # the lease must not be renewed then.
     lease_unrenewed: bool = False
