Show crashing tasks and shrinking workers in tests that fail

A task that crashes its workers is started without end (BUDGET), also across killed leaders. Starts are sent to workers that shrank after the run was planned, after an unanswered start or while the list of workers could not be read, and runs that a leader does not know do not count (LIMIT).

--- a/packages/scheduler/tests/fake_worker.py
+++ b/packages/scheduler/tests/fake_worker.py
@@ -31,6 +31,8 @@
     reachable: bool = True
     # Connections to the worker are refused.
     refusing: bool = False
+    # Another worker has the address of this one.
+    succeeded: bool = False
     highest_epoch: int = 0
     lease_deadline_ms: int | None = None
     runs: dict[TaskId, FakeRun] = attrs.field(factory=dict)
--- a/packages/scheduler/tests/fleet_simulation.py
+++ b/packages/scheduler/tests/fleet_simulation.py
@@ -30,6 +30,13 @@
 LIST_INTERVAL_MS = 300
 CALL_TIMEOUT_MS = 500
 
+# A worker's smaller capacity counts when it has been stated for this long: two of its reports.
+RESIZE_GRACE_MS = 3_000
+
+# A crashing task ends its worker this long after its start; another worker has the address then.
+CRASH_DELAY_MS = 10
+CRASH_REPAIR_MS = 3_200
+
 
 @attrs.define
 class Node:
@@ -71,8 +78,21 @@
         self.nodes: dict[str, Node] = {}
         self.lost_append_share = 0.0
         self.late_order_share = 0.0
+        # Whether the list of workers can be read.
+        self.list_readable = True
         # Time for which the list of workers still contains a worker that has ended.
         self.list_lag_ms = 0
+        # Tasks that crash each worker that starts them, and the workers that crashed under them.
+        self.crashing_tasks: set[TaskId] = set()
+        self.crashes: dict[TaskId, list[tuple[int, str]]] = {}
+        # Whether a worker that crashed under a task comes back under the id that it had.
+        self.restarts_keep_id = False
+        # Jobs with a run on a worker that crashed under another job's task, once for each crash.
+        self.lost_neighbours: Counter = Counter()
+        self._open_holds: dict[str, list[tuple[Node, effects.HoldWorker]]] = {}
+        # When the capacity of a worker last changed, and starts that exceeded one: time, worker.
+        self.resized_ms: dict[str, int] = {}
+        self.starts_over_capacity: list[tuple[int, str]] = []
         self.jobs: dict[str, Job] = {}
         self.calls: Counter = Counter()
         self.requests: dict[int, events.Request] = {}
@@ -207,7 +227,8 @@
     def _read_worker_list(self, node: Node) -> None:
         if not node.alive:
             return
-        if node.follow_mode is FollowMode.LEADER and node.store_reachable and not node.frozen:
+        readable = self.list_readable and node.store_reachable and not node.frozen
+        if node.follow_mode is FollowMode.LEADER and readable:
             listed = tuple(
                 attrs.evolve(self.worker_entries[worker.id], started_ms=worker.started_ms)
                 for worker in self.workers.values()
@@ -291,11 +312,51 @@
         )
         return name
 
+    def crash_worker(self, name: str, repair_ms: int = CRASH_REPAIR_MS) -> None:
+        """Crash a worker; its connections are reset, and its address is back after a while."""
+        worker = self.workers[name]
+        if not worker.alive:
+            return
+        worker.crash(self.now_ms)
+        worker.refusing = True
+        for node, hold in self._open_holds.pop(name, []):
+            self.at(LATENCY_MS, lambda node=node, hold=hold: self._cut_off(node, hold))
+        self.at(repair_ms, lambda: self._bring_back(name))
+
+    def _cut_off(self, node: Node, hold: effects.HoldWorker) -> None:
+        self._answer(node, hold, CallResult.NO_ANSWER)
+
+    def _bring_back(self, name: str) -> None:
+        worker = self.workers[name]
+        worker.refusing = False
+        if self.restarts_keep_id:
+            worker.restart(self.now_ms)
+            return
+        worker.succeeded = True
+        successor = self.replace_worker(name, self.worker_entries[name].pool)
+        address = self.worker_entries[name].address
+        self.worker_entries[successor] = attrs.evolve(
+            self.worker_entries[successor], address=address
+        )
+        self.workers[successor].work_ms = worker.work_ms
+        for machine in self.machines.machines.values():
+            if machine.worker == name:
+                machine.worker = successor
+
+    def _crash_under(self, task: TaskId, worker: FakeWorker) -> None:
+        if not worker.alive or task not in worker.runs:
+            return
+        self.crashes.setdefault(task, []).append((self.now_ms, worker.id))
+        self.lost_neighbours.update({run.job for run in worker.runs} - {task.job})
+        self.crash_worker(worker.id)
+
     def _call(self, node: Node, effect: effects.WorkerEffect) -> None:
         worker = self.workers[effect.worker]
         is_order = not isinstance(effect, effects.HoldWorker)
         self.calls[type(effect).__name__, effect.worker] += 1
-        if worker.refusing:
+        if worker.succeeded:
+            self.at(LATENCY_MS, lambda: self._answer(node, effect, CallResult.OTHER_INCARNATION))
+        elif worker.refusing:
             self.at(1, lambda: self._answer(node, effect, CallResult.REFUSED))
         elif not worker.alive or not worker.reachable:
             self.at(CALL_TIMEOUT_MS, lambda: self._answer(node, effect, CallResult.NO_ANSWER))
@@ -322,12 +383,16 @@
             elif not answer.ended:
                 wait_ms = effect.wait_ms or LATENCY_MS
             if wait_ms > LATENCY_MS:
+                self._open_holds.setdefault(effect.worker, []).append((node, effect))
                 self.at(wait_ms, lambda: self._delayed_reply(node, effect))
                 return
         self.at(wait_ms, lambda: self._answer(node, effect, answer))
 
     def _delayed_reply(self, node: Node, effect: effects.HoldWorker) -> None:
         worker = self.workers[effect.worker]
+        holds = self._open_holds.get(effect.worker, [])
+        if (node, effect) in holds:
+            holds.remove((node, effect))
         if not worker.alive or not worker.reachable:
             self.at(CALL_TIMEOUT_MS, lambda: self._answer(node, effect, CallResult.NO_ANSWER))
             return
@@ -343,15 +408,35 @@
             case effects.HoldWorker():
                 return worker.hold(effect, self.now_ms)
             case effects.StartRun():
-                return worker.start(effect, self.now_ms, self._is_long_running(effect.task))
+                count = len(worker.started)
+                answer = worker.start(effect, self.now_ms, self._is_long_running(effect.task))
+                if len(worker.started) > count:
+                    self._check_capacity(worker)
+                if len(worker.started) > count and effect.task in self.crashing_tasks:
+                    self.at(CRASH_DELAY_MS, lambda: self._crash_under(effect.task, worker))
+                return answer
             case effects.StopRun():
                 return worker.stop(effect, self.now_ms)
         raise AssertionError(effect)
 
+    def resize_worker(self, name: str, cpu: int) -> None:
+        """Change the capacity that a worker states; it goes on with what it runs."""
+        capacity = attrs.evolve(self.worker_entries[name].capacity, cpu=cpu)
+        self.worker_entries[name] = attrs.evolve(self.worker_entries[name], capacity=capacity)
+        self.resized_ms[name] = self.now_ms
+
+    def _check_capacity(self, worker: FakeWorker) -> None:
+        used = sum(self._job(task).steps[task.step].reservation.cpu for task in worker.runs)
+        settled = self.now_ms - self.resized_ms.get(worker.id, -RESIZE_GRACE_MS) >= RESIZE_GRACE_MS
+        if settled and used > self.worker_entries[worker.id].capacity.cpu:
+            self.starts_over_capacity.append((self.now_ms, worker.id))
+
     def _is_long_running(self, task: TaskId) -> bool:
+        return self._job(task).steps[task.step].long_running
+
+    def _job(self, task: TaskId) -> Job:
         tables = [self.jobs, *(node.reducer.table.jobs for node in self.nodes.values())]
-        job = next(table[task.job] for table in tables if task.job in table)
-        return job.steps[task.step].long_running
+        return next(table[task.job] for table in tables if task.job in table)
 
     def _answer(self, node: Node, effect: effects.WorkerEffect, answer: object) -> None:
         ok = not isinstance(answer, CallResult)
