Attribute crashes of workers to tasks and give up a task that causes them

Cause: a run that is lost with its worker ends as lapsed, which counts for nothing, and its task is placed again among others (hypothesis 1). Ages at the loss of contact show that a plain count of lost runs would blame neighbours (hypothesis 3): 11 to 13 runs go with each first crash, one of them started 15 ms before.

Change: tasks collect points of suspicion, stored with their progress at the moment contact is lost, so that the next leader has them. From two points on a run is isolated; a task is given up after a crash under an isolated run, at six points. A worker that answers again clears its runs. A worker that does not answer gets no new starts, and starts that were planned before are withdrawn.

--- a/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
@@ -8,11 +8,12 @@
 from fescuecrank_scheduler import ordering, placement
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.fleet import Resources
-from fescuecrank_scheduler.jobs import Job, Phase, Step, Task
+from fescuecrank_scheduler.isolation import Isolation, allowed_workers
+from fescuecrank_scheduler.jobs import Job, Step
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.ordering import Demand, ReadyStep
 from fescuecrank_scheduler.runs import Runs
-from fescuecrank_scheduler.workers import RunState, Worker
+from fescuecrank_scheduler.workers import Worker
 
 
 @attrs.define
@@ -27,6 +28,11 @@
     # Reservations for which the pool of the current pass has no worker left; none is released
     # during a pass, so larger ones need not be looked for.
     _full_for: list[Resources] = attrs.field(factory=list)
+    _isolation: Isolation = attrs.field(init=False)
+
+    @_isolation.default
+    def _make_isolation(self) -> Isolation:
+        return Isolation(self.state, self.runs)
 
     def tick(self, now: Now) -> None:
         """Request a pass when an occurrence is due or `max_pass_interval_ms` have passed."""
@@ -92,6 +98,13 @@
         self._full_for.clear()
         speed = ordering.PoolSpeed.of_workers(usable)
         unplaced = unplaced_on_time = 0.0
+        if any(demand.suspected for demand in demands):
+            unplaced += self._isolation.place_suspects(demands, usable, now)
+        usable = [
+            worker
+            for worker in usable
+            if not worker.isolated_runs and worker.reserved_until_ms <= now.mono_ms
+        ]
         for demand in ordering.order_demands(demands, speed, now.wall_ms):
             work = self._schedule_job(demand, usable, now)
             unplaced += work
@@ -113,7 +126,6 @@
         job = demand.job
         if not demand.waiting and job.schedule is None:
             self.state.waiting_jobs.discard(job)
-        queue = self.state.config.queue(job.queue)
         for ready in demand.ready:
             step = job.steps[ready.number]
             if not usable or any(full.fits(step.reservation) for full in self._full_for):
@@ -121,12 +133,7 @@
                 self._log_plan(job, ready, [], len(ready.tasks), "no_room")
                 self._record_unplaced(job, step)
                 continue
-            workers = usable
-            if queue is not None and queue.needs_advice:
-                workers = self.state.advice.workers_with_ticket(
-                    job, ready.occurrence, ready.number, usable, now, self.state.limits
-                )
-                self.state.effects.extend(self.state.advice.take_effects())
+            workers = allowed_workers(self.state, job, ready, usable, now)
             if step.gang:
                 unplaced += self._place_gang(job, ready, workers, now)
             else:
@@ -153,7 +160,7 @@
             workers, job.id, ready.occurrence, ready.number, step, allowed
         )
         for task, worker in zip(ready.tasks, chosen, strict=False):
-            self._plan_run(worker, job, task, task.run + 1, now)
+            self.runs.plan(worker, job, task, task.run + 1, now)
         left = len(ready.tasks) - len(chosen)
         reason = ""
         if len(chosen) < allowed:
@@ -211,7 +218,7 @@
             return ordering.step_work(step, step.count)
         run = max(task.run for task in ready.tasks) + 1
         for task, worker in zip(ready.tasks, chosen, strict=True):
-            self._plan_run(worker, job, task, run, now)
+            self.runs.plan(worker, job, task, run, now)
         self._log_plan(job, ready, [worker.id for worker in chosen], 0, "")
         return 0.0
 
@@ -219,10 +226,3 @@
         queue = self.state.config.queue(job.queue)
         if step.long_running and queue is not None:
             self.state.pools_awaiting_long_running.add(queue.pool)
-
-    def _plan_run(self, worker: Worker, job: Job, task: Task, run: int, now: Now) -> None:
-        task.run, task.worker, task.phase = run, worker.id, Phase.ASSIGNED
-        job.started = True
-        self.state.mark_changed(job)
-        self.runs.register(worker, job, task, RunState.PLANNED, now)
-        self.state.planned.append((worker.id, task.id, run))
--- a/packages/scheduler/src/fescuecrank_scheduler/jobs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/jobs.py
@@ -79,6 +79,11 @@
     step: int
     index: int
 
+    @property
+    def label(self) -> str:
+        """Name of the task in log lines."""
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
+
 
 @attrs.define
 class Task:
@@ -92,6 +97,10 @@
     # Worker of the latest run.
     worker: str = ""
     checkpoint: str = ""
+    # Points for crashes of workers under the task, and the run that was last suspected; see
+    # `suspicion`.
+    suspicion: int = 0
+    suspected_run: int = 0
 
 
 @attrs.define
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -78,6 +78,8 @@
     # Pools without capacity for a long-running task that waits.
     pools_awaiting_long_running: set[str] = attrs.field(factory=set)
     arrivals: Arrivals = attrs.field(factory=Arrivals)
+    # Since when each task has waited for a worker without other runs.
+    isolation_since: dict[TaskId, int] = attrs.field(factory=dict)
     # Why each step of a job waits, as last logged.
     wait_reasons: dict[tuple[str, int, int], str] = attrs.field(factory=dict)
     # Contents of the next append: changed jobs, decided outcomes, planned starts, other records.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -20,7 +20,7 @@
 from fescuecrank_scheduler.jobs import TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.pacing import Pacer
-from fescuecrank_scheduler.runs import Runs, task_label
+from fescuecrank_scheduler.runs import Runs
 from fescuecrank_scheduler.workers import RunState, Worker
 
 # Results of a hold that the worker did not answer; it may be cut off, slow or gone.
@@ -60,6 +60,7 @@
         worker = self.state.worker(entry.id)
         was_listed = worker.listed
         if worker.address and worker.address != entry.address:
+            self.runs.crashes.on_lease_expired(worker)
             self.runs.abandon_runs(worker, "moved_address", now)
             worker.epoch_accepted = worker.retired = False
         was_ready = worker.ready
@@ -94,6 +95,9 @@
         if worker.contact_lost_ms is not None:
             return
         worker.contact_lost_ms = now.mono_ms
+        self.runs.crashes.on_contact_lost(worker, now)
+        if not worker.runs:
+            return
         self.state.log(
             "worker_contact_lost",
             worker=worker.id,
@@ -105,12 +109,16 @@
     def _on_contact(self, worker: Worker, now: Now) -> None:
         if worker.contact_lost_ms is None:
             return
-        self.state.log(
-            "worker_contact_regained",
-            worker=worker.id,
-            away_ms=now.mono_ms - worker.contact_lost_ms,
-        )
+        if worker.runs:
+            self.state.log(
+                "worker_contact_regained",
+                worker=worker.id,
+                runs=len(worker.runs),
+                away_ms=now.mono_ms - worker.contact_lost_ms,
+            )
         worker.contact_lost_ms = None
+        self.runs.crashes.on_contact_regained(worker)
+        self.state.request_placement(worker.pool)
 
     def on_pace_done(self, event: PaceDone) -> None:
         """Record that a worker confirmed a run's pace; an unanswered order is sent again."""
@@ -127,10 +135,13 @@
         A start that was not answered may still be carried out by the new incarnation. Such a run is
         stopped there before its task may start elsewhere.
         """
+        given_up = self.runs.crashes.on_crash(worker, now)
         for run in list(worker.runs.values()):
             if run.starts_in_flight > 0:
                 self.runs.stop(worker, run, now)
+            run.points = 0
         self.runs.abandon_runs(worker, "restarted", now, keep=RunState.STOPPING)
+        self.runs.give_up(given_up, worker, now)
         worker.started_ms, worker.epoch_accepted, worker.retired = started_ms, False, False
         worker.last_seen_end = worker.last_acked_end = 0
         worker.clock_ms = worker.sent_deadline_ms = None
@@ -183,6 +194,7 @@
                 run.percent, run.measurement = row.percent, row.measurement
                 if run.state is RunState.RUNNING:
                     run.reported_ms = max(run.reported_ms, now.mono_ms - run.sent_ms)
+                    self.runs.crashes.on_reported(worker, run)
                 if run.state is RunState.SENT:
                     run.state = RunState.RUNNING
                 run.running_since_ms = run.running_since_ms or now.mono_ms
@@ -191,13 +203,13 @@
                 and run.confirmed_ms < sent_ms
                 and (task, run.number) not in ended
             ):
-                self.state.log(
-                    "run_missing", task=task_label(task), run=run.number, worker=worker.id
-                )
+                self.state.log("run_missing", task=task.label, run=run.number, worker=worker.id)
                 self.runs.run_ended(worker, run, "lapsed", "", now)
         for row in reply.running:
             run = worker.runs.get(row.task)
-            if not self._job_unread(row.task) and (run is None or run.number != row.run):
+            if run is not None and run.number == row.run:
+                continue
+            if not self._job_unread(row.task):
                 self._stop_foreign(worker, row.task, row.run, now)
 
     def _stop_foreign(self, worker: Worker, task: TaskId, run: int, now: Now) -> None:
@@ -206,7 +218,7 @@
         if now.mono_ms - self._foreign_stop_ms.get(key, -(10**9)) < self.state.limits.stop_retry_ms:
             return
         self._foreign_stop_ms[key] = now.mono_ms
-        self.state.log("foreign_run_stopped", task=task_label(task), run=run, worker=worker.id)
+        self.state.log("foreign_run_stopped", task=task.label, run=run, worker=worker.id)
         self.runs.send_stop(worker, task, run)
 
     def _apply_end(self, worker: Worker, row: EndRow, now: Now) -> None:
@@ -220,6 +232,7 @@
         for worker in list(self.state.workers.values()):
             started = any(run.state is not RunState.PLANNED for run in worker.runs.values())
             if started and now.mono_ms > worker.lease_expires_ms:
+                self.runs.crashes.on_lease_expired(worker)
                 self.runs.abandon_runs(worker, "lease_over", now)
             if not worker.listed and not worker.runs:
                 self.state.workers.pop(worker.id, None)
@@ -240,11 +253,23 @@
             return
         for worker_id in self.state.hold_times.pop_due(now.mono_ms):
             worker = self.state.workers.get(worker_id)
-            if worker is None or worker.hold_open or not worker.address or worker.retired:
+            if worker is None or not worker.address or worker.retired:
+                continue
+            if worker.hold_open and not self._answers_too_late(worker):
                 # The next answer, or the next entry of the worker, sets the time anew.
                 continue
             self._send_hold(worker, now)
 
+    def _answers_too_late(self, worker: Worker) -> bool:
+        """Return whether the open hold was sent before the start of an isolated run.
+
+        The worker answers it after up to `hold_wait_ms`. Another hold replaces it, whose answer is
+        the one that counts.
+        """
+        return any(
+            worker.runs[task].first_sent_ms > worker.hold_sent_ms for task in worker.isolated_runs
+        )
+
     def _send_hold(self, worker: Worker, now: Now) -> None:
         deadline = None
         if worker.epoch_accepted and worker.runs:
@@ -258,6 +283,8 @@
             wait_ms = self.state.limits.hold_wait_paced_ms
         if worker.pool in self.state.pools_moving_tasks:
             wait_ms = self.state.limits.hold_wait_moving_ms
+        if worker.isolated_runs:
+            wait_ms = self.state.limits.hold_wait_isolated_ms
         worker.hold_number += 1
         worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
         self.state.effects.append(
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -25,6 +25,8 @@
     hold_pause_ms: int = 40
     # Pause before a failed hold is repeated.
     hold_retry_ms: int = 250
+    # The same on workers with an isolated run, beside which nothing is placed until it is reported.
+    hold_wait_isolated_ms: int = 100
     # A worker that has not answered for this long gets no new runs.
     worker_silence_ms: int = 2_600
     # Answers usually take a few milliseconds, but longer on slow links and from frozen workers.
@@ -67,6 +69,11 @@
     # Consecutive failures after which a worker is quarantined.
     failure_streak: int = 3
     quarantine_ms: int = 4_000
+    # For how long a worker has to report an isolated run before others are placed beside it. A task
+    # that crashes its worker as it starts does so within some ten milliseconds.
+    isolation_ms: int = 200
+    # How long a task waits for a worker without other runs to be isolated there.
+    isolation_wait_ms: int = 1_000
     # Least time between placement passes; capacity freed within it is assigned in one pass.
     min_pass_interval_ms: int = 20
     # Longest time between placement passes while tasks wait.
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -331,6 +331,7 @@
         # The last report of a worker that has gone silent is outdated.
         responsive = (
             worker.listed
+            and worker.contact_lost_ms is None
             and now.mono_ms - worker.last_answer_ms < self.state.limits.worker_silence_ms
         )
         return responsive and run.state is RunState.RUNNING and run.percent >= READY_PERCENT
--- a/packages/scheduler/src/fescuecrank_scheduler/ordering.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/ordering.py
@@ -21,6 +21,7 @@
 
 from fescuecrank_scheduler.fleet import FleetConfig
 from fescuecrank_scheduler.jobs import Job, Phase, Step, Task
+from fescuecrank_scheduler.suspicion import ISOLATION_POINTS
 from fescuecrank_scheduler.workers import Worker
 
 # Average share of a task's work that is left while it is running.
@@ -90,6 +91,8 @@
     priority: int
     long_running: bool
     ready: tuple[ReadyStep, ...]
+    # The same for tasks that are suspected of crashing their workers; they are isolated.
+    suspected: tuple[ReadyStep, ...]
     # Whether any of its tasks is waiting.
     waiting: bool
 
@@ -131,6 +134,7 @@
     queue = config.queue(job.queue)
     work = task_ms = 0.0
     ready: list[ReadyStep] = []
+    suspected: list[ReadyStep] = []
     has_waiting = False
     chains: dict[int, list[float]] = {}
     for (occurrence, number), tasks in job.tasks.items():
@@ -146,7 +150,14 @@
         if waiting:
             has_waiting = True
             if job.step_ready(occurrence, number):
-                ready.append(ReadyStep(occurrence, number, waiting))
+                suspects = tuple(task for task in waiting if task.suspicion >= ISOLATION_POINTS)
+                if suspects and step.gang:
+                    suspects = waiting
+                if suspects:
+                    suspected.append(ReadyStep(occurrence, number, suspects))
+                if len(suspects) < len(waiting):
+                    others = tuple(task for task in waiting if task not in suspects)
+                    ready.append(ReadyStep(occurrence, number, others if suspects else waiting))
     late_ms, useless_ms = due_times_ms(job, config)
     return Demand(
         job=job,
@@ -159,6 +170,7 @@
         priority=queue.priority if queue else 0,
         long_running=any(step.long_running for step in job.steps),
         ready=tuple(ready),
+        suspected=tuple(suspected),
         waiting=has_waiting,
     )
 
--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -93,10 +93,7 @@
             return
         if run.state is not RunState.PLANNED:
             return
-        if self.state.still_needed(run) and not self.state.resigned:
-            self.runs.send_start(worker, run, now)
-        else:
-            self.runs.run_ended(worker, run, "withdrawn", "", now)
+        self.runs.start_planned(worker, run, now)
 
     def _backlog_ms(self) -> dict[str, int]:
         """Return the time that each pool needs for its waiting work."""
--- a/packages/scheduler/src/fescuecrank_scheduler/records.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/records.py
@@ -143,25 +143,28 @@
     """Return the record of a job's progress."""
     rows: list[list[Any]] = []
     if outcome is None:
-        rows = [
-            [
-                task.id.occurrence,
-                task.id.step,
-                task.id.index,
-                task.phase.value,
-                task.run,
-                task.failures,
-                task.worker if task.phase is Phase.ASSIGNED else "",
-                task.checkpoint if task.phase is not Phase.DONE else "",
-            ]
-            for tasks in job.tasks.values()
-            for task in tasks
-            if task.run
-        ]
+        rows = [_encode_task(task) for tasks in job.tasks.values() for task in tasks if task.run]
     value = [epoch, outcome.value if outcome else None, rows]
     return Record(PROGRESS_PREFIX + job.id, orjson.dumps(value))
 
 
+def _encode_task(task: Task) -> list[Any]:
+    """Return the row of a task; the suspicion of a task without any is left out."""
+    row: list[Any] = [
+        task.id.occurrence,
+        task.id.step,
+        task.id.index,
+        task.phase.value,
+        task.run,
+        task.failures,
+        task.worker if task.phase is Phase.ASSIGNED else "",
+        task.checkpoint if task.phase is not Phase.DONE else "",
+    ]
+    if task.suspicion and task.phase is not Phase.DONE:
+        row += [task.suspicion, task.suspected_run]
+    return row
+
+
 def job_tombstones(job: Job) -> tuple[Record, ...]:
     """Return the tombstones of a job and of its cancellation."""
     keys = [JOB_PREFIX] + ([CANCEL_PREFIX] if job.cancelled else [])
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -6,6 +6,7 @@
 
 from fescuecrank_scheduler import health
 from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.crashes import Crashes
 from fescuecrank_scheduler.effects import StartRun, StopRun
 from fescuecrank_scheduler.events import CallResult, StartDone, StopDone
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Step, Task, TaskId
@@ -22,28 +23,47 @@
         yield from tasks
 
 
-def task_label(task: TaskId) -> str:
-    """Return the name of a task in log lines."""
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
-
-
 @attrs.define
 class Runs:
     """All runs under one leadership."""
 
     state: LeaderState
+    crashes: Crashes = attrs.field(init=False)
+
+    @crashes.default
+    def _make_crashes(self) -> Crashes:
+        return Crashes(self.state)
 
     # Starts.
 
-    def register(self, worker: Worker, job: Job, task: Task, state: RunState, now: Now) -> None:
+    def register(
+        self,
+        worker: Worker,
+        job: Job,
+        task: Task,
+        state: RunState,
+        now: Now,
+        isolation_ms: int = 0,
+    ) -> None:
         """Add a run of `task` to `worker` and reserve its resources."""
         step = job.steps[task.id.step]
         run = Run(task.id, task.run, step, job.team, job.queue, state, checkpoint=task.checkpoint)
-        run.sent_ms = now.mono_ms
+        run.sent_ms, run.isolation_ms = now.mono_ms, isolation_ms
         worker.add_run(run)
         self.state.usage.add(job.team, step.need)
         self.state.placements[task.id] = worker.id
 
+    def plan(
+        self, worker: Worker, job: Job, task: Task, number: int, now: Now, isolation_ms: int = 0
+    ) -> None:
+        """Assign a task to a worker; its start is sent when the record of it is stored."""
+        task.run, task.worker, task.phase = number, worker.id, Phase.ASSIGNED
+        job.started = True
+        self.state.mark_changed(job)
+        self.state.isolation_since.pop(task.id, None)
+        self.register(worker, job, task, RunState.PLANNED, now, isolation_ms)
+        self.state.planned.append((worker.id, task.id, number))
+
     def send_start(self, worker: Worker, run: Run, now: Now) -> None:
         """Send or repeat the start of a run whose record is stored."""
         deadline = worker.grant_lease(now.mono_ms, self.state.limits)
@@ -51,6 +71,8 @@
             self.run_ended(worker, run, "withdrawn", "", now)
             return
         run.state, run.sent_ms = RunState.SENT, now.mono_ms
+        run.first_sent_ms = run.first_sent_ms or now.mono_ms
+        run.never_sent = False
         run.unanswered = False
         run.starts_in_flight += 1
         self.state.effects.append(
@@ -85,6 +107,9 @@
                 worker.last_answer_ms = now.mono_ms
                 self.state.hold_times.set(worker.id, now.mono_ms)
             case CallResult.NO_ANSWER | CallResult.REFUSED:
+                if run.starts_in_flight == 0:
+                    run.never_sent = True
+                    self.crashes.clear(run)
                 self._mark_unanswered(worker, run, now)
             case CallResult.OLD:
                 # The run is or was on the worker; the next hold reports it or its end.
@@ -107,15 +132,29 @@
                     continue
                 if now.mono_ms - run.sent_ms < self.state.limits.start_timeout_ms:
                     continue
+                # Another incarnation may answer next, which must not run it beside other runs.
+                if worker.contact_lost_ms is not None:
+                    continue
                 if self.state.still_needed(run):
                     self.send_start(worker, run, now)
                 else:
                     self.stop(worker, run, now)
 
+    def start_planned(self, worker: Worker, run: Run, now: Now) -> None:
+        """Send the start of a run whose record is stored, unless it is out of place by now."""
+        if not self.state.still_needed(run) or self.state.resigned:
+            reason = "withdrawn"
+        elif worker.contact_lost_ms is not None:
+            reason = "worker_away"
+        else:
+            self.send_start(worker, run, now)
+            return
+        self.run_ended(worker, run, reason, "", now)
+
     def _start_refused(self, worker: Worker, run: Run, result: CallResult, now: Now) -> None:
         self.state.log(
             "start_refused",
-            task=task_label(run.task),
+            task=run.label,
             run=run.number,
             worker=worker.id,
             reason=result.value,
@@ -196,7 +235,7 @@
                     continue
                 self.state.log(
                     "run_stalled",
-                    task=task_label(run.task),
+                    task=run.label,
                     worker=worker.id,
                     reason=reason,
                     age_ms=now.mono_ms - run.running_since_ms,
@@ -224,7 +263,7 @@
                 away_ms=now.mono_ms - lost_ms if lost_ms is not None else 0,
                 # Age at the loss of contact, and for how long the worker had reported the run.
                 ages_ms={
-                    task_label(run.task): [(lost_ms or now.mono_ms) - run.sent_ms, run.reported_ms]
+                    run.label: [(lost_ms or now.mono_ms) - run.sent_ms, run.reported_ms]
                     for run in lost
                 },
             )
@@ -240,6 +279,7 @@
         worker = self.state.workers.get(worker_id)
         if worker is not None:
             worker.retired = True
+            self.crashes.on_planned_end(worker)
             self.abandon_runs(worker, "machine_down", now)
 
     def run_ended(
@@ -271,7 +311,7 @@
         if end_reason != DONE:
             self.state.log(
                 "run_ended",
-                task=task_label(run.task),
+                task=run.label,
                 run=run.number,
                 worker=worker.id,
                 how=end_reason,
@@ -323,6 +363,22 @@
             failures = sum(member.failures for member in members)
         return failures >= queue.max_attempts
 
+    def give_up(self, runs: list[Run], worker: Worker, now: Now) -> None:
+        """Fail the jobs of tasks that have crashed their workers."""
+        for run in runs:
+            job = self.state.table.jobs.get(run.task.job)
+            task = job.task(run.task) if job is not None else None
+            if job is None or task is None or not job.open or job.id in self.state.outcomes:
+                continue
+            self.state.log(
+                "task_given_up",
+                task=run.label,
+                run=run.number,
+                worker=worker.id,
+                points=task.suspicion,
+            )
+            self.end_job(job, Outcome.FAILED, now)
+
     def end_job(self, job: Job, outcome: Outcome, now: Now) -> None:
         """Set the outcome of a job, visible to callers once stored, and stop its runs."""
         self.state.outcomes[job.id] = outcome
@@ -340,7 +396,9 @@
         if result is CallResult.FENCED:
             self.state.fenced = True
         elif result is CallResult.OTHER_INCARNATION:
+            given_up = self.crashes.on_crash(worker, now)
             self.abandon_runs(worker, result.value, now)
+            self.give_up(given_up, worker, now)
             worker.epoch_accepted = False
             if not worker.listed:
                 self.state.workers.pop(worker.id, None)
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -79,7 +79,9 @@
             remaining_ms = min(state.inherited_leases.get(worker.id, max_lease_ms), max_lease_ms)
             worker.lease_expires_ms = max(worker.lease_expires_ms, state.started_ms + remaining_ms)
             self.runs.register(worker, job, task, RunState.SENT, now)
-            worker.runs[task.id].confirmed_ms = now.mono_ms
+            run = worker.runs[task.id]
+            run.confirmed_ms = run.first_sent_ms = now.mono_ms
+            run.adopted = True
             adopted += 1
         return adopted
 
--- /dev/null
+++ b/packages/scheduler/src/fescuecrank_scheduler/suspicion.py
@@ -0,0 +1,79 @@
+"""Attribution of worker crashes to tasks.
+
+A task may crash every worker that starts it, and all runs beside it are lost each time. The
+leader sees only that a worker went away. Each task therefore collects points of suspicion, which
+are stored with its progress, so that they outlive the process that saw the crash:
+
+- `PROMPT_POINTS` if the worker went away within `PROMPT_MS` of the start of the run;
+- `UNREPORTED_POINTS` if it went away before it had reported the run as running, and no run on it
+  was started so shortly before;
+- `REPORTED_POINTS` otherwise, or if several workers went away at once.
+
+From `ISOLATION_POINTS` on, the next run is isolated: it is placed on a worker without other runs,
+and nothing is placed beside it until the worker has reported it for some time. If that worker
+crashes, only the isolated run is suspected. A task is given up at `GIVE_UP_POINTS`, after the crash
+of a worker on which its run was isolated: after two crashes if both followed a start at once, else
+after three or more.
+
+Silence is no crash: a worker that answers again clears its runs, and a task is given up only when
+another incarnation has answered in the worker's place.
+"""
+
+from fescuecrank_scheduler.jobs import Task
+from fescuecrank_scheduler.workers import Run, RunState
+
+PROMPT_POINTS = 3
+UNREPORTED_POINTS = 2
+REPORTED_POINTS = 1
+ISOLATION_POINTS = 2
+GIVE_UP_POINTS = 6
+
+# Points from which a task is isolated for its whole run, since a shorter time did not clear it.
+FULL_ISOLATION_POINTS = 4
+
+# A worker that crashes as it starts a task goes away some ten milliseconds after the start is sent.
+PROMPT_MS = 50
+
+# A long-running task is isolated for at most this many times the usual time.
+LONG_RUNNING_FACTOR = 5
+
+# Isolation for a whole run ends with the run.
+WHOLE_RUN_MS = 3_600_000
+
+# Progress in percent from which a long-running task is at work.
+AT_WORK_PERCENT = 100
+
+
+def crash_points(run: Run, lost_ms: int, coincident: bool, prompt_runs: bool) -> int:
+    """Return the points of a run on a worker that went away at `lost_ms`.
+
+    `coincident` says that other workers went away at the same time, `prompt_runs` that a run was
+    started on the worker within `PROMPT_MS` before.
+    """
+    if run.state is RunState.PLANNED or run.first_sent_ms > lost_ms or run.never_sent:
+        return 0
+    if is_prompt(run, lost_ms) and (run.isolated or not coincident):
+        return PROMPT_POINTS
+    if run.isolated:
+        return UNREPORTED_POINTS
+    if not run.reported_ms and not run.adopted and not coincident and not prompt_runs:
+        return UNREPORTED_POINTS
+    if run.step.long_running and run.percent >= AT_WORK_PERCENT:
+        return 0
+    return REPORTED_POINTS
+
+
+def is_prompt(run: Run, lost_ms: int) -> bool:
+    """Return whether a run was started within `PROMPT_MS` before its worker went away."""
+    if run.state is RunState.PLANNED or run.adopted or run.never_sent:
+        return False
+    return 0 <= lost_ms - run.first_sent_ms <= PROMPT_MS
+
+
+def isolation_ms(task: Task, long_running: bool, usual_ms: int) -> int:
+    """Return for how long a worker has to report the task's next run before others join it."""
+    if task.suspicion < ISOLATION_POINTS:
+        return 0
+    if task.suspicion < FULL_ISOLATION_POINTS:
+        return usual_ms
+    return LONG_RUNNING_FACTOR * usual_ms if long_running else WHOLE_RUN_MS
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -49,13 +49,32 @@
     measurement: float | None = None
     # When the progress of the run last rose.
     progress_ms: int = 0
+    # When the start was first sent, and whether no start can have reached the worker.
+    first_sent_ms: int = 0
+    never_sent: bool = False
+    # Whether the run was recorded by a previous leader.
+    adopted: bool = False
     # For how long, after its start was sent, the worker has reported the run as running.
     reported_ms: int = 0
+    # For how long it has to be reported before other runs may be placed beside it.
+    isolation_ms: int = 0
+    # Points of suspicion that its task got from this run; see `suspicion`.
+    points: int = 0
     # Throttle in percent of full speed: wanted, confirmed by the worker; time of the last order.
     pace: int = 100
     pace_confirmed: int = 100
     pace_sent_ms: int = 0
 
+    @property
+    def isolated(self) -> bool:
+        """Whether nothing may be placed beside the run yet."""
+        return self.reported_ms < self.isolation_ms
+
+    @property
+    def label(self) -> str:
+        """Name of its task in log lines."""
+        return self.task.label
+
 
 @attrs.define
 class Worker:
@@ -105,6 +124,10 @@
     blocked_until_ms: int = 0
     failure_streak: int = 0
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
+    # Runs beside which nothing may be placed yet.
+    isolated_runs: set[TaskId] = attrs.field(factory=set)
+    # Until when it gets no runs, so that a run can be isolated there.
+    reserved_until_ms: int = 0
     used: Resources = NO_RESOURCES
     # Thousandths of a core that long-running runs reserve.
     long_running_cpu: int = 0
@@ -150,12 +173,15 @@
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task] = run
+        if run.isolation_ms:
+            self.isolated_runs.add(run.task)
         self._set_used(self.used.plus(run.step.reservation))
         self._count_work(run.step, 1)
 
     def remove_run(self, task: TaskId) -> Run | None:
         """Remove a run and release its resources."""
         run = self.runs.pop(task, None)
+        self.isolated_runs.discard(task)
         if run is not None:
             self._set_used(self.used.minus(run.step.reservation))
             self._count_work(run.step, -1)
@@ -178,6 +204,8 @@
             and self.epoch_accepted
             and not self.cordoned
             and not self.retired
+            and not self.isolated_runs
+            and self.contact_lost_ms is None
             and now_ms >= self.blocked_until_ms
             and now_ms - self.last_answer_ms < limits.worker_silence_ms
         )
--- a/packages/scheduler/tests/test_capacity_changes.py
+++ b/packages/scheduler/tests/test_capacity_changes.py
@@ -1,6 +1,9 @@
 """Workers whose capacity shrinks and grows while they run, some of which accept any start."""
 
+import attrs
+from fescuecrank_scheduler.events import Topic
 from fescuecrank_scheduler.fleet import Pool
+from fescuecrank_scheduler.jobs import TaskId
 from fleet_simulation import RESIZE_GRACE_MS, Simulation
 from scheduler_builders import config, job, step
 
@@ -115,15 +118,26 @@
     assert sim.starts()
 
 
-def test_runs_that_a_leader_has_given_up_count_until_they_have_stopped():
+def test_runs_of_jobs_that_a_new_leader_has_not_read_count():
     sim = make_fleet(workers=1)
+    leader = sim.leader()
+    for node in sim.nodes.values():
+        if node is not leader:
+            node.unread_topics.add(Topic.INTAKE)
     sim.submit(job(JOB, step(4)))
     sim.run(300)
     assert len(sim.workers["worker-1"].runs) == 4
-    scheduler = sim.leader().reducer.scheduler
-    scheduler.runs.abandon_runs(scheduler.state.workers["worker-1"], "lease_over", sim.now)
-    for number in range(3):
-        sim.submit(job(f"{number:016x}", step(4)))
-    sim.run(10_000)
+    sim.kill(leader.name)
+    others = [job(f"{number:016x}", step(4)) for number in range(3)]
+    for other in others:
+        for node in sim.nodes.values():
+            node.reducer.table.jobs[other.id] = attrs.evolve(other, tasks={})
+    sim.workers["worker-1"].runs[TaskId(JOB, 0, 0, 0)].work_ms = 6_000
+    sim.run(5_000)
     assert not sim.starts_over_capacity
-    assert sim.state(JOB) == "completed"
+    for node in sim.nodes.values():
+        node.unread_topics.clear()
+    sim.run(15_000)
+    assert not sim.starts_over_capacity
+    survivor = next(name for name, node in sim.nodes.items() if node.alive)
+    assert sim.state(JOB, survivor) == "completed"
