Start no run on a worker that may have shrunk since it was planned

Callers: none saw it; found by tests in virtual time. A worker that does not guard its capacity was filled over it (LIMIT).

Cause: the capacity was checked when a run was planned, not when its start was sent. Between the two lie an append, which an outage holds up, or the repetition of an unanswered start. Capacities were used however old the worker's entry was, and runs of jobs that a new leader had not read were not counted.

Change: a planned run is withdrawn if the worker's runs exceed its capacity; an unanswered start is then stopped instead of repeated.

--- a/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
@@ -89,7 +89,11 @@
     def _usable_workers(self, pools: Container[str], now: Now) -> dict[str, list[Worker]]:
         usable: dict[str, list[Worker]] = defaultdict(list)
         for worker in self.state.workers.values():
-            if worker.pool in pools and worker.usable(now.mono_ms, self.state.limits):
+            if (
+                worker.pool in pools
+                and worker.usable(now.mono_ms, self.state.limits)
+                and self.state.capacity_known(worker, now)
+            ):
                 usable[worker.pool].append(worker)
         return usable
 
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -152,6 +152,16 @@
                 self.worker_by_machine[worker.machine] = worker
         self.worker_by_machine.pop("", None)
 
+    def accepts_any_start(self, worker: Worker) -> bool:
+        """Return whether a worker does not refuse starts that exceed its capacity."""
+        pool = self.config.pools.get(worker.pool)
+        return pool is None or not pool.admission_check
+
+    def capacity_known(self, worker: Worker, now: Now) -> bool:
+        """Return whether a worker's capacity is known well enough to start a run there."""
+        age_ms = now.mono_ms - worker.entry_ms
+        return age_ms <= self.limits.max_entry_age_ms or not self.accepts_any_start(worker)
+
     def find_run(self, task: TaskId) -> tuple[Worker, Run] | None:
         """Return the current run of a task with its worker; None if the task has none."""
         worker = self.workers.get(self.placements.get(task, ""))
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -65,6 +65,7 @@
             worker.epoch_accepted = worker.retired = False
         was_ready = worker.ready
         worker.update(entry)
+        worker.entry_ms = now.mono_ms
         if entry.started_ms and worker.started_ms and entry.started_ms > worker.started_ms:
             self._on_restart(worker, entry.started_ms, now)
         if not was_listed or was_ready != entry.ready:
@@ -209,6 +210,9 @@
             run = worker.runs.get(row.task)
             if run is not None and run.number == row.run:
                 continue
+            if self.state.accepts_any_start(worker):
+                # The run's resources are in use and not counted.
+                worker.blocked_until_ms = now.mono_ms + self.state.limits.stop_retry_ms
             if not self._job_unread(row.task):
                 self._stop_foreign(worker, row.task, row.run, now)
 
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -135,17 +135,31 @@
                 # Another incarnation may answer next, which must not run it beside other runs.
                 if worker.contact_lost_ms is not None:
                     continue
+                if not self._has_room(worker, run, now):
+                    self.stop(worker, run, now)
+                    continue
                 if self.state.still_needed(run):
                     self.send_start(worker, run, now)
                 else:
                     self.stop(worker, run, now)
 
+    def _has_room(self, worker: Worker, run: Run, now: Now) -> bool:
+        """Return whether the worker can still take a run, which its free capacity includes."""
+        if not self.state.accepts_any_start(worker):
+            return True
+        known = self.state.capacity_known(worker, now)
+        return known and not worker.is_full_beyond(run.step.reservation)
+
     def start_planned(self, worker: Worker, run: Run, now: Now) -> None:
         """Send the start of a run whose record is stored, unless it is out of place by now."""
         if not self.state.still_needed(run) or self.state.resigned:
             reason = "withdrawn"
         elif worker.contact_lost_ms is not None:
             reason = "worker_away"
+        elif worker.is_full_beyond(run.step.reservation) or not self.state.capacity_known(
+            worker, now
+        ):
+            reason = "no_room"
         else:
             self.send_start(worker, run, now)
             return
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -91,6 +91,8 @@
     listed: bool = False
     ready: bool = False
     started_ms: int = 0
+    # When the worker's entry was last read.
+    entry_ms: int = 0
     # Whether it has accepted the epoch of this leader.
     epoch_accepted: bool = False
     # Last reading of the worker's clock, and when it was received.
@@ -196,6 +198,14 @@
     def _set_used(self, used: Resources) -> None:
         self.used, self.free = used, self.capacity.minus(used)
 
+    def is_full_beyond(self, need: Resources) -> bool:
+        """Return whether the runs here exceed the capacity in a resource that `need` takes."""
+        return (
+            (need.cpu > 0 > self.free.cpu)
+            or (need.mem_mb > 0 > self.free.mem_mb)
+            or (need.gpu > 0 > self.free.gpu)
+        )
+
     def usable(self, now_ms: int, limits: Limits) -> bool:
         """Return whether new runs may be placed here."""
         return (
