Count no negative speed for a worker that shrank below its tasks

Callers: none saw it. A pool with such a worker was taken to be slower, or a job's share of it negative, so jobs were ordered wrongly. Found while looking for other uses of a capacity that can shrink; the test failed before (cores 2 instead of 4).

--- a/packages/scheduler/src/fescuecrank_scheduler/ordering.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/ordering.py
@@ -52,7 +52,8 @@
     @classmethod
     def of_workers(cls, workers: Sequence[Worker]) -> "PoolSpeed":
         """Return the speed of the given workers."""
-        cpu = sum(worker.capacity.cpu - worker.long_running_cpu for worker in workers)
+        # Long-running tasks may take more than the capacity of a worker that has shrunk.
+        cpu = sum(max(0, worker.capacity.cpu - worker.long_running_cpu) for worker in workers)
         work = sum(worker.started_work for worker in workers)
         cores = max(cpu / 1_000, 1.0)
         return cls(cores, RUNNING_WORK_LEFT * work / cores, cpu / max(1, len(workers)))
@@ -150,7 +151,9 @@
         if waiting:
             has_waiting = True
             if job.step_ready(occurrence, number):
-                suspects = tuple(task for task in waiting if task.suspicion >= ISOLATION_POINTS)
+                suspects = tuple(
+                    task for task in waiting if task.suspicion.points >= ISOLATION_POINTS
+                )
                 if suspects and step.gang:
                     suspects = waiting
                 if suspects:
--- a/packages/scheduler/tests/test_capacity_changes.py
+++ b/packages/scheduler/tests/test_capacity_changes.py
@@ -2,8 +2,10 @@
 
 import attrs
 from fescuecrank_scheduler.events import Topic
-from fescuecrank_scheduler.fleet import Pool
+from fescuecrank_scheduler.fleet import Pool, Resources
 from fescuecrank_scheduler.jobs import TaskId
+from fescuecrank_scheduler.ordering import PoolSpeed
+from fescuecrank_scheduler.workers import Worker
 from fleet_simulation import RESIZE_GRACE_MS, Simulation
 from scheduler_builders import config, job, step
 
@@ -46,6 +48,13 @@
     assert sim.state(JOB) == "completed"
 
 
+def test_worker_that_shrank_below_its_long_running_tasks_adds_no_negative_speed():
+    shrunk = Worker("worker-1", capacity=Resources(1_000, 1_000), long_running_cpu=3_000)
+    sound = Worker("worker-2", capacity=Resources(4_000, 1_000))
+    assert PoolSpeed.of_workers([shrunk, sound]).cores == 4
+    assert PoolSpeed.of_workers([shrunk]).worker_cpu == 0
+
+
 def test_runs_of_a_shrunk_worker_go_on():
     sim = make_fleet(workers=1)
     sim.submit(job(JOB, step(4)))
