Ask a worker that was away for an answer at once

Callers: jobs waited up to 1.75 s for a worker that had been cut off for a moment. The first hold after a lost contact waited for an end of a run, up to 1.5 s, and since a worker without contact gets no runs, none ended. test_worker_that_answers_again_is_used_at_once failed before.

--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -280,6 +280,7 @@
             deadline = worker.grant_lease(now.mono_ms, self.state.limits)
         responsive = (
             worker.epoch_accepted
+            and worker.contact_lost_ms is None
             and now.mono_ms - worker.last_answer_ms < self.state.limits.worker_silence_ms
         )
         wait_ms = self.state.limits.hold_wait_ms
--- a/packages/scheduler/tests/test_crashing_tasks.py
+++ b/packages/scheduler/tests/test_crashing_tasks.py
@@ -83,3 +83,16 @@
     sim.run(30_000)
     assert {sim.state(name) for name in others} == {"completed"}
     assert max(sim.lost_neighbours.values(), default=0) <= 1
+
+
+def test_worker_that_answers_again_is_used_at_once():
+    sim = make_fleet(workers=1)
+    sim.crashing_tasks.clear()
+    sim.run(200)
+    sim.workers["worker-1"].refusing = True
+    sim.run(2_000)
+    sim.workers["worker-1"].refusing = False
+    regained_ms = sim.now_ms
+    sim.submit(job(CRASHING_JOB, step(1)))
+    sim.run(3_000)
+    assert sim.starts()[CRASHING_TASK][0][0] - regained_ms < 400
