Add a soak over real processes with crashing tasks and shrinking workers

Entries run as processes of their own and get signals; the store and the workers are stand-ins behind proxies that delay, hold back, reset and refuse. Checked: at most one run of a task, refusals true, accepted jobs known and ended, starts after three crashes, capacities, withdrawn keys, no request cut by a planned stop.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,10 @@
 PACKAGE_FLAGS := $(foreach p,$(PACKAGES),-e packages/$(p))
 SEED ?= 1
 STEPS ?= 20000
+SECONDS ?= 20
+ENTRIES ?= 4
 
-.PHONY: test lint format demo model soak faults bench slopes
+.PHONY: test lint format demo model soak soak-processes faults bench slopes
 
 $(STAMP): requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -37,6 +39,11 @@
 soak: $(STAMP)
 	PYTHONPATH=packages/core/src:packages/core/tests $(BIN)/python packages/core/tests/soak.py --seed $(SEED) --steps $(STEPS)
 
+# Real processes on loopback; SECONDS of faults, then everything is repaired.
+soak-processes: $(STAMP)
+	PYTHONPATH=$(subst $(eval) ,:,$(foreach p,scheduler service platform daemon,packages/$(p)/tests)) \
+		$(BIN)/python packages/daemon/tests/process_soak.py --seed $(SEED) --seconds $(SECONDS) --entries $(ENTRIES)
+
 bench: $(STAMP)
 	$(BIN)/python -m fescuecrank_bench
 
--- a/packages/scheduler/tests/fake_store.py
+++ b/packages/scheduler/tests/fake_store.py
@@ -45,6 +45,11 @@
             follows = state.sequence is None or sequence == state.sequence + 1
             if epoch == state.epoch and not follows:
                 return StoreResult.FENCED, -1
+        if producer and not records:
+            # Sets the epoch and takes no sequence number.
+            if epoch > state.epoch:
+                self.producers[producer] = ProducerState(epoch)
+            return StoreResult.STORED, self.end
         if expected_end is not None and expected_end != self.end:
             return StoreResult.CONFLICT, self.end
         offset = self.end
