Suspect the runs of a silent worker less than those of one that reset

A worker that falls silent is noticed 2.2 s late, so runs that were started meanwhile looked as if they had crashed it, and one that was started 50 ms before the time-out as its sole culprit.

Change: a hold that timed out, instead of being reset, tells nothing of the moment; each run gets one point. More than eight workers that go away at once add no points at all: after a pause of the leader the records of all running jobs would be rewritten twice. Gauges for workers away, runs isolated, crashes and tasks given up.

--- a/packages/scheduler/src/fescuecrank_scheduler/crashes.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/crashes.py
@@ -14,6 +14,7 @@
     AT_WORK_PERCENT,
     GIVE_UP_POINTS,
     REPORTED_POINTS,
+    Loss,
     crash_points,
     is_prompt,
 )
@@ -23,6 +24,10 @@
 # connections are reset within a few milliseconds of a crash.
 COINCIDENCE_MS = 50
 
+# If more workers go away at once, this process is cut off or was paused. Storing points for all
+# their runs, and taking them back, would rewrite the records of all running jobs.
+MAX_COINCIDENT = 8
+
 
 @attrs.define
 class Crashes:
@@ -32,19 +37,21 @@
     # Workers that went away in the last `COINCIDENCE_MS`.
     _losses: deque[tuple[int, str]] = attrs.field(factory=deque)
 
-    def on_contact_lost(self, worker: Worker, now: Now) -> None:
-        """Suspect the runs of a worker that does not answer any more."""
+    def on_contact_lost(self, worker: Worker, timed_out: bool, now: Now) -> None:
+        """Suspect the runs of a worker that does not answer any more; see `Loss.timed_out`."""
         if self._leaves_as_planned(worker):
             return
         if not worker.runs or not worker.last_answer_ms:
             # Switched off, or away since before this leadership.
-            self._suspect(worker, now.mono_ms, coincident=False)
+            self._suspect(worker, Loss(now.mono_ms, timed_out))
             return
         while self._losses and self._losses[0][0] < now.mono_ms - COINCIDENCE_MS:
             self._losses.popleft()
         others = [self.state.workers.get(worker_id) for _, worker_id in self._losses]
         self._losses.append((now.mono_ms, worker.id))
-        self._suspect(worker, now.mono_ms, coincident=bool(others))
+        if len(others) >= MAX_COINCIDENT:
+            return
+        self._suspect(worker, Loss(now.mono_ms, timed_out, coincident=bool(others)))
         for other in others:
             for run in other.runs.values() if other is not None else ():
                 if not run.isolated:
@@ -56,7 +63,8 @@
         The loss of contact may have been recorded by the previous leader.
         """
         if worker.contact_lost_ms is None and not self._leaves_as_planned(worker):
-            self._suspect(worker, now.mono_ms, coincident=False)
+            self._suspect(worker, Loss(now.mono_ms))
+        self.state.crash_count += bool(worker.runs)
         return [run for run in worker.runs.values() if self._confirm(run)]
 
     def on_run_missing(self, run: Run) -> list[Run]:
@@ -111,9 +119,9 @@
         draining = bool(worker.address) and not worker.ready
         return draining or worker.cordoned or worker.retired
 
-    def _suspect(self, worker: Worker, lost_ms: int, coincident: bool) -> None:
+    def _suspect(self, worker: Worker, loss: Loss) -> None:
         isolated = any(run.isolated for run in worker.runs.values())
-        prompt_jobs = len({run.task.job for run in worker.runs.values() if is_prompt(run, lost_ms)})
+        prompt_jobs = len({run.task.job for run in worker.runs.values() if is_prompt(run, loss)})
         suspects = {}
         for run in worker.runs.values():
             found = self._find(run)
@@ -123,7 +131,7 @@
             # The previous leader may have counted the loss of this run already.
             if task.suspicion.run == run.number:
                 continue
-            points = crash_points(run, lost_ms, coincident, prompt_jobs)
+            points = crash_points(run, loss, prompt_jobs)
             if points:
                 self._add_points(job, task, run, points)
                 suspects[run.label] = task.suspicion.points
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -78,6 +78,9 @@
     # Pools without capacity for a long-running task that waits.
     pools_awaiting_long_running: set[str] = attrs.field(factory=set)
     arrivals: Arrivals = attrs.field(factory=Arrivals)
+    # Crashes of workers with runs, and tasks that were given up for them, under this leadership.
+    crash_count: int = 0
+    given_up_count: int = 0
     # Since when each task has waited for a worker without other runs.
     isolation_since: dict[TaskId, int] = attrs.field(factory=dict)
     # Why each step of a job waits, as last logged.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -26,6 +26,9 @@
 # Results of a hold that the worker did not answer; it may be cut off, slow or gone.
 NO_CONTACT = {CallResult.NO_ANSWER, CallResult.REFUSED}
 
+# A hold that fails later than this after its wait has timed out; clients wait longer.
+ANSWER_SLACK_MS = 300
+
 
 @attrs.define
 class Leases:
@@ -96,7 +99,9 @@
         if worker.contact_lost_ms is not None:
             return
         worker.contact_lost_ms = now.mono_ms
-        self.runs.crashes.on_contact_lost(worker, now)
+        elapsed_ms = now.mono_ms - worker.hold_sent_ms
+        timed_out = elapsed_ms > worker.hold_wait_ms + ANSWER_SLACK_MS
+        self.runs.crashes.on_contact_lost(worker, timed_out, now)
         if not worker.runs:
             return
         self.state.log(
@@ -104,6 +109,7 @@
             worker=worker.id,
             result=result.value,
             runs=len(worker.runs),
+            timed_out=timed_out,
             silent_ms=now.mono_ms - worker.last_answer_ms if worker.last_answer_ms else None,
         )
 
@@ -297,6 +303,7 @@
             wait_ms = self.state.limits.hold_wait_isolated_ms
         worker.hold_number += 1
         worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
+        worker.hold_wait_ms = wait_ms if responsive else 0
         self.state.effects.append(
             HoldWorker(
                 worker.id,
@@ -304,7 +311,7 @@
                 self.state.leader.epoch,
                 worker.last_acked_end,
                 deadline,
-                wait_ms if responsive else 0,
+                worker.hold_wait_ms,
                 worker.hold_number,
             )
         )
--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -84,6 +84,8 @@
         state.demands.pop(job_id, None)
         for key in [key for key in state.wait_reasons if key[0] == job_id]:
             del state.wait_reasons[key]
+        for task in [task for task in state.isolation_since if task.job == job_id]:
+            del state.isolation_since[task]
         state.advice.forget_job(job_id)
 
     def _send_planned(self, worker_id: str, task: TaskId, number: int, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -392,6 +392,7 @@
                 worker=worker.id,
                 points=task.suspicion.points,
             )
+            self.state.given_up_count += 1
             self.end_job(job, Outcome.FAILED, now)
 
     def end_job(self, job: Job, outcome: Outcome, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/suspicion.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/suspicion.py
@@ -8,7 +8,8 @@
   of another job;
 - `UNREPORTED_POINTS` if it did so for several jobs, or before it had reported the run as running
   and no run on it was started so shortly before;
-- `REPORTED_POINTS` otherwise, or if several workers went away at once.
+- `REPORTED_POINTS` otherwise, or if several workers went away at once or the worker fell silent
+  without a reset of its connections.
 
 From `ISOLATION_POINTS` on, the next run is isolated: it is placed on a worker without other runs,
 and nothing is placed beside it until the worker has reported it for some time. If that worker
@@ -21,6 +22,8 @@
 another incarnation has answered in the worker's place.
 """
 
+import attrs
+
 from fescuecrank_scheduler.jobs import Task
 from fescuecrank_scheduler.workers import Run, RunState
 
@@ -46,30 +49,44 @@
 AT_WORK_PERCENT = 100
 
 
-def crash_points(run: Run, lost_ms: int, coincident: bool, prompt_jobs: int) -> int:
-    """Return the points of a run on a worker that went away at `lost_ms`.
+@attrs.frozen
+class Loss:
+    """How a worker went away."""
+
+    # When a call to it failed.
+    at_ms: int
+    # No answer came, so it went away before: a crashed process resets its connections at once, a
+    # machine that is cut off or without power does not.
+    timed_out: bool = False
+    # Other workers went away at the same time.
+    coincident: bool = False
+
+
+def crash_points(run: Run, loss: Loss, prompt_jobs: int) -> int:
+    """Return the points for the loss of a run with its worker.
 
-    `coincident` says that other workers went away at the same time, `prompt_jobs` is the number of
-    jobs of which a run was started on the worker within `PROMPT_MS` before.
+    `prompt_jobs` is the number of jobs of which a run was started on the worker within `PROMPT_MS`
+    before.
     """
-    if run.state is RunState.PLANNED or run.first_sent_ms > lost_ms or run.never_sent:
+    if run.state is RunState.PLANNED or run.first_sent_ms > loss.at_ms or run.never_sent:
         return 0
-    if is_prompt(run, lost_ms) and (run.isolated or not coincident):
+    ambiguous = loss.timed_out or loss.coincident
+    if is_prompt(run, loss) and (run.isolated or not ambiguous):
         return SOLE_POINTS if run.isolated or prompt_jobs == 1 else UNREPORTED_POINTS
     if run.isolated:
         return UNREPORTED_POINTS
-    if not run.reported_ms and not run.adopted and not coincident and not prompt_jobs:
+    if not run.reported_ms and not run.adopted and not ambiguous and not prompt_jobs:
         return UNREPORTED_POINTS
     if run.step.long_running and run.percent >= AT_WORK_PERCENT:
         return 0
     return REPORTED_POINTS
 
 
-def is_prompt(run: Run, lost_ms: int) -> bool:
+def is_prompt(run: Run, loss: Loss) -> bool:
     """Return whether a run was started within `PROMPT_MS` before its worker went away."""
-    if run.state is RunState.PLANNED or run.adopted or run.never_sent:
+    if run.state is RunState.PLANNED or run.adopted or run.never_sent or loss.timed_out:
         return False
-    return 0 <= lost_ms - run.first_sent_ms <= PROMPT_MS
+    return 0 <= loss.at_ms - run.first_sent_ms <= PROMPT_MS
 
 
 def isolation_ms(task: Task, long_running: bool, usual_ms: int) -> int:
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -110,6 +110,7 @@
     lease_unrenewed: bool = False
     hold_number: int = 0
     hold_sent_ms: int = 0
+    hold_wait_ms: int = 0
     hold_open: bool = False
     # Number of the last ended run that was applied, and of the last that the worker may forget.
     last_seen_end: int = 0
--- a/packages/scheduler/tests/test_crashing_tasks.py
+++ b/packages/scheduler/tests/test_crashing_tasks.py
@@ -1,12 +1,14 @@
 """Tasks that crash the workers that start them, and workers that crash for other reasons."""
 
 import pytest
+from fescuecrank_scheduler.crashes import MAX_COINCIDENT
 from fescuecrank_scheduler.jobs import Suspicion, TaskId
 from fescuecrank_scheduler.records import decode, encode_progress
 from fescuecrank_scheduler.suspicion import (
     REPORTED_POINTS,
     SOLE_POINTS,
     UNREPORTED_POINTS,
+    Loss,
     crash_points,
 )
 from fescuecrank_scheduler.workers import Run, RunState
@@ -192,6 +194,28 @@
     assert {sim.state(name) for name in others} == {"completed"}
 
 
+def test_leader_that_loses_all_workers_at_once_suspects_few_runs():
+    """A leader that was cut off must not rewrite the records of all running jobs."""
+    sim = make_fleet(workers=30)
+    sim.crashing_tasks.clear()
+    for worker in sim.workers.values():
+        worker.work_ms = 5_000
+    submit_others(sim, 25)
+    sim.run(500)
+    assert sum(1 for worker in sim.workers.values() if worker.runs) == 30
+    for worker in sim.workers.values():
+        worker.reachable = False
+    sim.run(3_000)
+    suspected = sim.logged("runs_suspected")
+    assert 0 < len(suspected) <= MAX_COINCIDENT
+    for worker in sim.workers.values():
+        worker.reachable = True
+    sim.run(2_000)
+    jobs = sim.leader().reducer.table.jobs.values()
+    tasks = [task for job in jobs for rows in job.tasks.values() for task in rows]
+    assert all(task.suspicion == Suspicion() for task in tasks)
+
+
 def test_worker_that_answers_again_is_used_at_once():
     sim = make_fleet(workers=1)
     sim.crashing_tasks.clear()
@@ -239,12 +263,12 @@
 
     LOST_MS = 1_000
 
-    def points(self, first_sent_ms=990, coincident=False, prompt_jobs=1, **fields):
+    def points(self, first_sent_ms=990, coincident=False, timed_out=False, prompt_jobs=1, **fields):
         run = Run(CRASHING_TASK, 1, step(), "team-a", "checks", RunState.RUNNING)
         run.first_sent_ms = first_sent_ms
         for name, value in fields.items():
             setattr(run, name, value)
-        return crash_points(run, self.LOST_MS, coincident, prompt_jobs)
+        return crash_points(run, Loss(self.LOST_MS, timed_out, coincident), prompt_jobs)
 
     def test_run_started_just_before_counts_most(self):
         assert self.points() == SOLE_POINTS
@@ -271,6 +295,10 @@
     def test_workers_that_go_away_together_speak_against_the_run(self):
         assert self.points(coincident=True) == REPORTED_POINTS
 
+    def test_silence_does_not_say_when_the_worker_went_away(self):
+        assert self.points(timed_out=True) == REPORTED_POINTS
+        assert self.points(timed_out=True, isolation_ms=200) == UNREPORTED_POINTS
+
     def test_run_of_the_previous_leader_counts_least(self):
         assert self.points(adopted=True, prompt_jobs=0) == REPORTED_POINTS
 
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -10,6 +10,7 @@
 import attrs
 from fescuecrank_core.clock import Clock
 from fescuecrank_scheduler.reducer import Reducer
+from fescuecrank_scheduler.workers import Worker
 
 PREFIX = "fescuecrank_"
 
@@ -136,9 +137,29 @@
         "Work without room, in milliseconds of a core.",
         [({"pool": pool}, work) for pool, work in state.waiting_work.items()],
     )
+    gauges_by_name["workers_away"] = (
+        "Workers with runs that do not answer.",
+        [({}, sum(_is_away(worker) for worker in state.workers.values()))],
+    )
+    gauges_by_name["isolated_runs"] = (
+        "Runs of suspected tasks beside which nothing is placed.",
+        [({}, sum(len(worker.isolated_runs) for worker in state.workers.values()))],
+    )
+    gauges_by_name["crashes"] = (
+        "Crashes of workers with runs under this leadership.",
+        [({}, state.crash_count)],
+    )
+    gauges_by_name["tasks_given_up"] = (
+        "Tasks given up for crashes under this leadership.",
+        [({}, state.given_up_count)],
+    )
     gauges_by_name["running"] = ("Runs that count.", [({}, len(state.placements))])
     gauges_by_name["team_cpu"] = (
         "Thousandths of a core that teams have running.",
         [({"team": name}, state.usage.used(name).cpu) for name in reducer.config.teams],
     )
     return gauges_by_name
+
+
+def _is_away(worker: Worker) -> bool:
+    return worker.contact_lost_ms is not None and bool(worker.runs)
