Keep the points for a worker that is gone when its lease expires

Callers: after a leader was killed between a crash and the expiry of the worker's entry, the crashing task started among other runs once more, 10 s later. The next leader did not know the worker's address, so it could only wait for the lease, and then lowered the points that its predecessor had stored as if the worker had been silent.

Change: they are lowered only while the worker is listed. A worker that is not listed and whose lease has expired is gone; with nine points its isolated task is given up although no other incarnation answered. A worker that comes back at another address has crashed.

Evidence: test_crash_counts_although_the_worker_is_no_longer_listed and the new trace of such a job, which showed it.

--- a/packages/cli/tests/test_trace.py
+++ b/packages/cli/tests/test_trace.py
@@ -5,6 +5,7 @@
 from fescuecrank_cli.main import app
 from fescuecrank_cli.trace_lines import build_trace
 from fescuecrank_scheduler.events import Submit
+from fescuecrank_scheduler.jobs import TaskId
 from fescuecrank_scheduler.records import Leadership
 from fleet_simulation import Simulation
 from scheduler_builders import KEY, job, step
@@ -90,6 +91,23 @@
     assert trace.lines[-1].fields["outcome"] == "failed"
 
 
+def test_job_with_a_crashing_task_shows_the_crashes_and_the_end(tmp_path):
+    sim = started_simulation(workers=4, nodes=5)
+    sim.crashing_tasks.add(TaskId(JOB, 0, 0, 0))
+    submit(sim)
+    sim.run(500)
+    sim.kill(sim.leader().name)
+    sim.run(20_000)
+    trace = build_trace(JOB, write_logs(sim, tmp_path))
+    order = event_names(trace)
+    assert order.index("runs_suspected") < order.index("leadership_started", 1)
+    assert order.index("run_isolated") < order.index("task_given_up") < order.index("job_ended")
+    (given_up,) = [line for line in trace.lines if line.event == "task_given_up"]
+    suspected = [line for line in trace.lines if line.event == "runs_suspected"]
+    assert given_up.fields["worker"] == suspected[-1].fields["worker"]
+    assert trace.lines[-1].fields["outcome"] == "failed"
+
+
 def test_missing_logs_are_named(tmp_path):
     sim = started_simulation()
     follower = next(name for name, node in sim.nodes.items() if node is not sim.leader())
--- a/packages/scheduler/src/fescuecrank_scheduler/crashes.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/crashes.py
@@ -13,6 +13,7 @@
 from fescuecrank_scheduler.suspicion import (
     AT_WORK_PERCENT,
     GIVE_UP_POINTS,
+    GONE_POINTS,
     REPORTED_POINTS,
     Loss,
     crash_points,
@@ -77,7 +78,7 @@
             self._add_points(*found, run, REPORTED_POINTS)
         return [run] if self._confirm(run) else []
 
-    def _confirm(self, run: Run) -> bool:
+    def _confirm(self, run: Run, needed_points: int = GIVE_UP_POINTS) -> bool:
         """Keep the points for a run that was lost; return whether its task is to be given up."""
         found = self._find(run)
         if found is None or found[1].suspicion.run != run.number:
@@ -86,12 +87,19 @@
         known = task.suspicion
         task.suspicion = Suspicion(known.points)
         self.state.mark_changed(job)
-        return known.alone and known.points >= GIVE_UP_POINTS
+        return known.alone and known.points >= needed_points
 
-    def on_lease_expired(self, worker: Worker) -> None:
-        """Lower the suspicion of a worker's runs: it was silent, which need not mean a crash."""
-        for run in worker.runs.values():
-            self._lower_points(run, REPORTED_POINTS)
+    def on_lease_expired(self, worker: Worker) -> list[Run]:
+        """Judge the runs of a worker that did not answer again; return those to give up.
+
+        A worker that is still listed is only cut off from this process. One that is not may have
+        crashed, or be cut off from the store as well, so more evidence is asked for.
+        """
+        if worker.listed:
+            for run in worker.runs.values():
+                self._lower_points(run, REPORTED_POINTS)
+            return []
+        return [run for run in worker.runs.values() if self._confirm(run, GONE_POINTS)]
 
     def on_planned_end(self, worker: Worker) -> None:
         """Clear the runs of a worker that was shut down by an order."""
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -63,8 +63,9 @@
         worker = self.state.worker(entry.id)
         was_listed = worker.listed
         if worker.address and worker.address != entry.address:
-            self.runs.crashes.on_lease_expired(worker)
+            given_up = self.runs.crashes.on_crash(worker, now)
             self.runs.abandon_runs(worker, "moved_address", now)
+            self.runs.give_up(given_up, worker, now)
             worker.epoch_accepted = worker.retired = False
         was_ready = worker.ready
         worker.update(entry)
@@ -247,8 +248,9 @@
         for worker in list(self.state.workers.values()):
             started = any(run.state is not RunState.PLANNED for run in worker.runs.values())
             if started and now.mono_ms > worker.lease_expires_ms:
-                self.runs.crashes.on_lease_expired(worker)
+                given_up = self.runs.crashes.on_lease_expired(worker)
                 self.runs.abandon_runs(worker, "lease_over", now)
+                self.runs.give_up(given_up, worker, now)
             if not worker.listed and not worker.runs:
                 self.state.workers.pop(worker.id, None)
 
--- a/packages/scheduler/src/fescuecrank_scheduler/suspicion.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/suspicion.py
@@ -18,8 +18,9 @@
 alone, else after three or more. Two are not enough for a run that was started together with another
 job's: its worker may crash for another reason just when it is isolated.
 
-Silence is no crash: a worker that answers again clears its runs, and a task is given up only when
-another incarnation has answered in the worker's place.
+Silence is no crash: a worker that answers again clears its runs. A task is given up when another
+incarnation has answered in the worker's place, or with `GONE_POINTS` when the worker's lease has
+expired and it is not in the list of workers any more.
 """
 
 import attrs
@@ -33,6 +34,9 @@
 ISOLATION_POINTS = 2
 GIVE_UP_POINTS = 6
 
+# The same after a worker that is not known to have crashed, but has not come back.
+GONE_POINTS = 9
+
 # Points from which a task is isolated for its whole run, since a shorter time did not clear it.
 FULL_ISOLATION_POINTS = 4
 
--- a/packages/scheduler/tests/test_crashing_tasks.py
+++ b/packages/scheduler/tests/test_crashing_tasks.py
@@ -181,6 +181,21 @@
     assert sim.state(CRASHING_JOB) == "failed"
 
 
+def test_crash_counts_although_the_worker_is_no_longer_listed():
+    """The next leader does not know the address of such a worker and waits for its lease."""
+    sim = make_fleet(nodes=6)
+    sim.list_lag_ms = 0
+    sim.submit(job(CRASHING_JOB, step(1)))
+    for _ in range(4):
+        sim.run(600)
+        sim.kill(sim.leader().name)
+        sim.run(13_000)
+    check_starts(sim)
+    assert len(sim.crashes[CRASHING_TASK]) <= 3
+    survivor = next(name for name, node in sim.nodes.items() if node.alive)
+    assert sim.state(CRASHING_JOB, survivor) == "failed"
+
+
 def test_crash_of_a_whole_rack_isolates_no_run():
     """Runs that are lost with several workers at once must not wait for empty workers."""
     sim = make_fleet(workers=6)
