Derive the age of a usable capacity from the deployment's bounds

Callers: on a deployment whose workers report every 3 s or more, workers that accept any start would have been unusable for half of the time: the limit was fixed at 3 s. It now follows heartbeat_ms and contact_ms of the settings; with their defaults it is the same. Found by reading; the new test of the settings failed before (no such field).

--- a/packages/platform/src/fescuecrank_platform/settings.py
+++ b/packages/platform/src/fescuecrank_platform/settings.py
@@ -29,6 +29,10 @@
 # Margin for the way of an answer to its caller.
 VISIBLE_MARGIN_MS = 300
 
+# Time from a worker's write of its entry until the leader has read it (a pause between reads and a
+# read that has to be repeated), and for the way of a start.
+ENTRY_READ_MS = 1_500
+
 
 @attrs.frozen
 class PlatformSettings:
@@ -47,6 +51,9 @@
     status_retention_ms: int
     # Time after its acceptance by which every process has to know a job.
     visible_ms: int
+    # Interval at which workers write their entries, and how long after that their capacity counts.
+    heartbeat_ms: int = 1_500
+    contact_ms: int = 3_000
     # Size of the machine; 0 if the settings do not state it.
     cores: float = 0.0
     link_mbps: float = 0.0
@@ -61,6 +68,7 @@
             # 30 s longer than the platform requires.
             keep_ended_ms=self.status_retention_ms + 30_000,
             max_copy_age_ms=max(0, self.visible_ms - VISIBLE_MARGIN_MS),
+            max_entry_age_ms=self.heartbeat_ms + max(0, self.contact_ms - ENTRY_READ_MS),
             claim_handicap_ms=claim_handicap_ms(self.cores, self.link_mbps, self.memory_mb),
         )
 
@@ -110,6 +118,8 @@
                 maintenance_ms=int(1_000 * reader.number("bounds.maintenance_s", 2)),
                 status_retention_ms=int(1_000 * reader.number("bounds.status_s", 120)),
                 visible_ms=reader.number("bounds.visible_ms", 3_000),
+                heartbeat_ms=reader.number("heartbeat_ms", 1_500),
+                contact_ms=reader.number("bounds.contact_ms", 3_000),
                 # The share of a core counts in cores of the given speed.
                 cores=reader.number("limits.cpu_share", 0) * reader.number("limits.cpu_cores", 1),
                 link_mbps=reader.number("limits.link_mbps", 0),
--- a/packages/platform/tests/test_platform.py
+++ b/packages/platform/tests/test_platform.py
@@ -61,6 +61,17 @@
         assert cfg.limits().lease_ms == 5_000
         assert cfg.limits().maintenance_ms == 2_500
 
+    @pytest.mark.parametrize(
+        ("bounds", "expected_ms"),
+        [("", 3_000), ("contact_ms: 5000, ", 5_000), ("contact_ms: 0, ", 1_500)],
+    )
+    def test_age_of_a_capacity_follows_the_bounds(self, tmp_path, bounds, expected_ms):
+        """Workers that report more rarely than by default must remain usable."""
+        text = self.TEXT.replace("bounds: {", "bounds: {" + bounds)
+        assert self.read(tmp_path, text).ok_value.limits().max_entry_age_ms == expected_ms
+        slow = self.read(tmp_path, text + "heartbeat_ms: 4000\n").ok_value
+        assert slow.limits().max_entry_age_ms == expected_ms + 2_500
+
     @pytest.mark.parametrize(
         ("old", "new", "expected"),
         [
--- a/packages/scheduler/src/fescuecrank_scheduler/isolation.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/isolation.py
@@ -1,7 +1,7 @@
 """Placement of tasks that are suspected of crashing their workers.
 
 A suspected task starts on a worker without other runs, so that a crash harms nobody and can be
-attributed. A pool in a burst has no such worker: one is reserved and empties as its runs end.
+attributed. A pool in a burst has no such worker: some are reserved and empty as their runs end.
 Where long-running tasks are on all workers it never empties, so after some time a worker is taken
 of which every run has been reported.
 """
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -74,8 +74,8 @@
     isolation_ms: int = 200
     # How long a task waits for a worker without other runs to be isolated there.
     isolation_wait_ms: int = 1_000
-    # A worker that accepts any start gets none if its entry, which states its capacity, is older
-    # than two of its reports.
+    # A worker that accepts any start gets none if its entry, which states its capacity, was read
+    # longer ago; derived from the interval of its reports and from a bound of the deployment.
     max_entry_age_ms: int = 3_000
     # Least time between placement passes; capacity freed within it is assigned in one pass.
     min_pass_interval_ms: int = 20
