Keep the runs of a machine that was ordered to the pool where it is

Callers: a task ran on two workers at a time for 66 ms (TWICE), and 32 runs were started again.

Cause: after an outage of the store of 2.9 s the leader balanced pools by the list of machines from before it. It ordered machines to a pool in which their workers had been at work for 3 s. The platform confirms an order that is done already, and the leader took the confirmation for the end of the worker.

Change: machines whose worker is listed in another pool than the list of machines says are not moved, and a confirmed move ends only a worker of another pool. test_move_that_was_done_before_gives_up_no_runs failed before.

--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -85,7 +85,10 @@
         self._effects.append(LogLine("machine_moved", fields))
         if result is OrderResult.OK:
             move.confirmed_ms = now.mono_ms
-            self.maintenance.runs.retire_worker(move.worker, now)
+            worker = self.state.workers.get(move.worker)
+            # The platform also confirms a move to the machine's own pool, which ends nothing.
+            if worker is not None and worker.pool != move.pool:
+                self.maintenance.runs.retire_worker(move.worker, now)
         elif result is OrderResult.FENCED:
             self.state.fenced = True
         elif result is not OrderResult.NO_ANSWER:
@@ -253,9 +256,18 @@
         return (
             row.state == "up"
             and row.machine not in self.moves
+            and self._agrees_with_worker(row)
             and not self.maintenance.in_maintenance(row.machine)
         )
 
+    def _agrees_with_worker(self, row: MachineRow) -> bool:
+        """Return whether the worker of a machine is in the pool that the list of machines says.
+
+        After an outage of the store the list is older than the workers' entries.
+        """
+        worker = self._listed_worker(row.machine)
+        return worker is None or worker.pool == row.pool
+
     def _start_move(self, machine: str, pool: str, reason: str, now: Now) -> None:
         worker = self._listed_worker(machine)
         if worker is not None:
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -328,3 +328,25 @@
     sim.run(pause_ms)
     reducer = leader.reducer
     assert reducer.scheduler.state.may_order_machines(sim.now) is False
+
+
+def test_move_that_was_done_before_gives_up_no_runs():
+    """An outdated list makes a leader order a machine to the pool in which it is at work.
+
+    The platform confirms that, as the machine is there already.
+    """
+    pools = (Pool("pool-a"), Pool("spare", standby=True))
+    sim = started_simulation(4, cfg=config(pools=pools))
+    for worker in sim.workers.values():
+        worker.work_ms = 3_000
+    rows = sim.machines.rows()
+    sim.machines.rows = lambda: tuple(attrs.evolve(row, pool="spare") for row in rows)
+    sim.run(1_500)
+    for number in range(10):
+        sim.submit(job(f"{number:016x}", step(4, estimate_ms=3_000)))
+    sim.run(1_500)
+    assert not [lost for lost in sim.logged("runs_lost") if lost["reason"] == "machine_down"]
+    del sim.machines.rows
+    sim.run(40_000)
+    assert all(sim.state(f"{number:016x}") == "completed" for number in range(10))
+    assert all(len(rows) == 1 for rows in sim.starts().values())
