--- a/packages/daemon/tests/soak_proxy.py
+++ b/packages/daemon/tests/soak_proxy.py
@@ -63,6 +63,7 @@
                 each.transport.abort()
 
     async def _pump(self, reader, writer, holds) -> None:
+        # A reset by either side ends the connection; resets are among the faults.
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 if self.delay_ms:
--- a/packages/scheduler/src/fescuecrank_scheduler/jobs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/jobs.py
@@ -87,7 +87,7 @@
 
 @attrs.frozen
 class Suspicion:
-    """What speaks for it that a task crashes its workers; see the module `suspicion`."""
+    """Evidence that a task crashes its workers; see the module `suspicion`."""
 
     points: int = 0
     # The run whose worker is away and not known to have crashed, its share of the points, and
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -284,6 +284,10 @@
             )
         for run in lost:
             self.run_ended(worker, run, "lapsed", "", now)
+        if lost and self.state.accepts_any_start(worker):
+            # The worker may still have them. It gets new runs when it has said what it runs.
+            worker.epoch_accepted = False
+            self.state.hold_times.set(worker.id, now.mono_ms)
 
     def retire_worker(self, worker_id: str, now: Now) -> None:
         """Retire a worker whose machine has been taken down by an order.
--- a/packages/scheduler/tests/test_capacity_changes.py
+++ b/packages/scheduler/tests/test_capacity_changes.py
@@ -150,3 +150,17 @@
     assert not sim.starts_over_capacity
     survivor = next(name for name, node in sim.nodes.items() if node.alive)
     assert sim.state(JOB, survivor) == "completed"
+
+
+def test_runs_that_a_leader_has_given_up_count_until_they_have_stopped():
+    sim = make_fleet(workers=1)
+    sim.submit(job(JOB, step(4)))
+    sim.run(300)
+    assert len(sim.workers["worker-1"].runs) == 4
+    scheduler = sim.leader().reducer.scheduler
+    scheduler.runs.abandon_runs(scheduler.state.workers["worker-1"], "lease_over", sim.now)
+    for number in range(3):
+        sim.submit(job(f"{number:016x}", step(4)))
+    sim.run(10_000)
+    assert not sim.starts_over_capacity
+    assert sim.state(JOB) == "completed"
--- a/packages/scheduler/tests/test_crashing_tasks.py
+++ b/packages/scheduler/tests/test_crashing_tasks.py
@@ -307,7 +307,7 @@
         assert self.points(first_sent_ms=1_001) == 0
         assert self.points(never_sent=True) == 0
 
-    def test_workers_that_go_away_together_speak_against_the_run(self):
+    def test_run_counts_least_if_other_workers_go_away_at_once(self):
         assert self.points(coincident=True) == REPORTED_POINTS
 
     def test_silence_does_not_say_when_the_worker_went_away(self):
