Take the newest worker of a machine for its current one

Callers: a lasting task was ended by an order while another one of its step was away (AVAIL).

Cause: the entry of a crashed worker stays in the list for some seconds. A leader that learns of it after its successor took the crashed worker for the one on the machine, saw no runs there and moved it as idle. The index by machine preferred whichever listed worker came last.

Change: of several listed workers of a machine the one started last counts. test_machine_of_a_crashed_worker_that_is_still_listed_is_not_idle failed before for one of the two orders. Maintenance uses the same index.

--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -145,13 +145,16 @@
         return worker
 
     def index_machines(self, rows: Mapping[str, MachineRow]) -> None:
-        """Index workers by machine; a listed worker takes precedence over one that is not."""
+        """Index workers by machine; a listed worker takes precedence, then the one started last.
+
+        The entry of a crashed worker stays in the list for some seconds.
+        """
         machine_of = {row.worker: name for name, row in rows.items()}
         self.worker_by_machine = {}
         for worker in self.workers.values():
             worker.machine = worker.machine or machine_of.get(worker.id, "")
             other = self.worker_by_machine.get(worker.machine)
-            if not worker.retired and (other is None or worker.listed):
+            if not worker.retired and (other is None or worker.recency > other.recency):
                 self.worker_by_machine[worker.machine] = worker
         self.worker_by_machine.pop("", None)
 
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -91,6 +91,8 @@
     listed: bool = False
     ready: bool = False
     started_ms: int = 0
+    # Start of the incarnation that wrote the entry, in Unix milliseconds; 0 if unknown.
+    entry_started_ms: int = 0
     # When the worker's entry was last read.
     entry_ms: int = 0
     # Whether it has accepted the epoch of this leader.
@@ -144,11 +146,18 @@
         """Rack of the worker: the second label, after the hardware kind."""
         return self.labels[1] if len(self.labels) > 1 else ""
 
+    @property
+    def recency(self) -> tuple[bool, int, bool]:
+        """Sort key that is largest for the current one of several workers of a machine."""
+        started_ms = max(self.started_ms, self.entry_started_ms)
+        return (self.listed, started_ms, bool(self.runs))
+
     def update(self, entry: WorkerEntry) -> None:
         """Apply the worker's entry in the list of workers."""
         self.address, self.pool, self.zone = entry.address, entry.pool, entry.zone
         self.machine, self.capacity, self.labels = entry.machine, entry.capacity, entry.labels
         self.listed, self.ready = True, entry.ready
+        self.entry_started_ms = entry.started_ms
         self._set_used(self.used)
 
     def record_clock(self, reply: HoldReply, now_ms: int) -> None:
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -2,9 +2,16 @@
 
 import attrs
 import pytest
+from fescuecrank_scheduler.events import WorkersRead
 from fescuecrank_scheduler.fleet import Pool, Wave
+from fescuecrank_scheduler.job_table import JobTable
+from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.leases import Leases
+from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.records import Leadership
+from fescuecrank_scheduler.runs import Runs
 from fleet_simulation import Simulation
-from scheduler_builders import config, entry, job, step
+from scheduler_builders import config, entry, instant, job, step
 
 JOB = "00000000000000aa"
 
@@ -350,3 +357,22 @@
     sim.run(40_000)
     assert all(sim.state(f"{number:016x}") == "completed" for number in range(10))
     assert all(len(rows) == 1 for rows in sim.starts().values())
+
+
+@pytest.mark.parametrize("newest_first", [False, True])
+def test_machine_of_a_crashed_worker_that_is_still_listed_is_not_idle(newest_first):
+    """The list still has the crashed worker of a machine on which its successor is at work.
+
+    A new leader learns of the two in any order. It must not move or maintain the machine.
+    """
+    state = LeaderState(Limits(), JobTable(), config(), Leadership(1, "entry-1", 0))
+    leases = Leases(state, Runs(state))
+    entries = [
+        entry("crashed", machine="m-1", started_ms=1_000),
+        entry("successor", machine="m-1", started_ms=9_000),
+    ]
+    if newest_first:
+        entries.reverse()
+    leases.on_workers_read(WorkersRead(tuple(entries), whole=True), instant(20_000))
+    state.index_machines({})
+    assert state.worker_by_machine["m-1"].id == "successor"
