--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -81,6 +81,10 @@
     # Crashes of workers with runs, and tasks that were given up for them, under this leadership.
     crash_count: int = 0
     given_up_count: int = 0
+    # Restarts of workers under the id that they had, and ends `done` of runs that are not on record
+    # though their task is open, under this leadership.
+    restart_count: int = 0
+    unmatched_end_count: int = 0
     # Since when each task has waited for a worker without other runs.
     isolation_since: dict[TaskId, int] = attrs.field(factory=dict)
     # Why each step of a job waits, as last logged.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -17,11 +17,11 @@
     WorkerEntry,
     WorkersRead,
 )
-from fescuecrank_scheduler.jobs import TaskId
+from fescuecrank_scheduler.jobs import Phase, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.pacing import Pacer
-from fescuecrank_scheduler.runs import Runs
-from fescuecrank_scheduler.workers import RunState, Worker
+from fescuecrank_scheduler.runs import DONE, Runs
+from fescuecrank_scheduler.workers import Run, RunState, Worker
 
 # Results of a hold that the worker did not answer; it may be cut off, slow or gone.
 NO_CONTACT = {CallResult.NO_ANSWER, CallResult.REFUSED}
@@ -71,7 +71,7 @@
         worker.update(entry)
         worker.entry_ms = now.mono_ms
         if entry.started_ms and worker.started_ms and entry.started_ms > worker.started_ms:
-            self._on_restart(worker, entry.started_ms, now)
+            self._on_restart(worker, entry.started_ms, "entry", now)
         if not was_listed or was_ready != entry.ready:
             self.state.log("worker_listed", worker=entry.id, pool=entry.pool, ready=entry.ready)
             self.state.request_placement(worker.pool)
@@ -136,12 +136,25 @@
         elif event.result is CallResult.FENCED:
             self.state.fenced = True
 
-    def _on_restart(self, worker: Worker, started_ms: int, now: Now) -> None:
-        """Give up the runs of a worker that has restarted under the same id.
+    def _on_restart(self, worker: Worker, started_ms: int, source: str, now: Now) -> None:
+        """Give up the runs of a worker that has restarted under the same id, as `source` shows.
 
         A start that was not answered may still be carried out by the new incarnation. Such a run is
         stopped there before its task may start elsewhere.
         """
+        self.state.restart_count += 1
+        self.state.log(
+            "worker_restarted",
+            worker=worker.id,
+            source=source,
+            started_ms=started_ms,
+            before_ms=worker.started_ms,
+            runs=len(worker.runs),
+            starts_in_flight=sum(run.starts_in_flight for run in worker.runs.values()),
+            last_seen_end=worker.last_seen_end,
+            last_acked_end=worker.last_acked_end,
+            hold_open=worker.hold_open,
+        )
         given_up = self.runs.crashes.on_crash(worker, now)
         for run in list(worker.runs.values()):
             if run.starts_in_flight > 0:
@@ -159,7 +172,7 @@
         sent_ms = worker.hold_sent_ms
         if reply.started_ms and reply.started_ms != worker.started_ms:
             if worker.started_ms:
-                self._on_restart(worker, reply.started_ms, now)
+                self._on_restart(worker, reply.started_ms, "answer", now)
             worker.started_ms = reply.started_ms
         worker.record_clock(reply, now.mono_ms)
         worker.last_answer_ms = now.mono_ms
@@ -211,7 +224,16 @@
                 and run.confirmed_ms < sent_ms
                 and (task, run.number) not in ended
             ):
-                self.state.log("run_missing", task=task.label, run=run.number, worker=worker.id)
+                self.state.log(
+                    "run_missing",
+                    task=task.label,
+                    run=run.number,
+                    worker=worker.id,
+                    confirmed_age_ms=now.mono_ms - run.confirmed_ms,
+                    hold_age_ms=now.mono_ms - sent_ms,
+                    starts_in_flight=run.starts_in_flight,
+                    last_seen_end=worker.last_seen_end,
+                )
                 # Its worker has restarted, if the run was started at all.
                 given_up = self.runs.crashes.on_run_missing(run)
                 self.runs.run_ended(worker, run, "lapsed", "", now)
@@ -238,11 +260,31 @@
     def _apply_end(self, worker: Worker, row: EndRow, now: Now) -> None:
         run = worker.runs.get(row.task)
         if run is None or run.number != row.run:
+            self._note_unmatched_end(worker, row, run)
             return
         if run.suspected:
             self.runs.crashes.clear(run)
         self.runs.run_ended(worker, run, row.end_reason, row.checkpoint, now)
 
+    def _note_unmatched_end(self, worker: Worker, row: EndRow, run: Run | None) -> None:
+        """Log the end `done` of a run that is not the recorded one of an open task."""
+        job = self.state.table.jobs.get(row.task.job)
+        task = job.task(row.task) if job is not None else None
+        if row.end_reason != DONE or task is None or task.phase is Phase.DONE:
+            return
+        self.state.unmatched_end_count += 1
+        self.state.log(
+            "end_not_on_record",
+            task=row.task.label,
+            run=row.run,
+            worker=worker.id,
+            end=row.number,
+            recorded_run=task.run,
+            recorded_worker=task.worker,
+            phase=task.phase.value,
+            run_here=run.number if run is not None else 0,
+        )
+
     def expire_leases(self, now: Now) -> None:
         """Give up the runs of workers whose leases have expired."""
         for worker in list(self.state.workers.values()):
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -172,6 +172,7 @@
             run=run.number,
             worker=worker.id,
             reason=result.value,
+            starts_in_flight=run.starts_in_flight,
         )
         if result is CallResult.OTHER_INCARNATION:
             run.never_sent = run.starts_in_flight == 0
@@ -414,6 +415,7 @@
     def on_call_rejected(self, worker: Worker, result: CallResult, now: Now) -> None:
         """Handle a call rejected because of a newer leader or another incarnation of the worker."""
         if result is CallResult.FENCED:
+            self.state.log("call_fenced", worker=worker.id, epoch=self.state.leader.epoch)
             self.state.fenced = True
         elif result is CallResult.OTHER_INCARNATION:
             given_up = self.crashes.on_crash(worker, now)
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -153,6 +153,14 @@
         "Tasks given up for crashes under this leadership.",
         [({}, state.given_up_count)],
     )
+    gauges_by_name["worker_restarts"] = (
+        "Restarts of workers under the id that they had, under this leadership.",
+        [({}, state.restart_count)],
+    )
+    gauges_by_name["unmatched_ends"] = (
+        "Ends `done` of runs that are not on record though their task is open.",
+        [({}, state.unmatched_end_count)],
+    )
     gauges_by_name["running"] = ("Runs that count.", [({}, len(state.placements))])
     gauges_by_name["team_cpu"] = (
         "Thousandths of a core that teams have running.",
