--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -13,7 +13,7 @@
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.ordering import due_times_ms
 from fescuecrank_scheduler.records import encode_leadership, encode_progress
-from fescuecrank_scheduler.runs import Runs
+from fescuecrank_scheduler.starts import Starts
 from fescuecrank_scheduler.workers import RunState
 
 
@@ -36,7 +36,7 @@
     """Appends of one leadership, one at a time."""
 
     state: LeaderState
-    runs: Runs
+    starts: Starts
     # Sequence number of the next append under this epoch.
     sequence: int
     pending: PendingAppend | None = None
@@ -95,7 +95,7 @@
             return
         if run.state is not RunState.PLANNED:
             return
-        self.runs.start_planned(worker, run, now)
+        self.starts.send_planned(worker, run, now)
 
     def _backlog_ms(self) -> dict[str, int]:
         """Return the time that each pool needs for its waiting work."""
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -1,4 +1,4 @@
-"""Life cycle of runs: starts, stops, ends and their effect on the job."""
+"""Life cycle of runs: plans, stops, ends and their effect on the job."""
 
 from collections.abc import Iterator
 
@@ -7,8 +7,8 @@
 from fescuecrank_scheduler import health
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.crashes import Crashes
-from fescuecrank_scheduler.effects import StartRun, StopRun
-from fescuecrank_scheduler.events import CallResult, StartDone, StopDone
+from fescuecrank_scheduler.effects import StopRun
+from fescuecrank_scheduler.events import CallResult, StopDone
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Step, Task, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.workers import Run, RunState, Worker
@@ -34,7 +34,7 @@
     def _make_crashes(self) -> Crashes:
         return Crashes(self.state)
 
-    # Starts.
+    # Plans.
 
     def register(
         self,
@@ -64,129 +64,6 @@
         self.register(worker, job, task, RunState.PLANNED, now, isolation_ms)
         self.state.planned.append((worker.id, task.id, number))
 
-    def send_start(self, worker: Worker, run: Run, now: Now) -> None:
-        """Send or repeat the start of a run whose record is stored."""
-        deadline = worker.grant_lease(now.mono_ms, self.state.limits)
-        if deadline is None:
-            self.run_ended(worker, run, "withdrawn", "", now)
-            return
-        run.state, run.sent_ms = RunState.SENT, now.mono_ms
-        run.first_sent_ms = run.first_sent_ms or now.mono_ms
-        run.never_sent = False
-        run.unanswered = False
-        run.starts_in_flight += 1
-        self.state.effects.append(
-            StartRun(
-                worker.id,
-                worker.address,
-                self.state.leader.epoch,
-                run.task,
-                run.number,
-                self.state.table.jobs[run.task.job].spec,
-                deadline,
-                run.checkpoint,
-                self.state.advice.ticket(run.task, worker.id),
-                self.state.limits.start_timeout_ms,
-            )
-        )
-
-    def on_start_done(self, event: StartDone, now: Now) -> None:
-        """Apply the answer to a start."""
-        worker = self.state.workers.get(event.worker)
-        run = worker.runs.get(event.task) if worker else None
-        if worker is None or run is None or run.number != event.run:
-            return
-        if event.result is not CallResult.NO_ANSWER:
-            run.starts_in_flight -= 1
-        if run.state is not RunState.SENT:
-            return
-        match event.result:
-            case CallResult.OK:
-                run.state, run.confirmed_ms = RunState.RUNNING, now.mono_ms
-                run.running_since_ms = run.running_since_ms or now.mono_ms
-                worker.last_answer_ms = now.mono_ms
-                self.state.hold_times.set(worker.id, now.mono_ms)
-            case CallResult.NO_ANSWER | CallResult.REFUSED:
-                if run.starts_in_flight == 0:
-                    run.never_sent = True
-                    self.crashes.clear(run)
-                self._mark_unanswered(worker, run, now)
-            case CallResult.OLD:
-                # The run is or was on the worker; the next hold reports it or its end.
-                run.confirmed_ms = now.mono_ms
-            case CallResult.FENCED:
-                self.on_call_rejected(worker, event.result, now)
-            case _:
-                self._start_refused(worker, run, event.result, now)
-
-    def _mark_unanswered(self, worker: Worker, run: Run, now: Now) -> None:
-        """Mark a start to be repeated; the run number makes the repetition idempotent."""
-        worker.blocked_until_ms = now.mono_ms + self.state.limits.start_timeout_ms
-        run.unanswered = True
-
-    def retry_starts(self, now: Now) -> None:
-        """Repeat unanswered starts after the time-out, also where the connection was refused."""
-        for worker in self.state.workers.values():
-            for run in list(worker.runs.values()):
-                if not run.unanswered or run.state is not RunState.SENT:
-                    continue
-                if now.mono_ms - run.sent_ms < self.state.limits.start_timeout_ms:
-                    continue
-                # Another incarnation may answer next, which must not run it beside other runs.
-                if worker.contact_lost_ms is not None:
-                    continue
-                if not self._has_room(worker, run, now):
-                    self.stop(worker, run, now)
-                    continue
-                if self.state.still_needed(run):
-                    self.send_start(worker, run, now)
-                else:
-                    self.stop(worker, run, now)
-
-    def _has_room(self, worker: Worker, run: Run, now: Now) -> bool:
-        """Return whether the worker can still take a run, which its free capacity includes."""
-        if not self.state.accepts_any_start(worker):
-            return True
-        known = self.state.capacity_known(worker, now)
-        return known and not worker.is_full_beyond(run.step.reservation)
-
-    def start_planned(self, worker: Worker, run: Run, now: Now) -> None:
-        """Send the start of a run whose record is stored, unless it is out of place by now."""
-        if not self.state.still_needed(run) or self.state.resigned:
-            reason = "withdrawn"
-        elif worker.contact_lost_ms is not None:
-            reason = "worker_away"
-        elif worker.is_full_beyond(run.step.reservation) or not self.state.capacity_known(
-            worker, now
-        ):
-            reason = "no_room"
-        else:
-            self.send_start(worker, run, now)
-            return
-        self.run_ended(worker, run, reason, "", now)
-
-    def _start_refused(self, worker: Worker, run: Run, result: CallResult, now: Now) -> None:
-        self.state.log(
-            "start_refused",
-            task=run.label,
-            run=run.number,
-            worker=worker.id,
-            reason=result.value,
-            starts_in_flight=run.starts_in_flight,
-        )
-        if result is CallResult.OTHER_INCARNATION:
-            run.never_sent = run.starts_in_flight == 0
-            self.on_call_rejected(worker, result, now)
-            return
-        if result is CallResult.NO_ROOM:
-            # The worker's own count of reserved resources differs from ours until the next hold.
-            worker.blocked_until_ms = now.mono_ms + self.state.limits.hold_retry_ms
-        elif result is CallResult.BAD_TICKET:
-            self.state.advice.drop_ticket(run.task, worker.id)
-        else:
-            worker.blocked_until_ms = now.mono_ms + 4 * self.state.limits.hold_retry_ms
-        self.run_ended(worker, run, "refused", "", now)
-
     # Stops.
 
     def on_stop_done(self, event: StopDone, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -15,6 +15,7 @@
 from fescuecrank_scheduler.progress_log import ProgressLog
 from fescuecrank_scheduler.retention import Retention
 from fescuecrank_scheduler.runs import Runs, all_tasks
+from fescuecrank_scheduler.starts import Starts
 from fescuecrank_scheduler.suspicion import isolation_ms
 from fescuecrank_scheduler.workers import RunState
 
@@ -31,6 +32,7 @@
     state: LeaderState
     sequence: int
     runs: Runs = attrs.field(init=False)
+    starts: Starts = attrs.field(init=False)
     leases: Leases = attrs.field(init=False)
     dispatcher: Dispatcher = attrs.field(init=False)
     progress: ProgressLog = attrs.field(init=False)
@@ -40,9 +42,10 @@
 
     def __attrs_post_init__(self) -> None:
         self.runs = Runs(self.state)
+        self.starts = Starts(self.state, self.runs)
         self.leases = Leases(self.state, self.runs)
         self.dispatcher = Dispatcher(self.state, self.runs)
-        self.progress = ProgressLog(self.state, self.runs, self.sequence)
+        self.progress = ProgressLog(self.state, self.starts, self.sequence)
         self.retention = Retention(self.state)
 
     def take_over(self, now: Now) -> list[Effect]:
@@ -98,7 +101,7 @@
             case events.PaceDone():
                 self.leases.on_pace_done(event)
             case events.StartDone():
-                self.runs.on_start_done(event, now)
+                self.starts.on_done(event, now)
             case events.StopDone():
                 self.runs.on_stop_done(event, now)
             case events.Advised():
@@ -145,7 +148,7 @@
         if now.mono_ms - self._retried_ms >= RETRY_INTERVAL_MS:
             self._retried_ms = now.mono_ms
             self.leases.expire_leases(now)
-            self.runs.retry_starts(now)
+            self.starts.retry(now)
             self.runs.retry_stops(now)
         if now.mono_ms - self._stalls_checked_ms >= STALL_INTERVAL_MS:
             self._stalls_checked_ms = now.mono_ms
