Stop a refused run whose earlier start may still be carried out

Callers could see a task run twice, or again after it was done: a start got no answer, its repetition was refused (no room, no ticket, worker unhealthy), the task was placed elsewhere, and the worker carried the first start out seconds later. Cause: a refusal ended the run without regard to starts in flight; the same when no lease could be granted for a repetition. Such a run is now stopped first; a worker refuses the starts of a run that it was told to stop.

Tests: test_refused_repetition_ends_no_run_whose_first_start_may_be_carried_out (five refusals), red before. A refusal without other starts is still placed elsewhere at once.

--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -21,7 +21,7 @@
         """Send or repeat the start of a run whose record is stored."""
         deadline = worker.grant_lease(now.mono_ms, self.state.limits)
         if deadline is None:
-            self.runs.run_ended(worker, run, "withdrawn", "", now)
+            self._withdraw(worker, run, "withdrawn", now)
             return
         run.state, run.sent_ms = RunState.SENT, now.mono_ms
         run.first_sent_ms = run.first_sent_ms or now.mono_ms
@@ -43,6 +43,14 @@
             )
         )
 
+    def _withdraw(self, worker: Worker, run: Run, reason: str, now: Now) -> None:
+        """Place the task of a run elsewhere, once none of the run's starts can be carried out."""
+        if run.starts_in_flight > 0:
+            # A worker refuses the starts of a run that it was told to stop.
+            self.runs.stop(worker, run, now)
+        else:
+            self.runs.run_ended(worker, run, reason, "", now)
+
     def on_done(self, event: StartDone, now: Now) -> None:
         """Apply the answer to a start."""
         worker = self.state.workers.get(event.worker)
@@ -138,4 +146,4 @@
             self.state.advice.drop_ticket(run.task, worker.id)
         else:
             worker.blocked_until_ms = now.mono_ms + 4 * self.state.limits.hold_retry_ms
-        self.runs.run_ended(worker, run, "refused", "", now)
+        self._withdraw(worker, run, "refused", now)
