Call each incarnation of a worker with a fencing token of its own

A call without an answer may be carried out seconds later, by the next incarnation of the worker under the same id: a repeated start runs a task that is done, an old hold lets the worker forget ends that nobody has seen, an old grant prolongs the lease. The leader knew only of starts of runs on record; those of runs that had ended were unguarded, and calls to all incarnations carried the same token.

Tokens are now the epoch plus the restarts seen; epochs of leaderships are EPOCH_STEP apart. An order to an earlier incarnation that is answered as fenced no longer ends the leadership. A worker is held at once when its restart is known.

--- a/packages/platform/src/fescuecrank_platform/worker_client.py
+++ b/packages/platform/src/fescuecrank_platform/worker_client.py
@@ -69,7 +69,7 @@
 
     async def hold_worker(self, effect: HoldWorker) -> HoldDone:
         """Renew the lease on a worker and read its running and ended runs."""
-        body: dict[str, Any] = {"fencing_token": effect.epoch, "last_seen": effect.last_acked_end}
+        body: dict[str, Any] = {"fencing_token": effect.token, "last_seen": effect.last_acked_end}
         if effect.deadline_ms is not None:
             body["deadline_ms"] = effect.deadline_ms
         if effect.wait_ms:
@@ -92,7 +92,7 @@
             "run": effect.run,
             "spec": effect.spec,
             "deadline_ms": effect.deadline_ms,
-            "fencing_token": effect.epoch,
+            "fencing_token": effect.token,
         }
         if effect.checkpoint:
             body["checkpoint"] = effect.checkpoint
@@ -101,17 +101,19 @@
         outcome = await self._call(
             "worker.start", effect, "/api/run-start", body, effect.timeout_ms
         )
-        return StartDone(effect.worker, effect.task, effect.run, _call_result(outcome))
+        result = _call_result(outcome)
+        return StartDone(effect.worker, effect.task, effect.run, result, effect.token)
 
     async def stop_run(self, effect: StopRun) -> StopDone:
         """Stop a run."""
         body = {
             "task": task_name(effect.task),
             "run": effect.run,
-            "fencing_token": effect.epoch,
+            "fencing_token": effect.token,
         }
         outcome = await self._call("worker.stop", effect, "/api/run-stop", body, effect.timeout_ms)
-        return StopDone(effect.worker, effect.task, effect.run, _call_result(outcome))
+        result = _call_result(outcome)
+        return StopDone(effect.worker, effect.task, effect.run, result, effect.token)
 
     async def pace_run(self, effect: PaceRun) -> PaceDone:
         """Throttle a run to a percentage of its full speed."""
@@ -119,10 +121,11 @@
             "task": task_name(effect.task),
             "run": effect.run,
             "percent": effect.percent,
-            "fencing_token": effect.epoch,
+            "fencing_token": effect.token,
         }
         outcome = await self._call("worker.pace", effect, "/api/pace", body, PACE_TIMEOUT_MS)
-        return PaceDone(effect.worker, effect.task, effect.percent, _call_result(outcome))
+        result = _call_result(outcome)
+        return PaceDone(effect.worker, effect.task, effect.percent, result, effect.token)
 
 
 def _call_result(outcome: Result[HttpResponse, Failure]) -> CallResult:
--- a/packages/scheduler/src/fescuecrank_scheduler/effects.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/effects.py
@@ -85,11 +85,12 @@
 
 @attrs.frozen
 class WorkerEffect(Effect):
-    """Base of calls to one incarnation of a worker, which refuses epochs older than the newest."""
+    """Base of calls to one incarnation of a worker, which refuses tokens lower than the highest."""
 
     worker: str
     address: str
-    epoch: int
+    # Fencing token; see `LeaderState.newest_token`.
+    token: int
 
 
 @attrs.frozen
@@ -98,7 +99,7 @@
 
     The worker delays its answer for up to `wait_ms` until a run ends. It may forget ended runs up
     to `last_acked_end`. `deadline_ms` is the end of the lease on the worker's clock; without it
-    no lease is renewed, but the worker refuses older epochs from now on.
+    no lease is renewed, but the worker refuses lower tokens from now on.
     """
 
     last_acked_end: int
--- a/packages/scheduler/src/fescuecrank_scheduler/events.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/events.py
@@ -102,7 +102,8 @@
     """Result of a call to a worker."""
 
     OK = "ok"
-    # The worker has been called by a leader of a newer epoch.
+    # The worker has been called with a higher fencing token: by a newer leader, or by this one
+    # since the worker restarted.
     FENCED = "fenced"
     # A run of the task with the same or a higher number has been stopped or has ended there.
     OLD = "old"
@@ -170,32 +171,35 @@
 
 @attrs.frozen
 class StartDone(Event):
-    """Answer to `StartRun`."""
+    """Answer to `StartRun`; `token` is that of the call."""
 
     worker: str
     task: TaskId
     run: int
     result: CallResult
+    token: int = 0
 
 
 @attrs.frozen
 class StopDone(Event):
-    """Answer to `StopRun`."""
+    """Answer to `StopRun`; `token` is that of the call."""
 
     worker: str
     task: TaskId
     run: int
     result: CallResult
+    token: int = 0
 
 
 @attrs.frozen
 class PaceDone(Event):
-    """Answer to `PaceRun`."""
+    """Answer to `PaceRun`; `token` is that of the call."""
 
     worker: str
     task: TaskId
     percent: int
     result: CallResult
+    token: int = 0
 
 
 class StoreResult(enum.StrEnum):
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -141,11 +141,21 @@
         self.pools_awaiting_long_running.discard(pool)
         self.team_limited_pools.discard(pool)
 
+    @property
+    def newest_token(self) -> int:
+        """Fencing token higher than those of all calls to earlier incarnations of any worker.
+
+        A call without an answer may be carried out seconds later, by whichever incarnation has the
+        id then: a start would run a task that is done, and an acknowledgement would let a worker
+        forget ends that nobody has seen.
+        """
+        return self.leader.epoch + self.restart_count
+
     def worker(self, worker_id: str) -> Worker:
         """Return a worker, added if it is not known; it need not be in the list of workers."""
         worker = self.workers.get(worker_id)
         if worker is None:
-            worker = self.workers[worker_id] = Worker(worker_id)
+            worker = self.workers[worker_id] = Worker(worker_id, token=self.newest_token)
         return worker
 
     def index_machines(self, rows: Mapping[str, MachineRow]) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/leadership.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -45,6 +45,12 @@
 STAND_BACK_MS = 15_000
 
 
+# Least difference between the epochs of two leaderships. Calls to workers carry the epoch plus the
+# number of restarts that the leader has seen as fencing token, so that each incarnation of a worker
+# gets higher tokens than the ones before it, and a later leader higher ones than an earlier leader.
+EPOCH_STEP = 1_000_000
+
+
 class Role(enum.StrEnum):
     """Role of this process in the election."""
 
@@ -143,7 +149,8 @@
     def claim(self, wall_ms: int) -> Leadership:
         """Become a candidate and return the record that claims the leadership."""
         self.role = Role.CANDIDATE
-        self.epoch = (self._observed.epoch if self._observed else 0) + 1
+        newest = self._observed.epoch if self._observed else 0
+        self.epoch = (newest // EPOCH_STEP + 1) * EPOCH_STEP
         self.nonce = self.rng.getrandbits(40)
         return Leadership(self.epoch, self.name, 0, self.nonce, wall_ms, address=self.address)
 
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -19,6 +19,7 @@
 )
 from fescuecrank_scheduler.jobs import Phase, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.leadership import EPOCH_STEP
 from fescuecrank_scheduler.pacing import Pacer
 from fescuecrank_scheduler.runs import DONE, Runs
 from fescuecrank_scheduler.workers import Run, RunState, Worker
@@ -41,7 +42,7 @@
 
     @pacer.default
     def _make_pacer(self) -> Pacer:
-        return Pacer(self.state.leader.epoch)
+        return Pacer()
 
     def on_workers_read(self, event: WorkersRead, now: Now) -> None:
         """Apply changes of the list of workers."""
@@ -94,7 +95,7 @@
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             if event.result in NO_CONTACT:
                 self._on_contact_lost(worker, event.result, now)
-            self.runs.on_call_rejected(worker, event.result, now)
+            self.runs.on_call_rejected(worker, event.result, worker.token, now)
 
     def _on_contact_lost(self, worker: Worker, result: CallResult, now: Now) -> None:
         if worker.contact_lost_ms is not None:
@@ -127,22 +128,24 @@
         worker.contact_lost_ms = None
         self.state.request_placement(worker.pool)
 
-    def on_pace_done(self, event: PaceDone) -> None:
+    def on_pace_done(self, event: PaceDone, now: Now) -> None:
         """Record that a worker confirmed a run's pace; an unanswered order is sent again."""
         worker = self.state.workers.get(event.worker)
         run = worker.runs.get(event.task) if worker else None
         if run is not None and event.result is CallResult.OK:
             run.pace_confirmed = event.percent
-        elif event.result is CallResult.FENCED:
-            self.state.fenced = True
+        elif worker is not None:
+            self.runs.on_call_rejected(worker, event.result, event.token, now)
 
     def _on_restart(self, worker: Worker, started_ms: int, source: str, now: Now) -> None:
         """Give up the runs of a worker that has restarted under the same id, as `source` shows.
 
-        A start that was not answered may still be carried out by the new incarnation. Such a run is
-        stopped there before its task may start elsewhere.
+        A start that was not answered may still be carried out by the new incarnation, until that
+        has been called with its own token. Such a run is stopped there before its task may start
+        elsewhere.
         """
-        self.state.restart_count += 1
+        self.state.restart_count = min(self.state.restart_count + 1, EPOCH_STEP - 1)
+        worker.token = self.state.newest_token
         self.state.log(
             "worker_restarted",
             worker=worker.id,
@@ -167,6 +170,7 @@
         worker.lease_expires_ms = now.mono_ms + int(
             self.state.limits.lease_max_ms / (1 - self.state.limits.clock_drift)
         )
+        self.state.hold_times.set(worker.id, now.mono_ms)
 
     def _reconcile(self, worker: Worker, reply: HoldReply, now: Now) -> None:
         sent_ms = worker.hold_sent_ms
@@ -352,7 +356,7 @@
             HoldWorker(
                 worker.id,
                 worker.address,
-                self.state.leader.epoch,
+                worker.token,
                 worker.last_acked_end,
                 deadline,
                 worker.hold_wait_ms,
--- a/packages/scheduler/src/fescuecrank_scheduler/pacing.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/pacing.py
@@ -33,7 +33,6 @@
 class Pacer:
     """Adjusts the pace of best-effort runs on the workers of one leader."""
 
-    epoch: int
     _changed_ms: dict[str, int] = attrs.field(factory=dict)
 
     def adjust(self, worker: Worker, now: Now) -> list[Effect]:
@@ -89,4 +88,4 @@
 
     def _make_order(self, worker: Worker, run: Run, now: Now) -> PaceRun:
         run.pace_sent_ms = now.mono_ms
-        return PaceRun(worker.id, worker.address, self.epoch, run.task, run.number, run.pace)
+        return PaceRun(worker.id, worker.address, worker.token, run.task, run.number, run.pace)
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -76,7 +76,7 @@
             run.confirmed_ms = now.mono_ms
             self.state.hold_times.set(worker.id, now.mono_ms)
         else:
-            self.on_call_rejected(worker, event.result, now)
+            self.on_call_rejected(worker, event.result, event.token, now)
 
     def retry_stops(self, now: Now) -> None:
         """Repeat unanswered stops."""
@@ -107,7 +107,7 @@
             StopRun(
                 worker.id,
                 worker.address,
-                self.state.leader.epoch,
+                worker.token,
                 task,
                 number,
                 self.state.limits.stop_timeout_ms,
@@ -289,10 +289,13 @@
 
     # Rejected calls, which concern the whole worker or the leader.
 
-    def on_call_rejected(self, worker: Worker, result: CallResult, now: Now) -> None:
+    def on_call_rejected(self, worker: Worker, result: CallResult, token: int, now: Now) -> None:
         """Handle a call rejected because of a newer leader or another incarnation of the worker."""
+        if token < worker.token:
+            # It was sent to an earlier incarnation.
+            return
         if result is CallResult.FENCED:
-            self.state.log("call_fenced", worker=worker.id, epoch=self.state.leader.epoch)
+            self.state.log("call_fenced", worker=worker.id, token=token)
             self.state.fenced = True
         elif result is CallResult.OTHER_INCARNATION:
             given_up = self.crashes.on_crash(worker, now)
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -11,6 +11,7 @@
 from fescuecrank_scheduler.fleet import FleetConfig
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase
 from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.leadership import EPOCH_STEP
 from fescuecrank_scheduler.leases import Leases
 from fescuecrank_scheduler.progress_log import ProgressLog
 from fescuecrank_scheduler.retention import Retention
@@ -99,7 +100,7 @@
             case events.HoldDone():
                 self.leases.on_hold_done(event, now)
             case events.PaceDone():
-                self.leases.on_pace_done(event)
+                self.leases.on_pace_done(event, now)
             case events.StartDone():
                 self.starts.on_done(event, now)
             case events.StopDone():
@@ -145,6 +146,9 @@
     def tick(self, now: Now) -> None:
         """Expire leases, retry unanswered calls and stop stalled runs."""
         self.dispatcher.tick(now)
+        if self.state.restart_count >= EPOCH_STEP - 1 and not self.state.resigning:
+            # The next token would be one of the next leader.
+            self.resign()
         if now.mono_ms - self._retried_ms >= RETRY_INTERVAL_MS:
             self._retried_ms = now.mono_ms
             self.leases.expire_leases(now)
--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -32,7 +32,7 @@
             StartRun(
                 worker.id,
                 worker.address,
-                self.state.leader.epoch,
+                worker.token,
                 run.task,
                 run.number,
                 self.state.table.jobs[run.task.job].spec,
@@ -76,9 +76,9 @@
                 # The run is or was on the worker; the next hold reports it or its end.
                 run.confirmed_ms = now.mono_ms
             case CallResult.FENCED:
-                self.runs.on_call_rejected(worker, event.result, now)
+                self.runs.on_call_rejected(worker, event.result, event.token, now)
             case _:
-                self._on_refused(worker, run, event.result, now)
+                self._on_refused(worker, run, event, now)
 
     def _mark_unanswered(self, worker: Worker, run: Run, now: Now) -> None:
         """Mark a start to be repeated; the run number makes the repetition idempotent."""
@@ -126,7 +126,8 @@
             return
         self.runs.run_ended(worker, run, reason, "", now)
 
-    def _on_refused(self, worker: Worker, run: Run, result: CallResult, now: Now) -> None:
+    def _on_refused(self, worker: Worker, run: Run, event: StartDone, now: Now) -> None:
+        result = event.result
         self.state.log(
             "start_refused",
             task=run.label,
@@ -137,7 +138,7 @@
         )
         if result is CallResult.OTHER_INCARNATION:
             run.never_sent = run.starts_in_flight == 0
-            self.runs.on_call_rejected(worker, result, now)
+            self.runs.on_call_rejected(worker, result, event.token, now)
             return
         if result is CallResult.NO_ROOM:
             # The worker's own count of reserved resources differs from ours until the next hold.
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -81,6 +81,8 @@
     """One incarnation of a worker."""
 
     id: str
+    # Fencing token of the calls to this incarnation.
+    token: int = 0
     address: str = ""
     pool: str = ""
     zone: str = ""
--- a/packages/scheduler/tests/fake_worker.py
+++ b/packages/scheduler/tests/fake_worker.py
@@ -33,7 +33,7 @@
     refusing: bool = False
     # Another worker has the address of this one.
     succeeded: bool = False
-    highest_epoch: int = 0
+    highest_token: int = 0
     lease_deadline_ms: int | None = None
     runs: dict[TaskId, FakeRun] = attrs.field(factory=dict)
     highest_ended_run: dict[TaskId, int] = attrs.field(factory=dict)
@@ -76,15 +76,15 @@
     def restart(self, now_ms: int) -> None:
         """Start a new incarnation under the same id."""
         self.alive, self.started_ms = True, now_ms + 1
-        self.highest_epoch, self.lease_deadline_ms, self.end_count = 0, None, 0
+        self.highest_token, self.lease_deadline_ms, self.end_count = 0, None, 0
         self.highest_ended_run.clear()
         self.ends.clear()
 
     def start(self, effect: StartRun, now_ms: int, long_running: bool) -> CallResult:
         self.advance(now_ms)
-        if effect.epoch < self.highest_epoch:
+        if effect.token < self.highest_token:
             return CallResult.FENCED
-        self.highest_epoch = effect.epoch
+        self.highest_token = effect.token
         present = self.runs.get(effect.task)
         if present is not None and present.run == effect.run:
             return CallResult.OK
@@ -100,9 +100,9 @@
 
     def stop(self, effect: StopRun, now_ms: int) -> CallResult:
         self.advance(now_ms)
-        if effect.epoch < self.highest_epoch:
+        if effect.token < self.highest_token:
             return CallResult.FENCED
-        self.highest_epoch = effect.epoch
+        self.highest_token = effect.token
         run = self.runs.get(effect.task)
         if run is not None and run.run <= effect.run:
             run.stop_at_ms = run.stop_at_ms or now_ms + STOP_MS
@@ -114,9 +114,9 @@
 
     def hold(self, effect: HoldWorker, now_ms: int) -> HoldReply | CallResult:
         self.advance(now_ms)
-        if effect.epoch < self.highest_epoch:
+        if effect.token < self.highest_token:
             return CallResult.FENCED
-        self.highest_epoch = effect.epoch
+        self.highest_token = effect.token
         if effect.deadline_ms is not None:
             self._grant(effect.deadline_ms, now_ms)
         self.ends = [row for row in self.ends if row.number > effect.last_acked_end]
--- a/packages/scheduler/tests/fleet_simulation.py
+++ b/packages/scheduler/tests/fleet_simulation.py
@@ -448,10 +448,13 @@
                 reply = answer if ok else None
                 self.post(node, events.HoldDone(effect.worker, effect.number, result, reply))
             case effects.StartRun():
-                done = events.StartDone(effect.worker, effect.task, effect.run, result)
+                done = events.StartDone(
+                    effect.worker, effect.task, effect.run, result, effect.token
+                )
                 self.post(node, done)
             case effects.StopRun():
-                self.post(node, events.StopDone(effect.worker, effect.task, effect.run, result))
+                done = events.StopDone(effect.worker, effect.task, effect.run, result, effect.token)
+                self.post(node, done)
 
     # Invariants and observations.
 
--- a/packages/scheduler/tests/leader_builders.py
+++ b/packages/scheduler/tests/leader_builders.py
@@ -8,6 +8,7 @@
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
+from fescuecrank_scheduler.leadership import EPOCH_STEP
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.records import Leadership
 from fescuecrank_scheduler.scheduler import Scheduler
@@ -88,7 +89,7 @@
         return [each for each in self.effects if isinstance(each, StartRun) and each.task == task]
 
     def answer_start(self, start: StartRun, result: CallResult) -> None:
-        self.handle(events.StartDone(start.worker, start.task, start.run, result))
+        self.handle(events.StartDone(start.worker, start.task, start.run, result, start.token))
 
     def calls(self, kind: type[Effect]) -> list[Effect]:
         return [each for each in self.effects if isinstance(each, kind)]
@@ -120,7 +121,7 @@
     workers: int = 2, cfg: FleetConfig | None = None, limits: Limits | None = None
 ) -> LeaderDriver:
     """Return a leader whose workers have all answered."""
-    leader = Leadership(1, "entry-1", 0)
+    leader = Leadership(EPOCH_STEP, "entry-1", 0)
     state = LeaderState(limits or Limits(), JobTable(), cfg or config(), leader)
     driver = LeaderDriver(Scheduler(state, 1))
     driver.leader.take_over(instant(0))
--- a/packages/scheduler/tests/test_decisions.py
+++ b/packages/scheduler/tests/test_decisions.py
@@ -12,7 +12,7 @@
 from fescuecrank_scheduler.fleet import Resources, Team
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Task, TaskId
-from fescuecrank_scheduler.leadership import Election, Role
+from fescuecrank_scheduler.leadership import EPOCH_STEP, Election, Role
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.pacing import Pacer
 from fescuecrank_scheduler.quotas import Usage
@@ -291,9 +291,16 @@
     def test_epoch_grows_with_each_claim(self):
         election = self.election()
         election.observe(Leadership(7, "", 1, wall_ms=WALL_MS), 0, WALL_MS)
-        assert election.claim(WALL_MS).epoch == 8
+        assert election.claim(WALL_MS).epoch == EPOCH_STEP
         assert election.role is Role.CANDIDATE
 
+    def test_fencing_tokens_of_a_leader_are_higher_than_all_of_its_predecessor(self):
+        election = self.election()
+        before = Leadership(7 * EPOCH_STEP, "", 1, wall_ms=WALL_MS)
+        election.observe(before, 0, WALL_MS)
+        last_token = before.epoch + EPOCH_STEP - 1
+        assert last_token < election.claim(WALL_MS).epoch == 8 * EPOCH_STEP
+
 
 class TestPacing:
     """Throttling of best-effort tasks beside tasks with a latency target."""
@@ -307,13 +314,13 @@
 
     def test_missed_latency_target_throttles_the_best_effort_task(self):
         target, best_effort = self.serving_and_best_effort(measurement=150)
-        orders = Pacer(1).adjust(target, instant(5_000))
+        orders = Pacer().adjust(target, instant(5_000))
         assert [o.percent for o in orders if isinstance(o, PaceRun)] == [50]
         assert best_effort.pace == 50
 
     def test_pace_falls_to_zero_within_seconds_of_a_missed_target(self):
         target, best_effort = self.serving_and_best_effort(measurement=300)
-        pacer = Pacer(1)
+        pacer = Pacer()
         for now_ms in range(5_000, 9_000, 500):
             pacer.adjust(target, instant(now_ms))
         assert best_effort.pace == 0
@@ -321,14 +328,14 @@
     def test_pace_rises_again_while_latencies_are_low(self):
         target, best_effort = self.serving_and_best_effort(measurement=10)
         best_effort.pace = best_effort.pace_confirmed = 0
-        pacer = Pacer(1)
+        pacer = Pacer()
         for now_ms in range(5_000, 20_000, 500):
             pacer.adjust(target, instant(now_ms))
         assert best_effort.pace == 100
 
     def test_unanswered_order_is_repeated(self):
         target, best_effort = self.serving_and_best_effort(measurement=150)
-        pacer = Pacer(1)
+        pacer = Pacer()
         pacer.adjust(target, instant(5_000))
         next(iter(target.runs.values())).measurement = 80
         again = pacer.adjust(target, instant(5_650))
--- a/packages/scheduler/tests/test_ends_of_runs.py
+++ b/packages/scheduler/tests/test_ends_of_runs.py
@@ -74,7 +74,7 @@
         # A stop keeps the worker from carrying out the first start later.
         stop, *_ = driver.calls(StopRun)
         assert (stop.worker, stop.task, stop.run) == (first.worker, TASK, 1)
-        driver.handle(StopDone(stop.worker, stop.task, stop.run, CallResult.OK))
+        driver.handle(StopDone(stop.worker, stop.task, stop.run, CallResult.OK, stop.token))
         driver.answer_hold(first.worker)
         driver.advance(300)
         driver.answer_hold(first.worker)
@@ -102,7 +102,7 @@
         driver.advance(100)
         driver.answer_hold(first.worker, born_ms=LATER_MS)
         driver.advance(100)
-        assert driver.hold(first.worker).epoch > first.epoch
+        assert driver.hold(first.worker).token > first.token
 
 
 class TestEndsOfRunsNotOnRecord:
--- a/packages/scheduler/tests/test_fleet.py
+++ b/packages/scheduler/tests/test_fleet.py
@@ -20,6 +20,7 @@
 from fescuecrank_scheduler.fleet import Resources, Team
 from fescuecrank_scheduler.intake import Intake
 from fescuecrank_scheduler.job_table import JobTable
+from fescuecrank_scheduler.leadership import EPOCH_STEP
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.records import Leadership
 from fleet_simulation import Simulation
@@ -494,10 +495,10 @@
     other.unread_topics = {Topic.PROGRESS}
     sim.post(other, ReadFailed(Topic.PROGRESS))
     sim.run(1_900)
-    assert not [f for f in sim.logged("leadership_claimed") if f["epoch"] > 1]
+    assert not [f for f in sim.logged("leadership_claimed") if f["epoch"] > EPOCH_STEP]
     other.unread_topics = set()
     sim.run(3_000)
-    assert not [f for f in sim.logged("leadership_claimed") if f["epoch"] > 1]
+    assert not [f for f in sim.logged("leadership_claimed") if f["epoch"] > EPOCH_STEP]
     sim.kill(sim.leader().name)
     sim.run(2_000)
     assert sim.leader() is not None
