Ignore answers that an earlier incarnation of a worker gave to a hold

The list can show a restart while a hold to the earlier incarnation is open. Its answer counted as one more restart, its numbers of ends as those of the later incarnation, which was then told to forget ends that nobody had seen. A restart now discards the open hold and the worker is called anew at once.

A worker whose address changes without a restart is no longer taken for lost: its runs stay until it answers at the new address, and refusals from the earlier address repeat the start.

--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -81,8 +81,8 @@
     # Crashes of workers with runs, and tasks that were given up for them, under this leadership.
     crash_count: int = 0
     given_up_count: int = 0
-    # Restarts of workers under the id that they had, and ends `done` of runs that are not on record
-    # though their task is open, under this leadership.
+    # Restarts and moves of workers under the id that they had, and ends `done` of runs that are not
+    # on record though their task is open, under this leadership.
     restart_count: int = 0
     unmatched_end_count: int = 0
     # Since when each task has waited for a worker without other runs.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -63,16 +63,17 @@
     def _update_worker(self, entry: WorkerEntry, now: Now) -> None:
         worker = self.state.worker(entry.id)
         was_listed = worker.listed
-        if worker.address and worker.address != entry.address:
-            given_up = self.runs.crashes.on_crash(worker, now)
-            self.runs.abandon_runs(worker, "moved_address", now)
-            self.runs.give_up(given_up, worker, now)
-            worker.epoch_accepted = worker.retired = False
+        moved = bool(worker.address) and worker.address != entry.address
         was_ready = worker.ready
         worker.update(entry)
         worker.entry_ms = now.mono_ms
         if entry.started_ms and worker.started_ms and entry.started_ms > worker.started_ms:
             self._on_restart(worker, entry.started_ms, "entry", now)
+        elif moved:
+            # Whether it is another incarnation is known when it answers at its new address.
+            self.state.log("worker_moved", worker=worker.id, address=entry.address)
+            worker.epoch_accepted = worker.retired = False
+            self._begin_calls(worker, now)
         if not was_listed or was_ready != entry.ready:
             self.state.log("worker_listed", worker=entry.id, pool=entry.pool, ready=entry.ready)
             self.state.request_placement(worker.pool)
@@ -144,8 +145,6 @@
         has been called with its own token. Such a run is stopped there before its task may start
         elsewhere.
         """
-        self.state.restart_count = min(self.state.restart_count + 1, EPOCH_STEP - 1)
-        worker.token = self.state.newest_token
         self.state.log(
             "worker_restarted",
             worker=worker.id,
@@ -158,6 +157,7 @@
             last_acked_end=worker.last_acked_end,
             hold_open=worker.hold_open,
         )
+        self._begin_calls(worker, now)
         given_up = self.runs.crashes.on_crash(worker, now)
         for run in list(worker.runs.values()):
             if run.starts_in_flight > 0:
@@ -170,6 +170,15 @@
         worker.lease_expires_ms = now.mono_ms + int(
             self.state.limits.lease_max_ms / (1 - self.state.limits.clock_drift)
         )
+
+    def _begin_calls(self, worker: Worker, now: Now) -> None:
+        """Call a worker with a new token, at once, and ignore the answer of the open hold.
+
+        That answer is a state of an earlier incarnation. Its numbers of ends, taken for those of
+        the later one, would let that one forget ends that nobody has seen.
+        """
+        self.state.restart_count = min(self.state.restart_count + 1, EPOCH_STEP - 1)
+        worker.token, worker.hold_open = self.state.newest_token, False
         self.state.hold_times.set(worker.id, now.mono_ms)
 
     def _reconcile(self, worker: Worker, reply: HoldReply, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -9,6 +9,9 @@
 from fescuecrank_scheduler.runs import Runs
 from fescuecrank_scheduler.workers import Run, RunState, Worker
 
+# Answers to a start that say that the run is or was on the worker.
+CARRIED_OUT = {CallResult.OK, CallResult.OLD}
+
 
 @attrs.define
 class Starts:
@@ -61,6 +64,10 @@
             run.starts_in_flight -= 1
         if run.state is not RunState.SENT:
             return
+        if event.token < worker.token and event.result not in CARRIED_OUT:
+            # It was sent to the earlier address of the worker.
+            self._mark_unanswered(worker, run, now)
+            return
         match event.result:
             case CallResult.OK:
                 run.state, run.confirmed_ms = RunState.RUNNING, now.mono_ms
--- a/packages/scheduler/tests/test_ends_of_runs.py
+++ b/packages/scheduler/tests/test_ends_of_runs.py
@@ -240,6 +240,22 @@
         assert driver.state.workers["worker-1"].contact_lost_ms is None
         assert driver.state.workers["worker-1"].runs[TASK].state is RunState.RUNNING
 
+    @pytest.mark.parametrize("result", [CallResult.OTHER_INCARNATION, CallResult.FENCED])
+    def test_start_refused_at_an_earlier_address_is_repeated(self, result):
+        driver = make_driver(workers=1)
+        start = start_task(driver)
+        moved = attrs.evolve(entry("worker-1", started_ms=BORN_MS), address="worker-1:81")
+        driver.list_workers(moved)
+        driver.advance(50)
+        driver.answer_hold("worker-1")
+        driver.answer_start(start, result)
+        driver.advance(1_000)
+        assert not driver.state.fenced
+        assert [(each.address, each.run) for each in driver.starts()] == [
+            ("worker-1:80", 1),
+            ("worker-1:81", 1),
+        ]
+
     def test_answer_to_a_worker_that_left_the_list_and_came_back_is_not_applied(self):
         """The record of an idle worker that is unlisted is dropped together with its open hold.
 
