Acknowledge ends only to the incarnation of a worker that reported them

An append in progress kept the number of the last end of each worker. If the worker restarted meanwhile, or left the list and came back as a new record, the number was applied to the ends of the later incarnation, stored or not: it forgot ends, and tasks that were done were started again.

Acknowledgements now carry the token of the incarnation, and each record of a worker gets a token of its own, also one that is created again.

--- a/packages/scheduler/src/fescuecrank_scheduler/effects.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/effects.py
@@ -89,7 +89,7 @@
 
     worker: str
     address: str
-    # Fencing token; see `LeaderState.newest_token`.
+    # Fencing token; see `LeaderState.next_token`.
     token: int
 
 
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -13,6 +13,7 @@
 from fescuecrank_scheduler.fleet import FleetConfig
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job, Outcome, TaskId
+from fescuecrank_scheduler.leadership import EPOCH_STEP
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.ordering import Demand
 from fescuecrank_scheduler.quotas import Usage
@@ -81,8 +82,10 @@
     # Crashes of workers with runs, and tasks that were given up for them, under this leadership.
     crash_count: int = 0
     given_up_count: int = 0
-    # Restarts and moves of workers under the id that they had, and ends `done` of runs that are not
-    # on record though their task is open, under this leadership.
+    # Fencing tokens given out under this leadership.
+    token_count: int = 0
+    # Restarts of workers under the id that they had, and ends `done` of runs that are not on record
+    # though their task is open, under this leadership.
     restart_count: int = 0
     unmatched_end_count: int = 0
     # Since when each task has waited for a worker without other runs.
@@ -141,21 +144,21 @@
         self.pools_awaiting_long_running.discard(pool)
         self.team_limited_pools.discard(pool)
 
-    @property
-    def newest_token(self) -> int:
-        """Fencing token higher than those of all calls to earlier incarnations of any worker.
+    def next_token(self) -> int:
+        """Return a fencing token that is higher than those of all calls so far.
 
         A call without an answer may be carried out seconds later, by whichever incarnation has the
         id then: a start would run a task that is done, and an acknowledgement would let a worker
         forget ends that nobody has seen.
         """
-        return self.leader.epoch + self.restart_count
+        self.token_count = min(self.token_count + 1, EPOCH_STEP - 1)
+        return self.leader.epoch + self.token_count
 
     def worker(self, worker_id: str) -> Worker:
         """Return a worker, added if it is not known; it need not be in the list of workers."""
         worker = self.workers.get(worker_id)
         if worker is None:
-            worker = self.workers[worker_id] = Worker(worker_id, token=self.newest_token)
+            worker = self.workers[worker_id] = Worker(worker_id, token=self.next_token())
         return worker
 
     def index_machines(self, rows: Mapping[str, MachineRow]) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/leadership.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -45,9 +45,9 @@
 STAND_BACK_MS = 15_000
 
 
-# Least difference between the epochs of two leaderships. Calls to workers carry the epoch plus the
-# number of restarts that the leader has seen as fencing token, so that each incarnation of a worker
-# gets higher tokens than the ones before it, and a later leader higher ones than an earlier leader.
+# Least difference between the epochs of two leaderships. The fencing tokens of calls to workers
+# count up from the epoch, one for each incarnation of a worker, so that an incarnation gets higher
+# tokens than the one before it and a later leader gives out higher ones than an earlier leader.
 EPOCH_STEP = 1_000_000
 
 
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -19,7 +19,6 @@
 )
 from fescuecrank_scheduler.jobs import Phase, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
-from fescuecrank_scheduler.leadership import EPOCH_STEP
 from fescuecrank_scheduler.pacing import Pacer
 from fescuecrank_scheduler.runs import DONE, Runs
 from fescuecrank_scheduler.workers import Run, RunState, Worker
@@ -145,6 +144,7 @@
         has been called with its own token. Such a run is stopped there before its task may start
         elsewhere.
         """
+        self.state.restart_count += 1
         self.state.log(
             "worker_restarted",
             worker=worker.id,
@@ -177,8 +177,7 @@
         That answer is a state of an earlier incarnation. Its numbers of ends, taken for those of
         the later one, would let that one forget ends that nobody has seen.
         """
-        self.state.restart_count = min(self.state.restart_count + 1, EPOCH_STEP - 1)
-        worker.token, worker.hold_open = self.state.newest_token, False
+        worker.token, worker.hold_open = self.state.next_token(), False
         self.state.hold_times.set(worker.id, now.mono_ms)
 
     def _reconcile(self, worker: Worker, reply: HoldReply, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -24,7 +24,9 @@
     sequence: int
     starts: list[tuple[str, TaskId, int]]
     outcomes: dict[str, Outcome]
-    acks: dict[str, int]
+    # Numbers of the last ends that workers may forget then, with the token of the incarnation.
+    acks: dict[str, tuple[int, int]]
+    sent_ms: int
     # Leases that the renewal reports as not renewed; None if the append contains no renewal.
     unrenewed_leases: dict[str, int] | None
     # When it was sent, if it contains a renewal.
@@ -60,9 +62,10 @@
         if pending.unrenewed_leases is not None:
             for worker in self.state.workers.values():
                 worker.lease_unrenewed = worker.id in pending.unrenewed_leases
-        for worker_id, number in pending.acks.items():
+        for worker_id, (token, number) in pending.acks.items():
             worker = self.state.workers.get(worker_id)
-            if worker is not None and worker.last_seen_end >= number:
+            # The numbers of a later incarnation start anew.
+            if worker is not None and worker.token == token:
                 worker.last_acked_end = max(worker.last_acked_end, number)
 
     def _publish_outcome(self, job_id: str, outcome: Outcome, now: Now) -> None:
@@ -165,7 +168,7 @@
             )
             records.append(encode_leadership(self.state.leader))
         acks = {
-            worker.id: worker.last_seen_end
+            worker.id: (worker.token, worker.last_seen_end)
             for worker in self.state.workers.values()
             if worker.last_seen_end > worker.last_acked_end
         }
@@ -175,6 +178,7 @@
             self.state.planned,
             outcomes,
             acks,
+            now.mono_ms,
             unrenewed_leases,
             now.mono_ms if renewal_due else None,
         )
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -146,7 +146,7 @@
     def tick(self, now: Now) -> None:
         """Expire leases, retry unanswered calls and stop stalled runs."""
         self.dispatcher.tick(now)
-        if self.state.restart_count >= EPOCH_STEP - 1 and not self.state.resigning:
+        if self.state.token_count >= EPOCH_STEP - 1 and not self.state.resigning:
             # The next token would be one of the next leader.
             self.resign()
         if now.mono_ms - self._retried_ms >= RETRY_INTERVAL_MS:
--- a/packages/scheduler/tests/test_ends_of_runs.py
+++ b/packages/scheduler/tests/test_ends_of_runs.py
@@ -224,6 +224,20 @@
         driver.unstored.remove(in_progress)
         assert driver.state.workers["worker-1"].last_acked_end == 0
 
+    def test_append_of_a_worker_that_was_dropped_acknowledges_no_end_of_its_successor(self):
+        """An idle worker leaves the list, restarts and comes back while its end is being stored."""
+        driver = make_driver(workers=1)
+        start = start_task(driver)
+        driver.answer_start(start, CallResult.OK)
+        driver.storing = False
+        driver.answer_hold("worker-1", ended=done())
+        driver.list_workers()
+        driver.advance(200)
+        driver.list_workers(entry("worker-1", started_ms=LATER_MS))
+        driver.advance(100)
+        driver.store()
+        assert driver.state.workers["worker-1"].last_acked_end == 0
+
     @pytest.mark.parametrize("result", [CallResult.OTHER_INCARNATION, CallResult.NO_ANSWER])
     def test_answer_from_an_earlier_address_says_nothing_about_the_worker(self, result):
         driver = make_driver(workers=1)
