Number the holds of all workers together

The record of an idle worker that is no longer listed is dropped with its open hold. When the worker was listed again, numbers started at 1, and the old answer could be taken for that of a newer hold: a run that started in between counted as missing and was started again.

Test: test_answer_to_a_worker_that_left_the_list_and_came_back_is_not_applied, red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -51,6 +51,8 @@
     workers: dict[str, Worker] = attrs.field(factory=dict)
     # Worker of each machine, as of the last tick, without retired workers.
     worker_by_machine: dict[str, Worker] = attrs.field(factory=dict)
+    # Holds sent so far, which numbers them: an answer can outlive the record of its worker.
+    hold_count: int = 0
     # When the next hold of each worker is due.
     hold_times: Deadlines = attrs.field(factory=Deadlines)
     # Whether the list of workers has been read.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -357,7 +357,8 @@
             wait_ms = self.state.limits.hold_wait_moving_ms
         if worker.isolated_runs:
             wait_ms = self.state.limits.hold_wait_isolated_ms
-        worker.hold_number += 1
+        self.state.hold_count += 1
+        worker.hold_number = self.state.hold_count
         worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
         worker.hold_wait_ms = wait_ms if responsive else 0
         self.state.effects.append(
