Acknowledge no ends to a worker that may have restarted unnoticed

A worker that restarts behind a cut resets no connection. The next hold carried the number of the last end of the earlier incarnation, and the later one forgot its first ends in the very call that told of the restart.

Ends are acknowledged only by a hold that follows an answer at once. A start without an answer is repeated only after a hold has been answered since, which is sent at once. Runs that the later incarnation lists, or was given before the restart was known, stay; they were given up and started beside themselves.

--- a/packages/scheduler/src/fescuecrank_scheduler/crashes.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/crashes.py
@@ -4,11 +4,12 @@
 """
 
 from collections import deque
+from collections.abc import Container
 
 import attrs
 
 from fescuecrank_scheduler.clocks import Now
-from fescuecrank_scheduler.jobs import Job, Suspicion, Task
+from fescuecrank_scheduler.jobs import Job, Suspicion, Task, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.suspicion import (
     AT_WORK_PERCENT,
@@ -58,15 +59,18 @@
                 if not run.isolated:
                     self._lower_points(run, REPORTED_POINTS)
 
-    def on_crash(self, worker: Worker, now: Now) -> list[Run]:
+    def on_crash(self, worker: Worker, now: Now, kept: Container[TaskId] = ()) -> list[Run]:
         """Suspect the runs of a worker that has crashed; return those whose tasks to give up.
 
+        Runs of `kept` tasks were started since.
+
         The loss of contact may have been recorded by the previous leader.
         """
         if worker.contact_lost_ms is None and not self._leaves_as_planned(worker):
-            self._suspect(worker, Loss(now.mono_ms))
+            self._suspect(worker, Loss(now.mono_ms), kept)
         self.state.crash_count += bool(worker.runs)
-        return [run for run in worker.runs.values() if self._confirm(run)]
+        lost = [run for task, run in worker.runs.items() if task not in kept]
+        return [run for run in lost if self._confirm(run)]
 
     def on_run_missing(self, run: Run) -> list[Run]:
         """Suspect a run that its worker does not know; return it if its task is to be given up.
@@ -127,13 +131,13 @@
         draining = bool(worker.address) and not worker.ready
         return draining or worker.cordoned or worker.retired
 
-    def _suspect(self, worker: Worker, loss: Loss) -> None:
+    def _suspect(self, worker: Worker, loss: Loss, kept: Container[TaskId] = ()) -> None:
         isolated = any(run.isolated for run in worker.runs.values())
         prompt_jobs = len({run.task.job for run in worker.runs.values() if is_prompt(run, loss)})
         suspects = {}
         for run in worker.runs.values():
             found = self._find(run)
-            if found is None or (isolated and not run.isolated):
+            if found is None or run.task in kept or (isolated and not run.isolated):
                 continue
             job, task = found
             # The previous leader may have counted the loss of this run already.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -17,6 +17,7 @@
     WorkerEntry,
     WorkersRead,
 )
+from fescuecrank_scheduler.incarnations import Incarnations
 from fescuecrank_scheduler.jobs import Phase, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.pacing import Pacer
@@ -26,6 +27,9 @@
 # Results of a hold that the worker did not answer; it may be cut off, slow or gone.
 NO_CONTACT = {CallResult.NO_ANSWER, CallResult.REFUSED}
 
+# Longest time between an answer and the hold that acknowledges ends; no worker restarts as fast.
+MAX_ACK_GAP_MS = 250
+
 # A hold that fails later than this after its wait has timed out; clients wait longer.
 ANSWER_SLACK_MS = 300
 
@@ -37,12 +41,17 @@
     state: LeaderState
     runs: Runs
     pacer: Pacer = attrs.field(init=False)
+    incarnations: Incarnations = attrs.field(init=False)
     _foreign_stop_ms: dict[tuple[str, TaskId], int] = attrs.field(factory=dict)
 
     @pacer.default
     def _make_pacer(self) -> Pacer:
         return Pacer()
 
+    @incarnations.default
+    def _make_incarnations(self) -> Incarnations:
+        return Incarnations(self.state, self.runs)
+
     def on_workers_read(self, event: WorkersRead, now: Now) -> None:
         """Apply changes of the list of workers."""
         self.state.workers_listed = True
@@ -67,12 +76,12 @@
         worker.update(entry)
         worker.entry_ms = now.mono_ms
         if entry.started_ms and worker.started_ms and entry.started_ms > worker.started_ms:
-            self._on_restart(worker, entry.started_ms, "entry", now)
+            self.incarnations.on_restart(worker, entry.started_ms, None, now)
         elif moved:
             # Whether it is another incarnation is known when it answers at its new address.
             self.state.log("worker_moved", worker=worker.id, address=entry.address)
             worker.epoch_accepted = worker.retired = False
-            self._begin_calls(worker, now)
+            self.incarnations.begin_calls(worker, now)
         if not was_listed or was_ready != entry.ready:
             self.state.log("worker_listed", worker=entry.id, pool=entry.pool, ready=entry.ready)
             self.state.request_placement(worker.pool)
@@ -89,8 +98,10 @@
             # Runs that end shortly after each other are reported in one answer.
             pause_ms = self.state.limits.hold_pause_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
+            worker.hold_answer_ms, worker.answered_sent_ms = now.mono_ms, worker.hold_sent_ms
             self._reconcile(worker, event.reply, now)
         else:
+            worker.hold_answer_ms = None
             pause_ms = self.state.limits.hold_retry_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             if event.result in NO_CONTACT:
@@ -137,54 +148,11 @@
         elif worker is not None:
             self.runs.on_call_rejected(worker, event.result, event.token, now)
 
-    def _on_restart(self, worker: Worker, started_ms: int, source: str, now: Now) -> None:
-        """Give up the runs of a worker that has restarted under the same id, as `source` shows.
-
-        A start that was not answered may still be carried out by the new incarnation, until that
-        has been called with its own token. Such a run is stopped there before its task may start
-        elsewhere.
-        """
-        self.state.restart_count += 1
-        self.state.log(
-            "worker_restarted",
-            worker=worker.id,
-            source=source,
-            started_ms=started_ms,
-            before_ms=worker.started_ms,
-            runs=len(worker.runs),
-            starts_in_flight=sum(run.starts_in_flight for run in worker.runs.values()),
-            last_seen_end=worker.last_seen_end,
-            last_acked_end=worker.last_acked_end,
-            hold_open=worker.hold_open,
-        )
-        self._begin_calls(worker, now)
-        given_up = self.runs.crashes.on_crash(worker, now)
-        for run in list(worker.runs.values()):
-            if run.starts_in_flight > 0:
-                self.runs.stop(worker, run, now)
-        self.runs.abandon_runs(worker, "restarted", now, keep=RunState.STOPPING)
-        self.runs.give_up(given_up, worker, now)
-        worker.started_ms, worker.epoch_accepted, worker.retired = started_ms, False, False
-        worker.last_seen_end = worker.last_acked_end = 0
-        worker.clock_ms = worker.sent_deadline_ms = None
-        worker.lease_expires_ms = now.mono_ms + int(
-            self.state.limits.lease_max_ms / (1 - self.state.limits.clock_drift)
-        )
-
-    def _begin_calls(self, worker: Worker, now: Now) -> None:
-        """Call a worker with a new token, at once, and ignore the answer of the open hold.
-
-        That answer is a state of an earlier incarnation. Its numbers of ends, taken for those of
-        the later one, would let that one forget ends that nobody has seen.
-        """
-        worker.token, worker.hold_open = self.state.next_token(), False
-        self.state.hold_times.set(worker.id, now.mono_ms)
-
     def _reconcile(self, worker: Worker, reply: HoldReply, now: Now) -> None:
         sent_ms = worker.hold_sent_ms
         if reply.started_ms and reply.started_ms != worker.started_ms:
             if worker.started_ms:
-                self._on_restart(worker, reply.started_ms, "answer", now)
+                self.incarnations.on_restart(worker, reply.started_ms, reply, now)
             worker.started_ms = reply.started_ms
         worker.record_clock(reply, now.mono_ms)
         worker.last_answer_ms = now.mono_ms
@@ -220,6 +188,7 @@
             row = listed.get(task)
             if row is not None and row.run == run.number:
                 run.checkpoint = row.checkpoint or run.checkpoint
+                run.listed = True
                 if run.suspected:
                     self.runs.crashes.clear(run)
                 if row.percent != run.percent or not run.progress_ms:
@@ -336,15 +305,25 @@
             self._send_hold(worker, now)
 
     def _answers_too_late(self, worker: Worker) -> bool:
-        """Return whether the open hold was sent before the start of an isolated run.
+        """Return whether the open hold was sent before a start whose outcome is waited for.
 
-        The worker answers it after up to `hold_wait_ms`. Another hold replaces it, whose answer is
-        the one that counts.
+        The start is that of an isolated run, or got no answer. The worker answers the hold after up
+        to `hold_wait_ms`. Another hold replaces it, whose answer is the one that counts.
         """
-        return any(
+        return worker.hold_sent_ms <= worker.verify_after_ms or any(
             worker.runs[task].first_sent_ms > worker.hold_sent_ms for task in worker.isolated_runs
         )
 
+    def _acked_end(self, worker: Worker, now: Now) -> int:
+        """Return the number of the last end that a worker may forget with the next hold.
+
+        A worker that has restarted numbers its ends anew. Only one that has just answered is known
+        to be the incarnation that reported the ends.
+        """
+        answered_ms = worker.hold_answer_ms
+        recent = answered_ms is not None and now.mono_ms - answered_ms <= MAX_ACK_GAP_MS
+        return worker.last_acked_end if recent else 0
+
     def _send_hold(self, worker: Worker, now: Now) -> None:
         deadline = None
         if worker.epoch_accepted and worker.runs:
@@ -353,6 +332,7 @@
             worker.epoch_accepted
             and worker.contact_lost_ms is None
             and now.mono_ms - worker.last_answer_ms < self.state.limits.worker_silence_ms
+            and worker.verified
         )
         wait_ms = self.state.limits.hold_wait_ms
         if any(run.step.best_effort for run in worker.runs.values()):
@@ -370,7 +350,7 @@
                 worker.id,
                 worker.address,
                 worker.token,
-                worker.last_acked_end,
+                self._acked_end(worker, now),
                 deadline,
                 worker.hold_wait_ms,
                 worker.hold_number,
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -1,6 +1,6 @@
 """Life cycle of runs: plans, stops, ends and their effect on the job."""
 
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 import attrs
 
@@ -142,10 +142,10 @@
                 self.stop(worker, run, now)
 
     def abandon_runs(
-        self, worker: Worker, reason: str, now: Now, keep: RunState | None = None
+        self, worker: Worker, reason: str, now: Now, kept: Container[TaskId] = ()
     ) -> None:
-        """Give up the runs that a worker has lost for `reason`, except those in state `keep`."""
-        lost = [run for run in worker.runs.values() if run.state is not keep]
+        """Give up the runs that a worker has lost for `reason`, except those of `kept` tasks."""
+        lost = [run for task, run in worker.runs.items() if task not in kept]
         if lost:
             lost_ms = worker.contact_lost_ms
             self.state.log(
--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -88,7 +88,12 @@
                 self._on_refused(worker, run, event, now)
 
     def _mark_unanswered(self, worker: Worker, run: Run, now: Now) -> None:
-        """Mark a start to be repeated; the run number makes the repetition idempotent."""
+        """Mark a start to be repeated; the run number makes the repetition idempotent.
+
+        Before that, the answer to a hold tells whether the worker has restarted meanwhile.
+        """
+        worker.verify_after_ms = max(worker.verify_after_ms, run.sent_ms)
+        self.state.hold_times.set(worker.id, now.mono_ms)
         worker.blocked_until_ms = now.mono_ms + self.state.limits.start_timeout_ms
         run.unanswered = True
 
@@ -101,7 +106,7 @@
                 if now.mono_ms - run.sent_ms < self.state.limits.start_timeout_ms:
                     continue
                 # Another incarnation may answer next, which must not run it beside other runs.
-                if worker.contact_lost_ms is not None:
+                if worker.contact_lost_ms is not None or not worker.verified:
                     continue
                 if not self._has_room(worker, run, now):
                     self.runs.stop(worker, run, now)
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -54,6 +54,8 @@
     never_sent: bool = False
     # Whether the run was recorded by a previous leader.
     adopted: bool = False
+    # Whether the worker has reported the run as running in this incarnation.
+    listed: bool = False
     # For how long, after its start was sent, the worker has reported the run as running.
     reported_ms: int = 0
     # Whether the loss of the run counts as a point against its task.
@@ -116,6 +118,11 @@
     hold_sent_ms: int = 0
     hold_wait_ms: int = 0
     hold_open: bool = False
+    # When the last hold was answered that no failed one followed, and when it was sent.
+    hold_answer_ms: int | None = None
+    answered_sent_ms: int = -1
+    # A hold sent later than this has to be answered before a start is repeated.
+    verify_after_ms: int = -1
     # Number of the last ended run that was applied, and of the last that the worker may forget.
     last_seen_end: int = 0
     last_acked_end: int = 0
@@ -166,6 +173,11 @@
         """Record a reading of the worker's clock."""
         self.clock_ms, self.clock_read_ms = reply.clock_ms, now_ms
 
+    @property
+    def verified(self) -> bool:
+        """Whether it has answered a hold since the latest start that got no answer."""
+        return self.answered_sent_ms > self.verify_after_ms
+
     def grant_lease(self, now_ms: int, limits: Limits) -> int | None:
         """Return the end of the lease on the worker's clock; None while that clock is unknown.
 
--- a/packages/scheduler/tests/leader_builders.py
+++ b/packages/scheduler/tests/leader_builders.py
@@ -91,6 +91,16 @@
     def answer_start(self, start: StartRun, result: CallResult) -> None:
         self.handle(events.StartDone(start.worker, start.task, start.run, result, start.token))
 
+    def repeat_start(self, start: StartRun) -> StartRun:
+        """Leave a start without an answer; return its repetition, after an answer to a hold."""
+        self.answer_start(start, CallResult.NO_ANSWER)
+        self.advance(100)
+        self.answer_hold(start.worker)
+        self.advance(self.state.limits.start_timeout_ms + 200)
+        repeated = self.starts(start.task)[-1]
+        assert repeated is not start
+        return repeated
+
     def calls(self, kind: type[Effect]) -> list[Effect]:
         return [each for each in self.effects if isinstance(each, kind)]
 
--- a/packages/scheduler/tests/test_ends_of_runs.py
+++ b/packages/scheduler/tests/test_ends_of_runs.py
@@ -64,11 +64,7 @@
     def test_refused_repetition_ends_no_run_whose_first_start_may_be_carried_out(self, refusal):
         driver = make_driver()
         first = start_task(driver)
-        driver.answer_start(first, CallResult.NO_ANSWER)
-        driver.advance(driver.state.limits.start_timeout_ms + 200)
-        repeated = driver.starts()[-1]
-        assert len(driver.starts()) == 2
-        driver.answer_start(repeated, refusal)
+        driver.answer_start(driver.repeat_start(first), refusal)
         driver.advance(500)
         assert {start.worker for start in driver.starts()} == {first.worker}
         # A stop keeps the worker from carrying out the first start later.
@@ -95,9 +91,7 @@
         """
         driver = make_driver()
         first = start_task(driver)
-        driver.answer_start(first, CallResult.NO_ANSWER)
-        driver.advance(driver.state.limits.start_timeout_ms + 200)
-        driver.answer_start(driver.starts()[-1], CallResult.OK)
+        driver.answer_start(driver.repeat_start(first), CallResult.OK)
         driver.answer_hold(first.worker, ended=done())
         driver.advance(100)
         driver.answer_hold(first.worker, born_ms=LATER_MS)
@@ -432,3 +426,101 @@
             driver.answer_hold("worker-1")
         start = start_task(driver)
         assert start.worker == "worker-1"
+
+
+class TestUnnoticedRestarts:
+    """A worker that restarts behind a cut while a hold is open, so that nothing tells of it yet."""
+
+    def acknowledged(self, driver: LeaderDriver) -> None:
+        """Let the first incarnation report three ends, which are acknowledged."""
+        others = tuple(
+            EndRow(number, attrs.evolve(TASK, job="f" * 16, index=number), 1, "done", "")
+            for number in range(1, 4)
+        )
+        driver.read_intake(driver.now_ms)
+        driver.read_intake(driver.now_ms)
+        driver.answer_hold("worker-1", ended=others)
+        driver.advance(100)
+        assert driver.hold("worker-1").last_acked_end == 3
+
+    @pytest.mark.parametrize(
+        "result", [CallResult.NO_ANSWER, CallResult.REFUSED, CallResult.UNHEALTHY]
+    )
+    def test_hold_after_a_failed_one_acknowledges_nothing(self, result):
+        """The next incarnation numbers its ends anew and would forget the first three."""
+        driver = make_driver(workers=1)
+        self.acknowledged(driver)
+        driver.answer_hold("worker-1", result=result)
+        driver.advance(500)
+        assert driver.hold("worker-1").last_acked_end == 0
+        driver.answer_hold("worker-1")
+        driver.advance(100)
+        assert driver.hold("worker-1").last_acked_end == 3
+
+    def test_hold_after_a_pause_acknowledges_nothing(self):
+        """A leader that may have been replaced sends no holds for a while."""
+        driver = make_driver(workers=1)
+        self.acknowledged(driver)
+        driver.storing = False
+        driver.advance(driver.state.limits.leader_validity_ms + 500)
+        driver.answer_hold("worker-1")
+        driver.advance(1_000)
+        driver.storing = True
+        driver.store()
+        driver.advance(400)
+        assert driver.hold("worker-1").last_acked_end == 0
+
+    def test_run_that_the_later_incarnation_did_is_done(self):
+        driver = make_driver(workers=1)
+        self.acknowledged(driver)
+        start = start_task(driver)
+        # The later incarnation answers the start; the hold that is open fails.
+        driver.answer_start(start, CallResult.OK)
+        driver.answer_hold("worker-1", result=CallResult.NO_ANSWER)
+        driver.advance(500)
+        driver.answer_hold("worker-1", ended=done(), born_ms=LATER_MS)
+        driver.advance(2_000)
+        assert len(driver.starts()) == 1
+        assert driver.state.table.jobs[JOB].outcome == "completed"
+
+    @pytest.mark.parametrize("listed_first", [False, True])
+    def test_run_that_the_later_incarnation_has_goes_on(self, listed_first):
+        driver = make_driver()
+        start = start_task(driver)
+        driver.answer_start(start, CallResult.OK)
+        driver.answer_hold(start.worker, result=CallResult.NO_ANSWER)
+        if listed_first:
+            restarted(driver, start.worker)
+        driver.advance(500)
+        driver.answer_hold(start.worker, running(), born_ms=LATER_MS)
+        driver.advance(2_000)
+        assert len(driver.starts()) == 1
+
+    @pytest.mark.parametrize("listed_first", [False, True])
+    def test_run_that_the_earlier_incarnation_reported_is_started_again(self, listed_first):
+        driver = make_driver()
+        start = start_task(driver)
+        driver.answer_start(start, CallResult.OK)
+        driver.answer_hold(start.worker)
+        driver.advance(100)
+        driver.answer_hold(start.worker, running())
+        driver.advance(100)
+        if listed_first:
+            restarted(driver, start.worker)
+        else:
+            driver.answer_hold(start.worker, born_ms=LATER_MS)
+        driver.advance(100)
+        assert driver.starts()[-1].run == 2
+
+    def test_start_is_not_repeated_before_the_worker_has_answered_a_hold(self):
+        """It could be carried out by the next incarnation, beside what that one runs."""
+        driver = make_driver(workers=1)
+        start = start_task(driver)
+        driver.answer_start(start, CallResult.NO_ANSWER)
+        driver.advance(1_500)
+        assert len(driver.starts()) == 1
+        driver.answer_hold("worker-1")
+        driver.advance(300)
+        driver.answer_hold("worker-1")
+        driver.advance(300)
+        assert len(driver.starts()) == 2
