Take no run for missing while a worker leaves out ends

A worker lists at most 500 ends in an answer. A run whose end was among the others counted as missing: the task was started again, and its end done arrived with the next answer.

--- a/packages/platform/src/fescuecrank_platform/worker_client.py
+++ b/packages/platform/src/fescuecrank_platform/worker_client.py
@@ -24,6 +24,9 @@
 HOLD_SLACK_MS = 700
 PACE_TIMEOUT_MS = 500
 
+# Most ends that a worker lists in one answer.
+MAX_LISTED_ENDS = 500
+
 # Results by the reason in a response with status 409.
 RESULT_BY_REASON = {
     "fence": CallResult.FENCED,
@@ -158,7 +161,13 @@
         )
         for row in fields.get("finished") or ()
     )
-    return HoldReply(_whole(fields["clock_ms"]), _whole(fields.get("born", 0)), running, ended)
+    return HoldReply(
+        _whole(fields["clock_ms"]),
+        _whole(fields.get("born", 0)),
+        running,
+        ended,
+        truncated=len(ended) >= MAX_LISTED_ENDS,
+    )
 
 
 def _whole(value: Any) -> int:
--- a/packages/platform/tests/test_platform.py
+++ b/packages/platform/tests/test_platform.py
@@ -361,6 +361,15 @@
         assert (done.reply.running[0].percent, done.reply.running[0].measurement) == (41, 900)
         assert (done.reply.ended[0].number, done.reply.ended[0].end_reason) == (58, "done")
 
+    @pytest.mark.parametrize(("count", "truncated"), [(499, False), (500, True)])
+    def test_hold_with_the_most_ends_that_are_listed_may_leave_out_others(self, count, truncated):
+        rows = [[number, f"{JOB}.0.1.9", 1, "done", ""] for number in range(1, count + 1)]
+        fields = {"clock_ms": 1, "born": 5, "running": [], "finished": rows}
+        http_client = FakeHttpClient(Response(200, orjson.dumps(fields)))
+        hold = effects.HoldWorker("i-1", "10.0.0.1:80", 7, 0, None, 0, 3)
+        done = asyncio.run(worker_client.HttpWorkerClient(http_client).hold_worker(hold))
+        assert done.reply.truncated is truncated
+
     def test_malformed_hold_response_is_invalid(self):
         http_client = FakeHttpClient(Response(200, b'{"clock_ms": 1, "running": [["x"]]}'))
         hold = effects.HoldWorker("i-1", "10.0.0.1:80", 7, 57, None, 0, 3)
--- a/packages/scheduler/src/fescuecrank_scheduler/events.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/events.py
@@ -157,6 +157,8 @@
     started_ms: int
     running: tuple[RunRow, ...]
     ended: tuple[EndRow, ...]
+    # Whether further ends are left out, as an answer lists a limited number.
+    truncated: bool = False
 
 
 @attrs.frozen
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -203,6 +203,7 @@
             elif (
                 run.confirmed_ms is not None
                 and run.confirmed_ms < sent_ms
+                and not reply.truncated
                 and (task, run.number) not in ended
             ):
                 self.state.log(
--- a/packages/scheduler/tests/fake_worker.py
+++ b/packages/scheduler/tests/fake_worker.py
@@ -7,6 +7,7 @@
 
 STOP_MS = 100
 LEASE_MAX_MS = 10_000
+MAX_LISTED_ENDS = 500
 
 
 @attrs.define
@@ -123,7 +124,9 @@
         running = tuple(
             RunRow(run.task, run.run, "", self._progress(run, now_ms)) for run in self.runs.values()
         )
-        return HoldReply(self.clock(now_ms), self.started_ms, running, tuple(self.ends[:500]))
+        ended = tuple(self.ends[:MAX_LISTED_ENDS])
+        truncated = len(ended) < len(self.ends)
+        return HoldReply(self.clock(now_ms), self.started_ms, running, ended, truncated)
 
     def _grant(self, deadline_ms: int, now_ms: int) -> None:
         longest = self.clock(now_ms) + LEASE_MAX_MS
--- a/packages/scheduler/tests/leader_builders.py
+++ b/packages/scheduler/tests/leader_builders.py
@@ -16,6 +16,9 @@
 from scheduler_builders import job as make_job
 
 STEP_MS = 10
+
+# Most ends that a worker lists in one answer.
+MAX_LISTED_ENDS = 500
 JOB = "00000000000000aa"
 TASK = TaskId(JOB, 0, 0, 0)
 
@@ -80,7 +83,8 @@
     ) -> None:
         """Answer the latest hold of a worker, or the given one."""
         hold = hold or self.hold(worker)
-        reply = HoldReply(self.now_ms, born_ms, running, ended)
+        truncated = len(ended) >= MAX_LISTED_ENDS
+        reply = HoldReply(self.now_ms, born_ms, running, ended, truncated)
         answered = reply if result is CallResult.OK else None
         self.handle(events.HoldDone(worker, hold.number, result, answered))
 
