Count a leader's permission from when its append was sent

A leader that was frozen while the answer of its append was on the way took the answer for a fresh proof: it sent the starts of the append, with leases that its successor did not wait for, to workers that the successor could not reach. A repeated start granted a lease as well, whatever the age of the last renewal.

The permission now counts from the time at which the newest stored append was sent, and starts need it like holds; planned runs without it are withdrawn (run_ended leadership_unproven).

--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -36,7 +36,7 @@
     # The record that this leadership replaced.
     previous_leader: Leadership | None = None
     started_ms: int = 0
-    # When this leadership was last renewed in the store.
+    # When the newest append that the store has confirmed was sent.
     renewed_ms: int = 0
     # When the newest stored renewal, or the claim, was sent: no successor counts its silence from
     # an earlier time.
@@ -132,6 +132,14 @@
         """Add a record to the next append."""
         self.queued_records.append(record)
 
+    def may_grant_leases(self, now: Now) -> bool:
+        """Return whether leases that are granted now end before a successor takes them for ended.
+
+        A successor assumes that its predecessor granted none later than `leader_validity_ms` after
+        its last append.
+        """
+        return now.mono_ms - self.renewed_ms < self.limits.leader_validity_ms and not self.resigned
+
     def may_order_machines(self, now: Now) -> bool:
         """Return whether no successor can have claimed the leadership yet.
 
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -284,17 +284,11 @@
 
     def next_due_ms(self, now: Now) -> int | None:
         """Return when the next hold is due; None if none is, or none may be sent."""
-        return self.state.hold_times.next_due_ms() if self._may_renew(now) else None
-
-    def _may_renew(self, now: Now) -> bool:
-        """Return whether this leader still leads for certain; otherwise it renews no lease."""
-        state = self.state
-        valid = now.mono_ms - state.renewed_ms < state.limits.leader_validity_ms
-        return valid and not state.resigned
+        return self.state.hold_times.next_due_ms() if self.state.may_grant_leases(now) else None
 
     def renew_leases(self, now: Now) -> None:
         """Send the holds that are due, unless this leader may have been replaced."""
-        if not self._may_renew(now):
+        if not self.state.may_grant_leases(now):
             return
         for worker_id in self.state.hold_times.pop_due(now.mono_ms):
             worker = self.state.workers.get(worker_id)
--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -51,7 +51,8 @@
         if pending is None or pending.sequence != sequence:
             return
         self.pending, self.state.append_pending = None, False
-        self.state.renewed_ms = now.mono_ms
+        # The answer may have come late, or been received while this process was paused.
+        self.state.renewed_ms = pending.sent_ms
         if pending.renewal_sent_ms is not None:
             self.state.renewal_sent_ms = pending.renewal_sent_ms
         self.state.resigned = not self.state.leader.holder
--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -99,6 +99,8 @@
 
     def retry(self, now: Now) -> None:
         """Repeat unanswered starts after the time-out, also where the connection was refused."""
+        if not self.state.may_grant_leases(now):
+            return
         for worker in self.state.workers.values():
             for run in list(worker.runs.values()):
                 if not run.unanswered or run.state is not RunState.SENT:
@@ -127,6 +129,8 @@
         """Send the start of a run whose record is stored, unless it is out of place by now."""
         if not self.state.still_needed(run) or self.state.resigned:
             reason = "withdrawn"
+        elif not self.state.may_grant_leases(now):
+            reason = "leadership_unproven"
         elif worker.contact_lost_ms is not None:
             reason = "worker_away"
         elif worker.is_full_beyond(run.step.reservation) or not self.state.capacity_known(
