Grant no lease that the leadership record calls not renewed

After a worker restarted, the first lease was granted also while the record stated the remaining time of its lease. A successor that took over then waited only for that time.

Test: test_lease_that_is_recorded_as_not_renewed_is_not_granted_to_a_restarted_worker, red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -179,17 +179,18 @@
         return self.answered_sent_ms > self.verify_after_ms
 
     def grant_lease(self, now_ms: int, limits: Limits) -> int | None:
-        """Return the end of the lease on the worker's clock; None while that clock is unknown.
+        """Return the end of the lease on the worker's clock; None if none can be granted.
+
+        The worker's clock is unknown until it answers, and a lease that the leadership record calls
+        not renewed is not granted anew to a later incarnation either.
 
         The lease is extended only while the worker answers. Otherwise repeated calls would prolong
         the time for which the worker has to be assumed to run its tasks.
         """
         if self.clock_ms is None:
             return None
-        answering = (
-            now_ms - self.last_answer_ms < limits.worker_silence_ms and not self.lease_unrenewed
-        )
-        if answering or self.sent_deadline_ms is None:
+        answering = now_ms - self.last_answer_ms < limits.worker_silence_ms
+        if not self.lease_unrenewed and (answering or self.sent_deadline_ms is None):
             passed = (now_ms - self.clock_read_ms) * (1 - limits.clock_drift)
             self.sent_deadline_ms = int(self.clock_ms + passed + limits.lease_ms)
             longest = int(limits.lease_ms / (1 - limits.clock_drift)) + 1
