Take the jobs for read only after a read that leaves out none

A new leader acknowledged ends of unknown jobs after its second read of the submissions. A read returns a limited number of bytes, so after an outage two reads need not reach the end, and the end of a job that was not read yet was acknowledged and lost.

Test: test_reads_that_are_not_whole_do_not_count, red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -41,8 +41,8 @@
     # When the newest stored renewal, or the claim, was sent: no successor counts its silence from
     # an earlier time.
     renewal_sent_ms: int = 0
-    # Reads of the intake stream since this leadership began; see `jobs_loaded`.
-    intake_reads: int = 0
+    # As of when all jobs have been read since this leadership began; see `jobs_loaded`.
+    jobs_as_of_ms: int = -1
     # A call was rejected because of a newer leader; this leadership ends.
     fenced: bool = False
     # The next append releases the leadership; `resigned` once it is stored.
@@ -109,10 +109,10 @@
     def jobs_loaded(self) -> bool:
         """Whether every job of which the previous leader started a task has been read.
 
-        The first read of the intake stream may have been answered before this leadership began, but
-        not the second. Until then a task of an unknown job may belong to a job not read yet.
+        These jobs were stored before this leadership began. Until then a task of an unknown job may
+        belong to a job not read yet; a read that leaves out records says nothing.
         """
-        return self.intake_reads > 1
+        return self.jobs_as_of_ms >= self.started_ms
 
     def take_effects(self) -> list[Effect]:
         """Return and clear the collected effects."""
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -201,7 +201,7 @@
         changed = self.table.take_changed()
         if self.scheduler is not None:
             if event.topic is Topic.INTAKE:
-                self.scheduler.state.intake_reads += 1
+                self.scheduler.on_jobs_read(event.as_of_ms)
             self.scheduler.on_jobs_changed(changed, now)
 
     def _check_claim(self, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -116,6 +116,11 @@
         self.state.demands.clear()
         self.state.request_placement()
 
+    def on_jobs_read(self, as_of_ms: int | None) -> None:
+        """Record a read of the jobs, whole as of a time of our clock; None if some are left."""
+        if as_of_ms is not None:
+            self.state.jobs_as_of_ms = max(self.state.jobs_as_of_ms, as_of_ms)
+
     def on_jobs_changed(self, ids: Iterable[str], now: Now) -> None:
         """Queue new jobs for placement and end cancelled ones."""
         state = self.state
--- a/packages/scheduler/tests/leader_builders.py
+++ b/packages/scheduler/tests/leader_builders.py
@@ -121,7 +121,7 @@
 
     def read_intake(self, as_of_ms: int | None) -> None:
         """Let the leader read submissions, whole as of a time or in part."""
-        self.state.intake_reads += 1
+        self.leader.on_jobs_read(as_of_ms)
 
     @property
     def state(self) -> LeaderState:
--- a/packages/scheduler/tests/test_ends_of_runs.py
+++ b/packages/scheduler/tests/test_ends_of_runs.py
@@ -438,7 +438,6 @@
             for number in range(1, 4)
         )
         driver.read_intake(driver.now_ms)
-        driver.read_intake(driver.now_ms)
         driver.answer_hold("worker-1", ended=others)
         driver.advance(100)
         assert driver.hold("worker-1").last_acked_end == 3
