Retire no worker for an upkeep that was carried out before

The platform also confirms an order that is done already. A leader that ordered one again, as its predecessor died before it had stored it, took the worker of now for the one that the order ended: it sent no holds and no work there for as long as it led, and leases of runs there ran out. The leader now asks the worker for an answer and retires it if it gives none.

Test: test_upkeep_that_was_done_before_retires_no_live_worker, red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -99,6 +99,8 @@
             pause_ms = self.state.limits.hold_pause_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             worker.hold_answer_ms, worker.answered_sent_ms = now.mono_ms, worker.hold_sent_ms
+            if worker.verified:
+                worker.end_expected = False
             self._reconcile(worker, event.reply, now)
         else:
             worker.hold_answer_ms = None
@@ -106,6 +108,8 @@
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             if event.result in NO_CONTACT:
                 self._on_contact_lost(worker, event.result, now)
+            if worker.end_expected and event.result in {*NO_CONTACT, CallResult.OTHER_INCARNATION}:
+                self.runs.retire_worker(worker.id, now)
             self.runs.on_call_rejected(worker, event.result, worker.token, now)
 
     def _on_contact_lost(self, worker: Worker, result: CallResult, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -149,7 +149,7 @@
         match result:
             case OrderResult.OK:
                 status.stage, status.since_ms = Stage.DOWN, now.mono_ms
-                self.runs.retire_worker(status.worker, now)
+                self.runs.expect_end(status.worker, now)
                 self.state.queue_record(encode_wave(WaveRecord(wave, progress.taken_down())))
             case OrderResult.FENCED:
                 self.state.fenced = True
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -173,6 +173,17 @@
             self.state.given_up_runs.setdefault(run.task, set()).add(run.number)
         self.run_ended(worker, run, "lapsed", "", now)
 
+    def expect_end(self, worker_id: str, now: Now) -> None:
+        """Ask a worker whose machine was taken down for an answer, and retire it if it gives none.
+
+        The platform also confirms an order that was carried out before; the worker that is on the
+        machine now answers.
+        """
+        worker = self.state.workers.get(worker_id)
+        if worker is not None:
+            worker.end_expected, worker.verify_after_ms = True, now.mono_ms
+            self.state.hold_times.set(worker.id, now.mono_ms + self.state.limits.hold_pause_ms)
+
     def retire_worker(self, worker_id: str, now: Now) -> None:
         """Retire a worker whose machine has been taken down by an order.
 
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -135,6 +135,9 @@
     maintenance_due: bool = False
     # The machine was taken down by an order; the worker stays in the list of workers for a while.
     retired: bool = False
+    # The platform confirmed such an order; whether it ended this worker is known when a hold that
+    # is sent later is answered or fails.
+    end_expected: bool = False
     blocked_until_ms: int = 0
     failure_streak: int = 0
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
@@ -239,6 +242,7 @@
             and self.epoch_accepted
             and not self.cordoned
             and not self.retired
+            and not self.end_expected
             and not self.isolated_runs
             and self.contact_lost_ms is None
             and now_ms >= self.blocked_until_ms
