--- a/packages/scheduler/src/fescuecrank_scheduler/job_table.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/job_table.py
@@ -35,7 +35,7 @@
     _unmatched_cancels: set[str] = attrs.field(factory=set)
     _progress_offsets: dict[str, int] = attrs.field(factory=dict)
     # Jobs that changed since the last call of `take_changed`.
-    _changed: set[str] = attrs.field(factory=set)
+    _changed: dict[str, None] = attrs.field(factory=dict)
 
     def apply(self, stored: StoredRecord) -> None:
         """Apply one record; raises `ValueError` if it is malformed."""
@@ -56,7 +56,7 @@
             case JobTombstone() as tombstone:
                 self.jobs.pop(tombstone.job, None)
                 self._progress_offsets.pop(tombstone.job, None)
-                self._changed.discard(tombstone.job)
+                self._changed.pop(tombstone.job, None)
             case str() as job_id:
                 self._cancel(job_id)
 
@@ -68,10 +68,10 @@
                 job.tasks.clear()
                 job.started = False
 
-    def take_changed(self) -> set[str]:
+    def take_changed(self) -> tuple[str, ...]:
         """Return the ids of the jobs that changed since the last call."""
-        changed, self._changed = self._changed, set()
-        return changed
+        changed, self._changed = self._changed, {}
+        return tuple(changed)
 
     def pending_count(self, queue: str) -> int:
         """Return the number of open jobs of a queue without an assigned task."""
@@ -83,7 +83,7 @@
         if job.id in self.jobs:
             return
         self.jobs[job.id] = job
-        self._changed.add(job.id)
+        self._changed[job.id] = None
         if job.id in self._unmatched_cancels:
             self._unmatched_cancels.discard(job.id)
             job.cancelled = True
@@ -97,14 +97,14 @@
             self._unmatched_cancels.add(job_id)
         elif not job.cancelled:
             job.cancelled = True
-            self._changed.add(job_id)
+            self._changed[job_id] = None
 
     def _apply_progress(self, progress: Progress) -> None:
         job = self.jobs.get(progress.job)
         if job is None:
             self._unmatched_progress[progress.job] = progress
             return
-        self._changed.add(job.id)
+        self._changed[job.id] = None
         if progress.outcome is not None:
             job.outcome = progress.outcome
             job.tasks.clear()
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -59,9 +59,9 @@
         for entry in event.entries:
             listed_ids.add(entry.id)
             self._update_worker(entry, now)
-        removed_ids = set(event.removed)
+        removed_ids = list(event.removed)
         if event.whole:
-            removed_ids |= {worker.id for worker in self.state.workers.values()} - listed_ids
+            removed_ids += [name for name in self.state.workers if name not in listed_ids]
         for worker_id in removed_ids:
             worker = self.state.workers.get(worker_id)
             if worker is not None and worker.listed:
--- a/packages/scheduler/src/fescuecrank_scheduler/waiting_jobs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/waiting_jobs.py
@@ -11,20 +11,20 @@
 
 @attrs.define
 class WaitingJobs:
-    """Ids of waiting jobs."""
+    """Ids of waiting jobs, in the order in which they came."""
 
-    _by_queue: dict[str, set[str]] = attrs.field(factory=dict)
+    _by_queue: dict[str, dict[str, None]] = attrs.field(factory=dict)
 
     def __bool__(self) -> bool:
         return any(self._by_queue.values())
 
     def add(self, job: Job) -> None:
         """Add a job."""
-        self._by_queue.setdefault(job.queue, set()).add(job.id)
+        self._by_queue.setdefault(job.queue, {})[job.id] = None
 
     def discard(self, job: Job) -> None:
         """Remove a job, if it is waiting."""
-        self._by_queue.get(job.queue, set()).discard(job.id)
+        self._by_queue.get(job.queue, {}).pop(job.id, None)
 
     def queues(self) -> list[str]:
         """Return the names of the queues with waiting jobs."""
