--- a/packages/platform/src/fescuecrank_platform/worker_client.py
+++ b/packages/platform/src/fescuecrank_platform/worker_client.py
@@ -66,8 +66,11 @@
         self, operation: str, effect: WorkerEffect, path: str, body: dict[str, Any], timeout_ms: int
     ) -> Result[HttpResponse, Failure]:
         headers = {"Content-Type": "application/json", "X-Expect-Instance": effect.worker}
+        body_bytes = orjson.dumps(body)
+        # A connection that is closed may mean that the worker has restarted. A second copy would
+        # reach the next incarnation, and the first may still be carried out after its refusal.
         return await self._client.call(
-            operation, effect.address, "POST", path, timeout_ms, orjson.dumps(body), headers
+            operation, effect.address, "POST", path, timeout_ms, body_bytes, headers, resend=False
         )
 
     async def hold_worker(self, effect: HoldWorker) -> HoldDone:
--- a/packages/platform/tests/platform_builders.py
+++ b/packages/platform/tests/platform_builders.py
@@ -19,8 +19,13 @@
     def __init__(self, *outcomes):
         self.outcomes = list(outcomes)
         self.calls = []
+        # Whether each call may be sent a second time.
+        self.resent = []
 
-    async def call(self, operation, address, method, path, timeout_ms, body=None, headers=None):
+    async def call(
+        self, operation, address, method, path, timeout_ms, body=None, headers=None, resend=True
+    ):
         self.calls.append((address, method, path, body, headers or {}))
+        self.resent.append(resend)
         outcome = self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
         return Ok(outcome) if isinstance(outcome, Response) else Err(outcome)
--- a/packages/platform/tests/test_platform.py
+++ b/packages/platform/tests/test_platform.py
@@ -346,6 +346,24 @@
     def test_responses_become_results(self, response, result):
         assert self.start(response)[1] is result
 
+    def test_calls_are_not_sent_to_the_next_incarnation_of_a_worker(self):
+        """A connection that is reused is closed when the worker crashes; another copy of the call
+        would be carried out by its next incarnation, or be refused while the first one is not.
+        """
+        http_client = FakeHttpClient(Response(200, b"{}"))
+        client = worker_client.HttpWorkerClient(http_client)
+        hold = effects.HoldWorker("i-1", "10.0.0.1:80", 7, 57, 486_000, 1_000, 3)
+        stop = effects.StopRun("i-1", "10.0.0.1:80", 7, TASK, 2, 500)
+        pace = effects.PaceRun("i-1", "10.0.0.1:80", 7, TASK, 2, 50)
+        for call in (
+            client.start_run(self.START),
+            client.hold_worker(hold),
+            client.stop_run(stop),
+            client.pace_run(pace),
+        ):
+            asyncio.run(call)
+        assert http_client.resent == [False] * 4
+
     def test_hold_returns_running_and_ended_runs(self):
         fields = {
             "clock_ms": 482_113,
--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -147,13 +147,16 @@
         timeout_ms: int,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        resend: bool = True,
     ) -> Result[HttpResponse, Failure]:
         """Return the response, whatever its status.
 
         `operation` names the call in failures. A failure is `UNAVAILABLE` if nothing was sent and
-        `TIMEOUT` if the server may have executed the call. A request on a reused connection that
-        the server closed without a response is sent once more, as the connection usually was
-        closed before the request arrived; calls are idempotent.
+        `TIMEOUT` if the server may have executed the call. With `resend`, a request on a reused
+        connection that the server closed without a response is sent once more, as the connection
+        usually was closed before the request arrived. The response then says nothing about the
+        first copy, which may still be executed, so the call has to be idempotent whatever the
+        server did meanwhile.
         """
         request = _encode_request(address, method, path, body, headers)
         conn: _Connection | None = None
@@ -166,7 +169,7 @@
                     try:
                         return Ok(await conn.exchange(request))
                     except ConnectionLostError as exc:
-                        if exc.answering:
+                        if exc.answering or not resend:
                             raise
                 conn = await self._connect(address)
                 sent = True
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -472,11 +472,14 @@
     """Which connections are reused, and what is known about a call whose response was lost."""
 
     @staticmethod
-    def call_in_turn(server, *timeouts_ms):
+    def call_in_turn(server, *timeouts_ms, **options):
         async def scenario():
             await server.start()
             client = HttpClient(2)
-            results = [await client.call("x", server.address, "GET", "/", t) for t in timeouts_ms]
+            results = [
+                await client.call("x", server.address, "GET", "/", timeout_ms, **options)
+                for timeout_ms in timeouts_ms
+            ]
             client.close()
             return results
 
@@ -500,6 +503,12 @@
         assert results[1].ok_value.body == b"b"
         assert (server.connections, len(server.requests)) == (2, 3)
 
+    def test_order_on_an_idle_connection_that_was_closed_may_have_been_executed(self):
+        server = RawServer(http(b"a"), None, http(b"b"))
+        results = self.call_in_turn(server, 500, 500, resend=False)
+        assert results[1].err_value.kind is FailureKind.TIMEOUT
+        assert len(server.requests) == 2
+
     def test_request_on_a_new_connection_that_was_closed_may_have_been_executed(self):
         server = RawServer(None)
         (result,) = self.call_in_turn(server, 500)
