Refuse late calls by a higher token after each call without an answer

A worker gets a higher token with the first call after one that it did not answer, a hold or a start. Once it has answered, it refuses the earlier call, whichever incarnation it is. A start that is refused after that is placed elsewhere at once; before, the run is stopped first, as up to now. Epochs are 1,000,000,000 apart.

--- a/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
@@ -91,5 +91,5 @@
         the later one, would let that one forget ends that nobody has seen.
         """
         worker.token, worker.hold_open = self.state.next_token(), False
-        worker.hold_answer_ms = None
+        worker.hold_answer_ms, worker.accepted_token = None, 0
         self.state.hold_times.set(worker.id, now.mono_ms)
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -161,7 +161,8 @@
 
         A call without an answer may be carried out seconds later, by whichever incarnation has the
         id then: a start would run a task that is done, and an acknowledgement would let a worker
-        forget ends that nobody has seen.
+        forget ends that nobody has seen. Once the worker has answered a call with a higher token,
+        it refuses the earlier one.
         """
         self.token_count = min(self.token_count + 1, EPOCH_STEP - 1)
         return self.leader.epoch + self.token_count
--- a/packages/scheduler/src/fescuecrank_scheduler/leadership.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leadership.py
@@ -46,9 +46,9 @@
 
 
 # Least difference between the epochs of two leaderships. The fencing tokens of calls to workers
-# count up from the epoch, one for each incarnation of a worker, so that an incarnation gets higher
-# tokens than the one before it and a later leader gives out higher ones than an earlier leader.
-EPOCH_STEP = 1_000_000
+# count up from the epoch, so that a later leader gives out higher ones than an earlier leader. One
+# is used for each call of a worker that gets no answer; a leader that has used them up hands over.
+EPOCH_STEP = 1_000_000_000
 
 
 class Role(enum.StrEnum):
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -110,12 +110,13 @@
                 self._on_contact_lost(worker, event.result, now)
             if worker.end_expected and event.result in {*NO_CONTACT, CallResult.OTHER_INCARNATION}:
                 self.runs.retire_worker(worker.id, now)
-            self.runs.on_call_rejected(worker, event.result, worker.token, now)
+            self.runs.on_call_rejected(worker, event.result, worker.hold_token, now)
 
     def _on_contact_lost(self, worker: Worker, result: CallResult, now: Now) -> None:
         if worker.contact_lost_ms is not None:
             return
         worker.contact_lost_ms = now.mono_ms
+        worker.token = self.state.next_token()
         elapsed_ms = now.mono_ms - worker.hold_sent_ms
         timed_out = elapsed_ms > worker.hold_wait_ms + ANSWER_SLACK_MS
         self.runs.crashes.on_contact_lost(worker, timed_out, now)
@@ -158,6 +159,7 @@
             if worker.started_ms:
                 self.incarnations.on_restart(worker, reply.started_ms, reply, now)
             worker.started_ms = reply.started_ms
+        worker.accepted_token = worker.hold_token
         worker.record_clock(reply, now.mono_ms)
         worker.last_answer_ms = now.mono_ms
         self._on_contact(worker, now)
@@ -343,6 +345,7 @@
         self.state.hold_count += 1
         worker.hold_number = self.state.hold_count
         worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
+        worker.hold_token = worker.token
         worker.hold_wait_ms = wait_ms if responsive else 0
         self.state.effects.append(
             HoldWorker(
--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -30,7 +30,7 @@
         run.first_sent_ms = run.first_sent_ms or now.mono_ms
         run.never_sent = False
         run.unanswered = False
-        run.starts_in_flight += 1
+        run.start_tokens.append(worker.token)
         self.state.effects.append(
             StartRun(
                 worker.id,
@@ -48,7 +48,7 @@
 
     def _withdraw(self, worker: Worker, run: Run, reason: str, now: Now) -> None:
         """Place the task of a run elsewhere, once none of the run's starts can be carried out."""
-        if run.starts_in_flight > 0:
+        if worker.may_carry_out(run):
             # A worker refuses the starts of a run that it was told to stop.
             self.runs.stop(worker, run, now)
         else:
@@ -60,8 +60,8 @@
         run = worker.runs.get(event.task) if worker else None
         if worker is None or run is None or run.number != event.run:
             return
-        if event.result is not CallResult.NO_ANSWER:
-            run.starts_in_flight -= 1
+        if event.result is not CallResult.NO_ANSWER and event.token in run.start_tokens:
+            run.start_tokens.remove(event.token)
         if run.state is not RunState.SENT:
             return
         if event.token < worker.token and event.result not in CARRIED_OUT:
@@ -90,9 +90,12 @@
     def _mark_unanswered(self, worker: Worker, run: Run, now: Now) -> None:
         """Mark a start to be repeated; the run number makes the repetition idempotent.
 
-        Before that, the answer to a hold tells whether the worker has restarted meanwhile.
+        Before that, the answer to a hold with a higher token tells whether the worker has the run
+        or has restarted, and keeps it from carrying out the start later.
         """
         worker.verify_after_ms = max(worker.verify_after_ms, run.sent_ms)
+        if worker.token in run.start_tokens:
+            worker.token = self.state.next_token()
         self.state.hold_times.set(worker.id, now.mono_ms)
         worker.blocked_until_ms = now.mono_ms + self.state.limits.start_timeout_ms
         run.unanswered = True
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -42,8 +42,8 @@
     running_since_ms: int = 0
     # Whether the latest start got no answer.
     unanswered: bool = False
-    # Starts that were sent and may still be carried out.
-    starts_in_flight: int = 0
+    # Tokens of the starts that were sent and may still be carried out.
+    start_tokens: list[int] = attrs.field(factory=list)
     # Progress of the run; a long-running task is ready at 100.
     percent: int = 0
     measurement: float | None = None
@@ -67,6 +67,11 @@
     pace_confirmed: int = 100
     pace_sent_ms: int = 0
 
+    @property
+    def starts_in_flight(self) -> int:
+        """How many starts were sent and may still be carried out."""
+        return len(self.start_tokens)
+
     @property
     def isolated(self) -> bool:
         """Whether nothing may be placed beside the run yet."""
@@ -83,7 +88,7 @@
     """One incarnation of a worker."""
 
     id: str
-    # Fencing token of the calls to this incarnation.
+    # Fencing token of the next calls; see `LeaderState.next_token`.
     token: int = 0
     address: str = ""
     pool: str = ""
@@ -118,6 +123,9 @@
     hold_sent_ms: int = 0
     hold_wait_ms: int = 0
     hold_open: bool = False
+    # Token of the latest hold, and the highest that this incarnation has answered.
+    hold_token: int = 0
+    accepted_token: int = 0
     # When the last hold was answered that no failed one followed, and when it was sent.
     hold_answer_ms: int | None = None
     answered_sent_ms: int = -1
@@ -181,6 +189,10 @@
         """Whether it has answered a hold since the latest start that got no answer."""
         return self.answered_sent_ms > self.verify_after_ms
 
+    def may_carry_out(self, run: Run) -> bool:
+        """Return whether this incarnation may still carry out a start of a run."""
+        return any(token >= self.accepted_token for token in run.start_tokens)
+
     def grant_lease(self, now_ms: int, limits: Limits) -> int | None:
         """Return the end of the lease on the worker's clock; None if none can be granted.
 
