Verify a worker by the token that it has answered

A start without an answer could be repeated after a hold that was sent before it failed. Whether a worker is verified now follows from the token of the last hold that it answered, the same for a worker whose end is expected.

A failure of one run that was given up no longer hides that of another run of its task.

--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -98,9 +98,7 @@
             # Runs that end shortly after each other are reported in one answer.
             pause_ms = self.state.limits.hold_pause_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
-            worker.hold_answer_ms, worker.answered_sent_ms = now.mono_ms, worker.hold_sent_ms
-            if worker.verified:
-                worker.end_expected = False
+            worker.hold_answer_ms = now.mono_ms
             self._reconcile(worker, event.reply, now)
         else:
             worker.hold_answer_ms = None
@@ -160,6 +158,7 @@
                 self.incarnations.on_restart(worker, reply.started_ms, reply, now)
             worker.started_ms = reply.started_ms
         worker.accepted_token = worker.hold_token
+        worker.end_expected = worker.end_expected and not worker.verified
         worker.record_clock(reply, now.mono_ms)
         worker.last_answer_ms = now.mono_ms
         self._on_contact(worker, now)
@@ -311,7 +310,7 @@
         The start is that of an isolated run, or got no answer. The worker answers the hold after up
         to `hold_wait_ms`. Another hold replaces it, whose answer is the one that counts.
         """
-        return worker.hold_sent_ms <= worker.verify_after_ms or any(
+        return worker.hold_token < worker.token or any(
             worker.runs[task].first_sent_ms > worker.hold_sent_ms for task in worker.isolated_runs
         )
 
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -181,7 +181,7 @@
         """
         worker = self.state.workers.get(worker_id)
         if worker is not None:
-            worker.end_expected, worker.verify_after_ms = True, now.mono_ms
+            worker.end_expected, worker.token = True, self.state.next_token()
             self.state.hold_times.set(worker.id, now.mono_ms + self.state.limits.hold_pause_ms)
 
     def retire_worker(self, worker_id: str, now: Now) -> None:
@@ -267,7 +267,8 @@
             return
         if row.end_reason == DONE:
             self._complete(job, step, task, now)
-        elif row.end_reason == FAILED and row.run in self.state.given_up_runs.pop(row.task, ()):
+        elif row.end_reason == FAILED and row.run in self.state.given_up_runs.get(row.task, ()):
+            self.state.given_up_runs[row.task].discard(row.run)
             task.failures += 1
             self.state.mark_changed(job)
             if self._attempts_exhausted(job, task, step):
--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -93,7 +93,6 @@
         Before that, the answer to a hold with a higher token tells whether the worker has the run
         or has restarted, and keeps it from carrying out the start later.
         """
-        worker.verify_after_ms = max(worker.verify_after_ms, run.sent_ms)
         if worker.token in run.start_tokens:
             worker.token = self.state.next_token()
         self.state.hold_times.set(worker.id, now.mono_ms)
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -126,11 +126,8 @@
     # Token of the latest hold, and the highest that this incarnation has answered.
     hold_token: int = 0
     accepted_token: int = 0
-    # When the last hold was answered that no failed one followed, and when it was sent.
+    # When the last hold was answered that no failed one followed.
     hold_answer_ms: int | None = None
-    answered_sent_ms: int = -1
-    # A hold sent later than this has to be answered before a start is repeated.
-    verify_after_ms: int = -1
     # Number of the last ended run that was applied, and of the last that the worker may forget.
     last_seen_end: int = 0
     last_acked_end: int = 0
@@ -186,8 +183,8 @@
 
     @property
     def verified(self) -> bool:
-        """Whether it has answered a hold since the latest start that got no answer."""
-        return self.answered_sent_ms > self.verify_after_ms
+        """Whether it has answered a hold with the newest token, and so refuses earlier calls."""
+        return self.accepted_token >= self.token
 
     def may_carry_out(self, run: Run) -> bool:
         """Return whether this incarnation may still carry out a start of a run."""
