Fail the simulation when a task starts again after an acknowledged end

The simulation only noticed two runs at the same time. Workers now record which ends `done` were acknowledged on the incarnation that listed them, before a lease lapsed, and any start after such an end fails the step.

A worker's clock now starts at 0 in each incarnation, as the platform's does; before, a late start of an earlier incarnation found a clock that had gone on.

--- a/packages/scheduler/tests/fake_worker.py
+++ b/packages/scheduler/tests/fake_worker.py
@@ -1,14 +1,20 @@
 """Fake of a worker: fencing, leases, runs and their ends."""
 
 import attrs
-from fescuecrank_scheduler.effects import HoldWorker, StartRun, StopRun
+from fescuecrank_scheduler.effects import HoldWorker, StartRun, StopRun, WorkerEffect
 from fescuecrank_scheduler.events import CallResult, EndRow, HoldReply, RunRow
 from fescuecrank_scheduler.jobs import TaskId
+from run_history import DoneEnd, RunHistory
 
 STOP_MS = 100
 LEASE_MAX_MS = 10_000
 
 
+def fencing_token(effect: WorkerEffect) -> int:
+    """Return the token by which a worker rejects calls that newer ones have replaced."""
+    return effect.epoch
+
+
 @attrs.define
 class FakeRun:
     task: TaskId
@@ -21,7 +27,7 @@
 
 @attrs.define
 class FakeWorker:
-    """One incarnation of a worker; its clock starts at 0 and runs 2 % slow."""
+    """A worker; each incarnation starts without state, and with a clock at 0 that runs 2 % slow."""
 
     id: str
     started_ms: int = 1
@@ -33,7 +39,8 @@
     refusing: bool = False
     # Another worker has the address of this one.
     succeeded: bool = False
-    highest_epoch: int = 0
+    incarnation: int = 1
+    highest_token: int = 0
     lease_deadline_ms: int | None = None
     runs: dict[TaskId, FakeRun] = attrs.field(factory=dict)
     highest_ended_run: dict[TaskId, int] = attrs.field(factory=dict)
@@ -44,47 +51,56 @@
     fails_all: bool = False
     hangs: bool = False
     work_ms: int = 1_000
+    history: RunHistory = attrs.field(factory=RunHistory)
+    # Ends `done` of this incarnation that were not acknowledged, and no lease has lapsed since.
+    _open_ends: list[DoneEnd] = attrs.field(factory=list)
 
     def clock(self, now_ms: int) -> int:
-        return int(now_ms * 0.98)
+        return int((now_ms - self.started_ms + 1) * 0.98)
 
     def advance(self, now_ms: int) -> None:
         """End the runs that have finished, were stopped or lost their lease by `now_ms`."""
         if not self.alive:
             return
         lapsed = self.lease_deadline_ms is not None and self.clock(now_ms) > self.lease_deadline_ms
+        if lapsed:
+            self._open_ends.clear()
         for run in list(self.runs.values()):
             if lapsed:
-                self._end(run, "lapsed")
+                self._end(run, "lapsed", now_ms)
             elif run.stop_at_ms is not None and now_ms >= run.stop_at_ms:
-                self._end(run, "stopped")
+                self._end(run, "stopped", now_ms)
             elif run.work_ms is None or self.hangs:
                 continue
             elif now_ms >= run.running_since_ms + run.work_ms:
-                self._end(run, "failed" if run.fails else "done")
+                self._end(run, "failed" if run.fails else "done", now_ms)
 
-    def _end(self, run: FakeRun, end_reason: str) -> None:
+    def _end(self, run: FakeRun, end_reason: str, now_ms: int) -> None:
         self.end_count += 1
         self.ends.append(EndRow(self.end_count, run.task, run.run, end_reason, ""))
         self.highest_ended_run[run.task] = max(run.run, self.highest_ended_run.get(run.task, 0))
         del self.runs[run.task]
+        if end_reason == "done":
+            end = self.history.record_done(run.task, run.run, self.id, self.end_count, now_ms)
+            self._open_ends.append(end)
 
     def crash(self, now_ms: int) -> None:
         self.alive, self.ended_ms = False, now_ms
         self.runs.clear()
+        self._open_ends.clear()
 
     def restart(self, now_ms: int) -> None:
         """Start a new incarnation under the same id."""
         self.alive, self.started_ms = True, now_ms + 1
-        self.highest_epoch, self.lease_deadline_ms, self.end_count = 0, None, 0
+        self.incarnation += 1
+        self.highest_token, self.lease_deadline_ms, self.end_count = 0, None, 0
         self.highest_ended_run.clear()
         self.ends.clear()
 
     def start(self, effect: StartRun, now_ms: int, long_running: bool) -> CallResult:
         self.advance(now_ms)
-        if effect.epoch < self.highest_epoch:
+        if self._is_fenced(effect):
             return CallResult.FENCED
-        self.highest_epoch = effect.epoch
         present = self.runs.get(effect.task)
         if present is not None and present.run == effect.run:
             return CallResult.OK
@@ -96,13 +112,28 @@
         work_ms = None if long_running else self.work_ms
         self.runs[effect.task] = FakeRun(effect.task, effect.run, now_ms, work_ms, self.fails_all)
         self.started.append((now_ms, effect.task, effect.run))
+        self.history.record_start(effect.task, effect.run, self.id, now_ms)
         return CallResult.OK
 
+    def refuse_for_room(self, effect: StartRun, now_ms: int) -> CallResult:
+        """Reject a start for want of capacity, which grants its lease all the same."""
+        self.advance(now_ms)
+        if self._is_fenced(effect):
+            return CallResult.FENCED
+        self._grant(effect.deadline_ms, now_ms)
+        return CallResult.NO_ROOM
+
+    def _is_fenced(self, effect: WorkerEffect) -> bool:
+        token = fencing_token(effect)
+        if token < self.highest_token:
+            return True
+        self.highest_token = token
+        return False
+
     def stop(self, effect: StopRun, now_ms: int) -> CallResult:
         self.advance(now_ms)
-        if effect.epoch < self.highest_epoch:
+        if self._is_fenced(effect):
             return CallResult.FENCED
-        self.highest_epoch = effect.epoch
         run = self.runs.get(effect.task)
         if run is not None and run.run <= effect.run:
             run.stop_at_ms = run.stop_at_ms or now_ms + STOP_MS
@@ -114,12 +145,14 @@
 
     def hold(self, effect: HoldWorker, now_ms: int) -> HoldReply | CallResult:
         self.advance(now_ms)
-        if effect.epoch < self.highest_epoch:
+        if self._is_fenced(effect):
             return CallResult.FENCED
-        self.highest_epoch = effect.epoch
         if effect.deadline_ms is not None:
             self._grant(effect.deadline_ms, now_ms)
         self.ends = [row for row in self.ends if row.number > effect.last_acked_end]
+        for end in [end for end in self._open_ends if end.number <= effect.last_acked_end]:
+            self._open_ends.remove(end)
+            self.history.record_ack(end, now_ms)
         running = tuple(
             RunRow(run.task, run.run, "", self._progress(run, now_ms)) for run in self.runs.values()
         )
--- a/packages/scheduler/tests/fleet_simulation.py
+++ b/packages/scheduler/tests/fleet_simulation.py
@@ -1,6 +1,7 @@
 """Several scheduler processes, a store and workers in virtual time, with fault injection.
 
-After every step the simulation checks that no task runs on two workers at a time.
+After every step the simulation checks that no task runs on two workers at a time, and that none
+was started again after an end `done` that its worker was told to forget.
 """
 
 import heapq
@@ -22,6 +23,7 @@
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.records import encode_cancel, encode_job
 from fescuecrank_scheduler.reducer import Reducer
+from run_history import RunHistory
 from scheduler_builders import config, entry, instant
 
 LATENCY_MS = 4
@@ -71,7 +73,11 @@
         self.config = cfg or config()
         self.limits = limits or Limits()
         self.partitions = {topic: FakePartition() for topic in Topic}
-        self.workers = {f"worker-{n}": FakeWorker(f"worker-{n}") for n in range(1, workers + 1)}
+        self.history = RunHistory(self._is_repeatable)
+        self.workers = {
+            f"worker-{n}": FakeWorker(f"worker-{n}", history=self.history)
+            for n in range(1, workers + 1)
+        }
         self.worker_entries = {name: entry(name) for name in self.workers}
         self.machines = FakeMachines(self)
         self.wave_states: dict[int, bool] = {}
@@ -229,14 +235,16 @@
             return
         readable = self.list_readable and node.store_reachable and not node.frozen
         if node.follow_mode is FollowMode.LEADER and readable:
-            listed = tuple(
-                attrs.evolve(self.worker_entries[worker.id], started_ms=worker.started_ms)
-                for worker in self.workers.values()
-                if worker.alive or self.now_ms - worker.ended_ms < self.list_lag_ms
-            )
-            self.post(node, events.WorkersRead(listed, whole=True))
+            self.post(node, events.WorkersRead(self._worker_list(), whole=True))
         self.at(LIST_INTERVAL_MS, lambda: self._read_worker_list(node))
 
+    def _worker_list(self) -> tuple[events.WorkerEntry, ...]:
+        return tuple(
+            attrs.evolve(self.worker_entries[worker.id], started_ms=worker.started_ms)
+            for worker in self.workers.values()
+            if worker.alive or self.now_ms - worker.ended_ms < self.list_lag_ms
+        )
+
     def _append(self, node: Node, effect: effects.StoreProgress) -> None:
         if not node.alive:
             return
@@ -306,7 +314,7 @@
     def replace_worker(self, old: str, pool: str) -> str:
         """Start a new worker on the machine of one that has ended."""
         name = f"{old}+"
-        self.workers[name] = FakeWorker(name, started_ms=self.now_ms + 1)
+        self.workers[name] = FakeWorker(name, started_ms=self.now_ms + 1, history=self.history)
         self.worker_entries[name] = attrs.evolve(
             self.worker_entries[old], id=name, address=f"{name}:80", pool=pool
         )
@@ -363,13 +371,16 @@
         elif not worker.alive or not worker.reachable:
             self.at(CALL_TIMEOUT_MS, lambda: self._answer(node, effect, CallResult.NO_ANSWER))
         elif is_order and self.rng.random() < self.late_order_share:
-            # The order is carried out seconds later and never answered.
-            delay_ms = self.rng.randrange(2_000, 8_000)
-            self.at(delay_ms, lambda: self._perform(effect))
+            self._carry_out_late(effect)
             self.at(CALL_TIMEOUT_MS, lambda: self._answer(node, effect, CallResult.NO_ANSWER))
         else:
             self._reply(node, effect)
 
+    def _carry_out_late(self, effect: effects.WorkerEffect) -> None:
+        """Carry out a call seconds later; it is never answered."""
+        delay_ms = self.rng.randrange(2_000, 8_000)
+        self.at(delay_ms, lambda: self._perform(effect))
+
     def _reply(self, node: Node, effect: effects.WorkerEffect) -> None:
         answer = self._perform(effect)
         wait_ms = LATENCY_MS
@@ -436,6 +447,10 @@
     def _is_long_running(self, task: TaskId) -> bool:
         return self._job(task).steps[task.step].long_running
 
+    def _is_repeatable(self, task: TaskId) -> bool:
+        step = self._job(task).steps[task.step]
+        return step.speculative or step.long_running
+
     def _job(self, task: TaskId) -> Job:
         tables = [self.jobs, *(node.reducer.table.jobs for node in self.nodes.values())]
         return next(table[task.job] for table in tables if task.job in table)
