--- a/packages/scheduler/tests/test_soak.py
+++ b/packages/scheduler/tests/test_soak.py
@@ -43,9 +43,10 @@
     """One run of random faults with one seed."""
 
     workers = 6
+    simulation = Simulation
 
     def __init__(self, seed: int) -> None:
-        self.sim = Simulation(nodes=4, workers=self.workers, seed=seed, cfg=self.config())
+        self.sim = self.simulation(nodes=4, workers=self.workers, seed=seed, cfg=self.config())
         self.rng = self.sim.rng
         self.prepare()
         self.sim.run(2_000)
