Acknowledge no ends after an answer that was on the way for long

The worker restarted while its answer was delayed. The worker's clock in the answer tells how late it is.

Test: test_hold_after_an_answer_that_came_late_acknowledges_nothing.

--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -27,8 +27,9 @@
 # Results of a hold that the worker did not answer; it may be cut off, slow or gone.
 NO_CONTACT = {CallResult.NO_ANSWER, CallResult.REFUSED}
 
-# Longest time between an answer and the hold that acknowledges ends; no worker restarts as fast.
-MAX_ACK_GAP_MS = 250
+# Longest time between an answer and the hold that acknowledges ends. Workers take longer to
+# restart; holds follow each other after `hold_pause_ms`.
+MAX_ACK_GAP_MS = 100
 
 # A hold that fails later than this after its wait has timed out; clients wait longer.
 ANSWER_SLACK_MS = 300
@@ -98,7 +99,6 @@
             # Runs that end shortly after each other are reported in one answer.
             pause_ms = self.state.limits.hold_pause_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
-            worker.hold_answer_ms = now.mono_ms
             self._reconcile(worker, event.reply, now)
         else:
             worker.hold_answer_ms = None
@@ -159,7 +159,9 @@
             worker.started_ms = reply.started_ms
         worker.accepted_token = worker.hold_token
         worker.end_expected = worker.end_expected and not worker.verified
-        worker.record_clock(reply, now.mono_ms)
+        worker.hold_answer_ms = now.mono_ms - worker.record_clock(
+            reply, now.mono_ms, self.state.limits
+        )
         worker.last_answer_ms = now.mono_ms
         self._on_contact(worker, now)
         if not worker.epoch_accepted:
@@ -318,7 +320,7 @@
         """Return the number of the last end that a worker may forget with the next hold.
 
         A worker that has restarted numbers its ends anew. Only one that has just answered is known
-        to be the incarnation that reported the ends.
+        to be the incarnation that reported the ends; the answer may have been on the way for long.
         """
         answered_ms = worker.hold_answer_ms
         recent = answered_ms is not None and now.mono_ms - answered_ms <= MAX_ACK_GAP_MS
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -126,7 +126,7 @@
     # Token of the latest hold, and the highest that this incarnation has answered.
     hold_token: int = 0
     accepted_token: int = 0
-    # When the last hold was answered that no failed one followed.
+    # When the last hold was answered that no failed one followed; None if another one failed since.
     hold_answer_ms: int | None = None
     # Number of the last ended run that was applied, and of the last that the worker may forget.
     last_seen_end: int = 0
@@ -177,9 +177,18 @@
         self.entry_started_ms = entry.started_ms
         self._set_used(self.used)
 
-    def record_clock(self, reply: HoldReply, now_ms: int) -> None:
-        """Record a reading of the worker's clock."""
+    def record_clock(self, reply: HoldReply, now_ms: int, limits: Limits) -> int:
+        """Record a reading of the worker's clock; return by how much it is late, in ms.
+
+        A reading that came late is not recorded, as the clock is known better from before.
+        """
+        if self.clock_ms is not None:
+            passed = (now_ms - self.clock_read_ms) * (1 - limits.clock_drift)
+            delay_ms = int(self.clock_ms + passed) - reply.clock_ms
+            if delay_ms > 0:
+                return delay_ms
         self.clock_ms, self.clock_read_ms = reply.clock_ms, now_ms
+        return 0
 
     @property
     def verified(self) -> bool:
--- a/packages/scheduler/tests/leader_builders.py
+++ b/packages/scheduler/tests/leader_builders.py
@@ -80,11 +80,13 @@
         born_ms: int = BORN_MS,
         result: CallResult = CallResult.OK,
         hold: HoldWorker | None = None,
+        clock_ms: int | None = None,
     ) -> None:
         """Answer the latest hold of a worker, or the given one."""
         hold = hold or self.hold(worker)
         truncated = len(ended) >= MAX_LISTED_ENDS
-        reply = HoldReply(self.now_ms, born_ms, running, ended, truncated)
+        clock_ms = self.now_ms if clock_ms is None else clock_ms
+        reply = HoldReply(clock_ms, born_ms, running, ended, truncated)
         answered = reply if result is CallResult.OK else None
         self.handle(events.HoldDone(worker, hold.number, result, answered))
 
--- a/packages/scheduler/tests/test_decisions.py
+++ b/packages/scheduler/tests/test_decisions.py
@@ -211,7 +211,7 @@
     def test_lease_of_a_silent_worker_is_not_extended(self):
         """Otherwise every repeated call would delay the restart of its tasks elsewhere."""
         held = worker()
-        held.record_clock(HoldReply(1_000, 1, (), ()), 0)
+        held.record_clock(HoldReply(1_000, 1, (), ()), 0, LIMITS)
         first = held.grant_lease(0, LIMITS)
         until = held.lease_expires_ms
         assert held.grant_lease(LIMITS.worker_silence_ms + 1, LIMITS) == first
@@ -220,13 +220,13 @@
     def test_lease_covers_a_slow_clock(self):
         """A task would run twice if it restarted before a slow clock reaches the deadline."""
         held = worker()
-        held.record_clock(HoldReply(1_000, 1, (), ()), 0)
+        held.record_clock(HoldReply(1_000, 1, (), ()), 0, LIMITS)
         deadline = held.grant_lease(0, LIMITS)
         assert 1_000 + held.lease_expires_ms * (1 - LIMITS.clock_drift) >= deadline
 
     def test_lease_reported_as_not_renewed_is_not_renewed(self):
         held = worker()
-        held.record_clock(HoldReply(1_000, 1, (), ()), 0)
+        held.record_clock(HoldReply(1_000, 1, (), ()), 0, LIMITS)
         first = held.grant_lease(0, LIMITS)
         held.lease_unrenewed = True
         assert held.grant_lease(100, LIMITS) == first
--- a/packages/scheduler/tests/test_ends_of_runs.py
+++ b/packages/scheduler/tests/test_ends_of_runs.py
@@ -544,3 +544,17 @@
         driver.answer_start(repeated, CallResult.NO_ROOM)
         driver.advance(100)
         assert driver.starts()[-1].worker == other_worker(driver, first.worker)
+
+    def test_hold_after_an_answer_that_came_late_acknowledges_nothing(self):
+        """The worker may have restarted while its answer was on the way."""
+        driver = make_driver(workers=1)
+        self.acknowledged(driver)
+        driver.answer_hold("worker-1")
+        driver.advance(100)
+        driver.advance(600)
+        driver.answer_hold("worker-1", clock_ms=driver.now_ms - 400)
+        driver.advance(60)
+        assert driver.hold("worker-1").last_acked_end == 0
+        driver.answer_hold("worker-1")
+        driver.advance(60)
+        assert driver.hold("worker-1").last_acked_end == 3
