Take back a run that was given up and goes on

A worker listed a run as running that the leader had given up. The run now counts again if its task waits; its work is kept.

Tests: TestRunsThatGoOn; the first one was red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -231,6 +231,8 @@
             run = worker.runs.get(row.task)
             if run is not None and run.number == row.run:
                 continue
+            if run is None and self.runs.take_back(worker, row, now):
+                continue
             if self.state.accepts_any_start(worker):
                 # The run's resources are in use and not counted.
                 worker.blocked_until_ms = now.mono_ms + self.state.limits.stop_retry_ms
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -8,7 +8,7 @@
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.crashes import Crashes
 from fescuecrank_scheduler.effects import StopRun
-from fescuecrank_scheduler.events import CallResult, EndRow, StopDone
+from fescuecrank_scheduler.events import CallResult, EndRow, RunRow, StopDone
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Step, Task, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.workers import Run, RunState, Worker
@@ -167,6 +167,24 @@
             worker.epoch_accepted = False
             self.state.hold_times.set(worker.id, now.mono_ms)
 
+    def take_back(self, worker: Worker, row: RunRow, now: Now) -> bool:
+        """Adopt a run that was given up but goes on, if its task waits; return whether it did."""
+        job = self.state.table.jobs.get(row.task.job)
+        task = job.task(row.task) if job is not None else None
+        if job is None or task is None or not job.open or job.id in self.state.outcomes:
+            return False
+        if task.phase is not Phase.WAITING or task.run != row.run or job.steps[task.id.step].gang:
+            return False
+        self.state.log("run_taken_back", task=row.task.label, run=row.run, worker=worker.id)
+        self.state.given_up_runs.get(row.task, set()).discard(row.run)
+        task.worker, task.phase = worker.id, Phase.ASSIGNED
+        self.state.mark_changed(job)
+        self.register(worker, job, task, RunState.RUNNING, now)
+        run = worker.runs[row.task]
+        run.confirmed_ms = run.running_since_ms = now.mono_ms
+        run.listed, run.checkpoint = True, row.checkpoint or run.checkpoint
+        return True
+
     def give_up_run(self, worker: Worker, run: Run, now: Now) -> None:
         """End a run that its worker does not have any more, as far as this leader can know."""
         if run.state is not RunState.PLANNED:
--- a/packages/scheduler/tests/test_ends_of_runs.py
+++ b/packages/scheduler/tests/test_ends_of_runs.py
@@ -558,3 +558,34 @@
         driver.answer_hold("worker-1")
         driver.advance(60)
         assert driver.hold("worker-1").last_acked_end == 3
+
+
+class TestRunsThatGoOn:
+    """Runs that were given up and that their worker still lists as running."""
+
+    def test_waiting_task_is_not_started_beside_its_run(self):
+        """The leader ordered the run to stop and started the task elsewhere at the same moment."""
+        driver = make_driver()
+        worker = TestEndsOfRunsNotOnRecord().given_up(driver)
+        driver.answer_hold(worker, running())
+        for each in driver.state.workers.values():
+            each.blocked_until_ms = 0
+        driver.state.request_placement()
+        driver.advance(1_000)
+        assert len(driver.starts()) == 1
+        assert not driver.calls(StopRun)
+        driver.answer_hold(worker, ended=done())
+        driver.advance(100)
+        assert driver.state.table.jobs[JOB].outcome == "completed"
+
+    def test_run_of_a_task_that_was_started_elsewhere_is_stopped(self):
+        driver = make_driver()
+        worker = TestEndsOfRunsNotOnRecord().given_up(driver)
+        for each in driver.state.workers.values():
+            each.blocked_until_ms = 0
+        driver.state.request_placement()
+        driver.advance(100)
+        assert driver.starts()[-1].run == 2
+        driver.answer_hold(worker, running())
+        driver.advance(100)
+        assert [(stop.worker, stop.run) for stop in driver.calls(StopRun)] == [(worker, 1)]
