--- a/packages/platform/tests/platform_servers.py
+++ b/packages/platform/tests/platform_servers.py
@@ -27,10 +27,18 @@
 POLL_INTERVAL_S = 0.005
 
 
+UNIX_OFFSET_MS = int((time.time() - time.monotonic()) * 1_000)
+
+
 def now_ms() -> int:
     return int(time.monotonic() * 1_000)
 
 
+def unix_ms(mono_ms: int) -> int:
+    """Return the Unix time of a reading of the monotonic clock."""
+    return UNIX_OFFSET_MS + mono_ms
+
+
 class Server:
     """An HTTP server on a free port; it answers with status 503 while `down` is set."""
 
@@ -137,7 +145,7 @@
             "capacity": {"cpu": 4_000, "mem_mb": 8_000},
             "labels": ["kind-a", "rack-1"],
             "machine": f"m-{self.worker.id}",
-            "born": self.worker.started_ms,
+            "born": unix_ms(self.worker.started_ms),
             "clock_ms": self.worker.clock(now_ms()),
         }
 
@@ -179,7 +187,7 @@
             return 409, orjson.dumps({"reason": REASON_BY_RESULT[reply], "clock_ms": 0})
         fields = {
             "clock_ms": reply.clock_ms,
-            "born": reply.started_ms,
+            "born": unix_ms(self.worker.started_ms),
             "running": [
                 [task_name(row.task), row.run, row.checkpoint, row.percent] for row in reply.running
             ],
--- a/packages/scheduler/src/fescuecrank_scheduler/crashes.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/crashes.py
@@ -72,14 +72,18 @@
         lost = [run for task, run in worker.runs.items() if task not in kept]
         return [run for run in lost if self._confirm(run)]
 
-    def on_run_missing(self, run: Run) -> list[Run]:
+    def on_run_missing(self, worker: Worker, run: Run) -> list[Run]:
         """Suspect a run that its worker does not know; return it if its task is to be given up.
 
         A worker that has restarted under the same id while no process led knows none of its runs.
         """
         found = self._find(run)
-        if found is not None and run.adopted and found[1].suspicion.run != run.number:
-            self._add_points(*found, run, REPORTED_POINTS)
+        if found is not None and run.adopted and not run.loss_counted:
+            job, task = found
+            # A worker that is older than the job has not restarted since; it never had the run.
+            restarted = worker.started_ms > job.accepted_ms
+            if restarted and task.suspicion.run != run.number:
+                self._add_points(job, task, run, REPORTED_POINTS)
         return [run] if self._confirm(run) else []
 
     def _confirm(self, run: Run, needed_points: int = GIVE_UP_POINTS) -> bool:
@@ -90,6 +94,7 @@
         job, task = found
         known = task.suspicion
         task.suspicion = Suspicion(known.points)
+        run.loss_counted = True
         self.state.mark_changed(job)
         return known.alone and known.points >= needed_points
 
@@ -141,7 +146,7 @@
                 continue
             job, task = found
             # The previous leader may have counted the loss of this run already.
-            if task.suspicion.run == run.number:
+            if task.suspicion.run == run.number or run.loss_counted:
                 continue
             points = crash_points(run, loss, prompt_jobs)
             if points:
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -224,7 +224,7 @@
                     last_seen_end=worker.last_seen_end,
                 )
                 # Its worker has restarted, if the run was started at all.
-                given_up = self.runs.crashes.on_run_missing(run)
+                given_up = self.runs.crashes.on_run_missing(worker, run)
                 self.runs.give_up_run(worker, run, now)
                 self.runs.give_up(given_up, worker, now)
         for row in reply.running:
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -60,6 +60,8 @@
     reported_ms: int = 0
     # Whether the loss of the run counts as a point against its task.
     suspected: bool = False
+    # Whether its loss has been counted and confirmed; it may stay on record until it has stopped.
+    loss_counted: bool = False
     # For how long it has to be reported before other runs may be placed beside it.
     isolation_ms: int = 0
     # Throttle in percent of full speed: wanted, confirmed by the worker; time of the last order.
--- a/packages/scheduler/tests/fake_worker.py
+++ b/packages/scheduler/tests/fake_worker.py
@@ -5,6 +5,7 @@
 from fescuecrank_scheduler.events import CallResult, EndRow, HoldReply, RunRow
 from fescuecrank_scheduler.jobs import TaskId
 from run_history import DoneEnd, RunHistory
+from scheduler_builders import WALL_MS
 
 STOP_MS = 100
 LEASE_MAX_MS = 10_000
@@ -56,6 +57,11 @@
     # Ends `done` of this incarnation that were not acknowledged, and no lease has lapsed since.
     _open_ends: list[DoneEnd] = attrs.field(factory=list)
 
+    @property
+    def born_ms(self) -> int:
+        """Start of this incarnation in Unix milliseconds."""
+        return WALL_MS + self.started_ms
+
     def clock(self, now_ms: int) -> int:
         return int((now_ms - self.started_ms + 1) * 0.98)
 
@@ -159,7 +165,7 @@
         )
         ended = tuple(self.ends[:MAX_LISTED_ENDS])
         truncated = len(ended) < len(self.ends)
-        return HoldReply(self.clock(now_ms), self.started_ms, running, ended, truncated)
+        return HoldReply(self.clock(now_ms), self.born_ms, running, ended, truncated)
 
     def _grant(self, deadline_ms: int, now_ms: int) -> None:
         longest = self.clock(now_ms) + LEASE_MAX_MS
--- a/packages/scheduler/tests/faulty_fleet.py
+++ b/packages/scheduler/tests/faulty_fleet.py
@@ -214,7 +214,7 @@
         self.fault_counts["restart_behind_cut"] += 1
         worker.reachable = False
         if entry_is_stale:
-            self.stale_entries[name] = worker.started_ms
+            self.stale_entries[name] = worker.born_ms
         away_ms = self.rng.randrange(1, max(2, cut_ms // 2))
         self.restart_worker(name, away_ms, announced=not entry_is_stale)
         self.at(cut_ms, lambda: self._end_cut(worker))
--- a/packages/scheduler/tests/fleet_simulation.py
+++ b/packages/scheduler/tests/fleet_simulation.py
@@ -240,7 +240,7 @@
 
     def _worker_list(self) -> tuple[events.WorkerEntry, ...]:
         return tuple(
-            attrs.evolve(self.worker_entries[worker.id], started_ms=worker.started_ms)
+            attrs.evolve(self.worker_entries[worker.id], started_ms=worker.born_ms)
             for worker in self.workers.values()
             if worker.alive or self.now_ms - worker.ended_ms < self.list_lag_ms
         )
