--- a/packages/scheduler/tests/faulty_fleet.py
+++ b/packages/scheduler/tests/faulty_fleet.py
@@ -44,8 +44,10 @@
         self.slow_answer_share = 0.0
         self.refused_repeat_share = 0.0
         self.late_append_share = 0.0
-        # How much later calls without an answer are carried out.
+        # How much later calls without an answer are carried out, and whether the next incarnation
+        # of a worker may do so.
         self.late_call_ms = LATE_CALL_MS
+        self.late_calls_outlive_restarts = True
         # Processes and workers that do not reach each other.
         self.cut_links: set[tuple[str, str]] = set()
         # Age of the list of workers as processes read it.
@@ -146,6 +148,8 @@
         def carry_out() -> None:
             if is_start:
                 self._late_starts[effect.worker, effect.task, effect.run] -= 1
+            if worker.incarnation != incarnation and not self.late_calls_outlive_restarts:
+                return
             self._note("late", "-", effect, "")
             result = self._perform(effect)
             if worker.alive:
--- a/packages/scheduler/tests/test_repeated_starts.py
+++ b/packages/scheduler/tests/test_repeated_starts.py
@@ -6,7 +6,9 @@
 
 import pytest
 from faulty_fleet import FaultySimulation
+from fescuecrank_scheduler.events import EndRow, RunRow
 from fescuecrank_scheduler.jobs import TaskId
+from leader_builders import make_driver
 from run_history import RunHistory
 from scheduler_builders import job, step
 
@@ -160,3 +162,20 @@
         + sim.fault_counts["late_HoldWorker_reborn_fenced"]
     )
     assert sim.state(JOB, sim.leader().name) == "completed"
+
+
+def test_task_is_not_started_while_a_worker_lists_a_run_of_it():
+    """A stop takes time; a start elsewhere meanwhile makes two runs."""
+    driver, task = make_driver(), TaskId(JOB, 0, 0, 0)
+    for worker in driver.state.workers.values():
+        worker.blocked_until_ms = driver.now_ms + 200
+    driver.submit(job(JOB, step(1)))
+    driver.advance(50)
+    # An earlier leader has given run 1 up.
+    driver.state.table.jobs[JOB].task(task).run = 1
+    driver.answer_hold("worker-1", running=(RunRow(task, 1, "", 10),))
+    driver.advance(1_000)
+    assert not driver.starts(task)
+    driver.answer_hold("worker-1", ended=(EndRow(1, task, 1, "stopped", ""),))
+    driver.advance(500)
+    assert len(driver.starts(task)) == 1
