Assume the longest lease for a run that is taken back

A successor knew no lease of the worker, so its next check of the leases gave the run up again and started its task beside it.

Test: TestLeaseOfARunThatWasTakenBack; it was red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
@@ -57,9 +57,7 @@
         worker.started_ms, worker.epoch_accepted, worker.retired = started_ms, False, False
         worker.last_seen_end = worker.last_acked_end = 0
         worker.clock_ms = worker.sent_deadline_ms = None
-        worker.lease_expires_ms = now.mono_ms + int(
-            self.state.limits.lease_max_ms / (1 - self.state.limits.clock_drift)
-        )
+        worker.lease_expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
 
     def _runs_of_new_incarnation(self, worker: Worker, reply: HoldReply | None) -> set[TaskId]:
         """Return the tasks of runs that a worker may have been given since it restarted.
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -91,3 +91,8 @@
     maintenance_ms: int = 2_000
     # Ended jobs stay visible to callers for this long.
     keep_ended_ms: int = 150_000
+
+    @property
+    def longest_lease_ms(self) -> int:
+        """Time after which no lease is left on a worker that is granted none."""
+        return int(self.lease_max_ms / (1 - self.clock_drift))
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -180,6 +180,8 @@
         task.worker, task.phase = worker.id, Phase.ASSIGNED
         self.state.mark_changed(job)
         self.register(worker, job, task, RunState.RUNNING, now)
+        # Who granted the lease, and until when, is unknown here.
+        worker.lease_expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
         run = worker.runs[row.task]
         run.confirmed_ms = run.running_since_ms = now.mono_ms
         run.listed, run.checkpoint = True, row.checkpoint or run.checkpoint
