Stop adopted runs on restarted workers before their tasks start elsewhere

A start of the previous leader may still be carried out by the next incarnation, as a start of this leader may.

Test: TestStartsOfThePredecessor; it was red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
@@ -48,7 +48,9 @@
         kept = self._runs_of_new_incarnation(worker, reply)
         given_up = self.runs.crashes.on_crash(worker, now, kept)
         for task, run in list(worker.runs.items()):
-            if run.starts_in_flight > 0 and task not in kept:
+            # How many starts of an adopted run the previous leader sent is unknown.
+            in_flight = run.starts_in_flight > 0 or (run.adopted and run.state is RunState.SENT)
+            if in_flight and task not in kept:
                 self.runs.stop(worker, run, now)
             if run.state is RunState.STOPPING:
                 kept.add(task)
