Refuse unanswered starts of stopped runs by a higher token

A start that got no answer after its run had been stopped, or given up, left the token of the worker as it was.

Tests: TestUnansweredStartsOfStoppedRuns; both were red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -58,11 +58,16 @@
         """Apply the answer to a start."""
         worker = self.state.workers.get(event.worker)
         run = worker.runs.get(event.task) if worker else None
+        unanswered = event.result is CallResult.NO_ANSWER
         if worker is None or run is None or run.number != event.run:
+            if worker is not None and unanswered:
+                self._refuse_later(worker, event.token, now)
             return
-        if event.result is not CallResult.NO_ANSWER and event.token in run.start_tokens:
+        if not unanswered and event.token in run.start_tokens:
             run.start_tokens.remove(event.token)
         if run.state is not RunState.SENT:
+            if run.state is RunState.STOPPING and unanswered:
+                self._refuse_later(worker, event.token, now)
             return
         if event.token < worker.token and event.result not in CARRIED_OUT:
             # It was sent to the earlier address of the worker.
@@ -99,6 +104,15 @@
         worker.blocked_until_ms = now.mono_ms + self.state.limits.start_timeout_ms
         run.unanswered = True
 
+    def _refuse_later(self, worker: Worker, token: int, now: Now) -> None:
+        """Use a higher token, so that a start whose run was stopped is not carried out later.
+
+        The worker knows of the stop, but its next incarnation does not.
+        """
+        if token == worker.token:
+            worker.token = self.state.next_token()
+            self.state.hold_times.set(worker.id, now.mono_ms)
+
     def retry(self, now: Now) -> None:
         """Repeat unanswered starts after the time-out, also where the connection was refused."""
         if not self.state.may_grant_leases(now):
