Acknowledge stored ends at once if a worker lists them again

A leader whose loop is some 60 ms late sent each hold more than `MAX_ACK_GAP_MS` after the answer before it and never acknowledged an end.

Test: TestSlowLeader; it was red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -100,6 +100,10 @@
             pause_ms = self.state.limits.hold_pause_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             self._reconcile(worker, event.reply, now)
+            ended = event.reply.ended
+            if ended and ended[-1].number <= worker.last_acked_end:
+                # The hold that was to acknowledge them came too late after the answer before it.
+                self.state.hold_times.set(worker.id, now.mono_ms)
         else:
             worker.hold_answer_ms = None
             pause_ms = self.state.limits.hold_retry_ms
