Remember runs that were given up of open jobs only

Runs of ended jobs were never forgotten, and each end of a job looks through all of them.

Test: TestRecordsOfRunsGivenUp; it was red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -189,7 +189,7 @@
 
     def give_up_run(self, worker: Worker, run: Run, now: Now) -> None:
         """End a run that its worker does not have any more, as far as this leader can know."""
-        if run.state is not RunState.PLANNED:
+        if run.state is not RunState.PLANNED and self.state.still_needed(run):
             self.state.given_up_runs.setdefault(run.task, set()).add(run.number)
         self.run_ended(worker, run, "lapsed", "", now)
 
