Count the permission to grant leases from the claim

A process that was frozen between its claim and the read of it granted leases that a successor did not wait for.

Test: TestFrozenCandidate; it was red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -253,6 +253,8 @@
         self._effects.append(SetFollow(FollowMode.LEADER))
         self.table.take_changed()
         self._effects += self.scheduler.take_over(now)
+        # This process may have been paused since it sent the claim.
+        state.renewed_ms = self._claim_sent_ms
         self.maintenance.set_waves(self.waves, self.table.wave_machines_down, now)
 
     def _abandon_claim(self, reason: str, now: Now) -> None:
