--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -180,6 +180,8 @@
         task.worker, task.phase = worker.id, Phase.ASSIGNED
         self.state.mark_changed(job)
         self.register(worker, job, task, RunState.RUNNING, now)
+        # Who granted the lease, and until when, is unknown here.
+        worker.lease_expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
         run = worker.runs[row.task]
         run.confirmed_ms = run.running_since_ms = now.mono_ms
         run.listed, run.checkpoint = True, row.checkpoint or run.checkpoint
@@ -187,7 +189,7 @@
 
     def give_up_run(self, worker: Worker, run: Run, now: Now) -> None:
         """End a run that its worker does not have any more, as far as this leader can know."""
-        if run.state is not RunState.PLANNED:
+        if run.state is not RunState.PLANNED and self.state.still_needed(run):
             self.state.given_up_runs.setdefault(run.task, set()).add(run.number)
         self.run_ended(worker, run, "lapsed", "", now)
 
