Answer requests until the process ends

Open ones are now answered 504, later ones 503 with Retry-After.

Test: test_requests_are_answered_until_the_process_ends.

--- a/packages/daemon/src/fescuecrank_daemon/platform_main.py
+++ b/packages/daemon/src/fescuecrank_daemon/platform_main.py
@@ -86,6 +86,7 @@
         watch_task = asyncio.get_running_loop().create_task(self.watcher.run())
         try:
             await self.engine.run()
+            self.frontend.close()
             self.frontend.stop_listening()
             await asyncio.sleep(LAST_ANSWERS_MS / 1_000)
             self.log.write("stopped", {})
--- a/packages/service/src/fescuecrank_service/http_frontend.py
+++ b/packages/service/src/fescuecrank_service/http_frontend.py
@@ -35,6 +35,9 @@
     504: "Gateway Timeout",
 }
 
+# Wait of a caller whose request arrives as the process ends; another one takes it at once.
+RETRY_CLOSED_MS = 1_000
+
 
 def write_response(req: HTTPServerRequest, response: ServerResponse, close: bool) -> None:
     """Send a response; a connection that the caller has closed is not an error.
@@ -67,6 +70,8 @@
     is_ready: Callable[[], bool]
     max_body_bytes: Callable[[], int]
     stopping: bool = False
+    # Whether requests are no longer decided, as the process is about to end.
+    closed: bool = False
     response_counts: Counter = attrs.field(factory=Counter)
     _tokens: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     _pending: dict[int, HTTPServerRequest] = attrs.field(factory=dict)
@@ -112,6 +117,15 @@
         for server in self._servers:
             server.stop()
 
+    def close(self) -> None:
+        """Answer the open requests with an unknown outcome and refuse those that still arrive.
+
+        Without an answer, callers would see their connections end.
+        """
+        self.closed = True
+        for token in list(self._pending):
+            self.send_reply(Reply(token, 504))
+
     @property
     def open_requests(self) -> int:
         """Number of requests that wait for a response."""
@@ -123,6 +137,10 @@
 
     def _handle_request(self, req: HTTPServerRequest) -> None:
         token = next(self._tokens)
+        if self.closed:
+            refusal = Reply(token, 503, retry_after_ms=RETRY_CLOSED_MS)
+            self._respond(req, self.request_format.encode(refusal))
+            return
         if len(req.body) > self.max_body_bytes():
             self._respond(req, ServerResponse(413, b"", {}))
             return
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -369,6 +369,34 @@
 class TestHttpFrontend:
     """HTTP server and client over real sockets."""
 
+    def test_requests_are_answered_until_the_process_ends(self):
+        """A caller on a connection that is kept open saw it end without an answer."""
+
+        async def scenario():
+            posted = []
+            frontend = HttpFrontend(
+                MinimalRequestFormat(), ManualClock(), posted.append, lambda: True, lambda: 100
+            )
+            address = f"127.0.0.1:{free_port()}"
+            frontend.listen(address, f"127.0.0.1:{free_port()}")
+            client = HttpClient(8)
+
+            async def get(path):
+                return (await client.call("test", address, "GET", path, 2_000)).ok_value
+
+            open_request = asyncio.ensure_future(get("/checks/1"))
+            await until(lambda: posted)
+            frontend.stopping = True
+            frontend.close()
+            assert (await open_request).code == 504
+            late = await get("/checks/2")
+            assert (late.code, late.headers["retry-after"]) == (503, "1")
+            assert len(posted) == 1
+            frontend.stop_listening()
+            client.close()
+
+        asyncio.run(scenario())
+
     def test_request_becomes_an_event_and_its_reply_a_response(self):
         async def scenario():
             posted = []
