--- a/packages/platform/src/fescuecrank_platform/settings.py
+++ b/packages/platform/src/fescuecrank_platform/settings.py
@@ -53,6 +53,8 @@
     visible_ms: int
     # Interval at which workers write their entries, and how long after that their capacity counts.
     heartbeat_ms: int = 1_500
+    # Time after its acknowledgement by which a configuration has to be in force.
+    config_ms: int = 3_000
     contact_ms: int = 3_000
     # Size of the machine; 0 if the settings do not state it.
     cores: float = 0.0
@@ -69,6 +71,7 @@
             keep_ended_ms=self.status_retention_ms + 30_000,
             max_copy_age_ms=max(0, self.visible_ms - VISIBLE_MARGIN_MS),
             max_entry_age_ms=self.heartbeat_ms + max(0, self.contact_ms - ENTRY_READ_MS),
+            max_config_age_ms=self.config_ms,
             claim_handicap_ms=claim_handicap_ms(self.cores, self.link_mbps, self.memory_mb),
         )
 
@@ -119,6 +122,7 @@
                 status_retention_ms=int(1_000 * reader.number("bounds.status_s", 120)),
                 visible_ms=reader.number("bounds.visible_ms", 3_000),
                 heartbeat_ms=reader.number("heartbeat_ms", 1_500),
+                config_ms=reader.number("bounds.config_ms", 3_000),
                 contact_ms=reader.number("bounds.contact_ms", 3_000),
                 # The share of a core counts in cores of the given speed.
                 cores=reader.number("limits.cpu_share", 0) * reader.number("limits.cpu_cores", 1),
--- a/packages/platform/src/fescuecrank_platform/store.py
+++ b/packages/platform/src/fescuecrank_platform/store.py
@@ -9,12 +9,13 @@
 from fescuecrank_scheduler.effects import StoreWaveState
 from fescuecrank_scheduler.events import StoreResult, Topic, WorkersRead
 from fescuecrank_scheduler.records import Record, StoredRecord
-from fescuecrank_service.http_client import HttpClient
+from fescuecrank_service.http_client import Download, HttpClient
 from fescuecrank_service.interfaces import (
     AppendOutcome,
     Configuration,
     NewestPage,
     OffsetExpired,
+    OnProgress,
     Page,
     Store,
     Stream,
@@ -31,9 +32,11 @@
 WORKERS_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
 
-# Time that a read may take beyond the wait that it asks the store for.
+# Time within which the response to a read has to begin, beyond the wait that it asks the store for.
 READ_SLACK_MS = 1_200
 NEWEST_TIMEOUT_MS = 2_000
+# Longest pause within a response; a packet that is lost is sent again after 0.2 to 1 s.
+STALL_TIMEOUT_MS = 1_200
 STATUS_TIMEOUT_MS = 800
 
 # States of a wave by whether it is completed.
@@ -55,15 +58,18 @@
     return b"".join(parts)
 
 
-def decode_records(body: bytes, first_offset: int) -> tuple[StoredRecord, ...]:
+def decode_records(body: bytes, first_offset: int, whole: bool = True) -> tuple[StoredRecord, ...]:
     """Return the records in the body of a read, the first of which has `first_offset`.
 
-    The body begins with two offsets of 8 bytes. Raises `ValueError` if a record is truncated.
+    The body begins with two offsets of 8 bytes. Raises `ValueError` if a record is truncated,
+    unless the body is the part of a response that arrived before it ended early (not `whole`).
     """
     view, position, records = memoryview(body), 16, []
     while position + 4 <= len(view):
         (length,) = struct.unpack_from(">I", view, position)
         position += 4
+        if not whole and position + length > len(view):
+            break
         if length < 1 or position + length > len(view):
             raise ValueError("a record is truncated")
         key_end = position + 1 + view[position]
@@ -90,41 +96,51 @@
     def _address(self) -> str:
         return self._endpoints.store
 
-    async def read(self, from_offset: int, wait_ms: int) -> Result[Page | OffsetExpired, Failure]:
-        """Read the records from `from_offset` on; wait up to `wait_ms` for the first one."""
-        path = f"/api/log-read?{self._query}&from={from_offset}&wait_ms={wait_ms}"
-        outcome = await self._client.call(
-            "store.read", self._address, "GET", path, wait_ms + READ_SLACK_MS
-        )
+    async def read(
+        self, from_offset: int, wait_ms: int, max_kb: int, on_progress: OnProgress
+    ) -> Result[Page | OffsetExpired, Failure]:
+        """Read about `max_kb` of records from `from_offset` on."""
+        path = f"/api/log-read?{self._query}&from={from_offset}&wait_ms={wait_ms}&max_kb={max_kb}"
+        outcome = await self._fetch("store.read", path, wait_ms + READ_SLACK_MS, on_progress)
         if outcome.is_err():
             return outcome
         response = outcome.ok_value
         if response.code == 410:
             return Ok(OffsetExpired())
-        if response.code != 200 or len(response.body) < 16:
-            return self._failure("store.read", f"answered with status {response.code}")
+        if response.code != 200:
+            return self._status_failure("store.read", response.code)
+        if len(response.body) < 16:
+            detail = f"answered with {len(response.body)} bytes"
+            return (
+                Err(response.failure) if response.failure else self._failure("store.read", detail)
+            )
         (end,) = struct.unpack_from(">Q", response.body)
         try:
-            return Ok(Page(decode_records(response.body, from_offset), end))
+            records = decode_records(response.body, from_offset, whole=response.failure is None)
         except ValueError as exc:
             return self._failure("store.read", str(exc))
+        return Ok(Page(records, end, response.transfer_ms, response.failure))
 
-    async def read_newest(self, after_key: str | None) -> Result[NewestPage, Failure]:
+    async def read_newest(
+        self, after_key: str | None, on_progress: OnProgress
+    ) -> Result[NewestPage, Failure]:
         """Read a page of the newest record of each key."""
         after = f"&after={quote(after_key, safe='')}" if after_key is not None else ""
         path = f"/api/log-newest?{self._query}{after}"
-        outcome = await self._client.call(
-            "store.newest", self._address, "GET", path, NEWEST_TIMEOUT_MS
-        )
+        outcome = await self._fetch("store.newest", path, NEWEST_TIMEOUT_MS, on_progress)
         if outcome.is_err():
             return outcome
-        if outcome.ok_value.code == 404:
+        response = outcome.ok_value
+        if response.failure is not None:
+            # The records of a truncated JSON document cannot be told from its rest.
+            return Err(response.failure)
+        if response.code == 404:
             # The store creates a topic with its first record, so this one is still empty.
             return Ok(NewestPage((), 0, has_more=False))
-        if outcome.ok_value.code != 200:
-            return self._failure("store.newest", f"answered with status {outcome.ok_value.code}")
+        if response.code != 200:
+            return self._status_failure("store.newest", response.code)
         try:
-            page = orjson.loads(outcome.ok_value.body)
+            page = orjson.loads(response.body)
             records = tuple(
                 StoredRecord(item["offset"], Record(item["key"], base64.b64decode(item["value"])))
                 for item in page["items"]
@@ -133,6 +149,13 @@
         except (ValueError, KeyError, TypeError, AttributeError) as exc:
             return self._failure("store.newest", f"malformed response: {exc!r}")
 
+    async def _fetch(
+        self, operation: str, path: str, begin_timeout_ms: int, on_progress: OnProgress
+    ) -> Result[Download, Failure]:
+        return await self._client.fetch(
+            operation, self._address, path, begin_timeout_ms, STALL_TIMEOUT_MS, on_progress
+        )
+
     async def append(
         self,
         records: tuple[Record, ...],
@@ -183,6 +206,11 @@
         )
         return outcome.is_ok() and outcome.ok_value.code == 200
 
+    def _status_failure(self, operation: str, status: int) -> Err[Failure]:
+        kind = FailureKind.OVERLOADED if status == 429 else FailureKind.UNAVAILABLE
+        detail = f"answered with status {status}"
+        return Err(Failure(kind, operation, self._address, detail))
+
     def _failure(self, operation: str, detail: str) -> Err[Failure]:
         return Err(Failure(FailureKind.UNAVAILABLE, operation, self._address, detail))
 
--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -11,6 +11,7 @@
 import attrs
 
 from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.config_age import ConfigAge
 from fescuecrank_scheduler.effects import Effect, ForwardRequest, LogLine, Reply, StoreIntake
 from fescuecrank_scheduler.events import (
     Cancel,
@@ -65,6 +66,7 @@
     # Address of this process, to which it passes nothing on.
     address: str = ""
     config: FleetConfig = EMPTY_CONFIG
+    config_age: ConfigAge = attrs.field(init=False)
     # As of when the local copy of the intake stream is complete.
     synced_ms: int | None = None
     # While appends fail, requests are refused at once instead of keeping their callers waiting.
@@ -75,6 +77,10 @@
     _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     _forwarded: dict[int, ForwardedRequest] = attrs.field(factory=dict)
 
+    @config_age.default
+    def _make_config_age(self) -> ConfigAge:
+        return ConfigAge(self.limits.max_config_age_ms)
+
     @property
     def ready(self) -> bool:
         """Whether this process accepts new connections.
@@ -101,11 +107,12 @@
             return [Reply(req.token, 503, retry_after_ms=RETRY_START_MS)]
         queue = self.config.queue_at(req.host, req.path)
         if queue is None:
-            return [Reply(req.token, 404)]
+            return self._reject(req, 404, now)
         team = self.config.team_for_key(req.key) if req.key else None
         if team is None and not queue.is_open:
-            return [Reply(req.token, 401)]
-        if self.without_store and self._may_forward(req):
+            return self._reject(req, 401, now)
+        unsure = self.without_store or self.config_age.too_old(now)
+        if unsure and self._may_forward(req):
             return self._forward(req, may_be_stored=False)
         name = team.name if team else ""
         job_id = req.path[len(queue.prefix) :]
@@ -122,6 +129,16 @@
                 return self._cancel(req, queue, name, job_id, now)
         return [Reply(req.token, 405)]
 
+    def _reject(self, req: Request, status: int, now: Now) -> list[Effect]:
+        """Answer a request that the configuration does not allow."""
+        if self.config_age.too_old(now):
+            if self._may_forward(req):
+                return self._forward(req, may_be_stored=False)
+            status = 503
+        line = LogLine("request_rejected", {"host": req.host, "path": req.path, "status": status})
+        retry_ms = RETRY_STORE_MS if status == 503 else None
+        return [line, Reply(req.token, status, retry_after_ms=retry_ms)]
+
     def _submit(self, req: Submit, queue: Queue, team: str, job_id: str, now: Now) -> list[Effect]:
         if len(job_id) != ID_LENGTH or not HEX_DIGITS.issuperset(job_id):
             return [Reply(req.token, 400, {"error": "the id is not 16 hexadecimal digits"})]
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -47,6 +47,9 @@
     # A copy of the store older than this cannot prove that a job does not exist. A bound of the
     # deployment says how long after its acceptance a job has to be known everywhere.
     max_copy_age_ms: int = 2_700
+    # Time after its acknowledgement by which a configuration has to be in force, a bound of the
+    # deployment. With one that was complete longer ago, a process may decide wrongly.
+    max_config_age_ms: int = 3_000
     # Least time between appends; changes within it share one.
     min_append_interval_ms: int = 12
     # Interval at which an unanswered stop is repeated.
--- a/packages/scheduler/src/fescuecrank_scheduler/reducer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/reducer.py
@@ -7,6 +7,7 @@
 from fescuecrank_scheduler import events
 from fescuecrank_scheduler.balancer import Balancer
 from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.config_age import ConfigChecked
 from fescuecrank_scheduler.effects import (
     Effect,
     Exit,
@@ -114,6 +115,8 @@
                 self._tick(now)
             case events.ConfigRead():
                 self._apply_config(event, now)
+            case ConfigChecked():
+                self.intake.config_age.as_of_ms = event.as_of_ms
             case events.RecordsRead():
                 self._apply_records(event, now)
             case events.ReadFailed():
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -10,6 +10,7 @@
 from fescuecrank_core.clock import Clock, Instant
 from fescuecrank_core.errors import Failure
 from fescuecrank_scheduler import effects, events
+from fescuecrank_scheduler.config_age import ConfigChecked
 from fescuecrank_scheduler.effects import Effect, FollowMode
 from fescuecrank_scheduler.events import Event, Topic
 from fescuecrank_scheduler.leadership import LEADER_TICK_MS
@@ -20,8 +21,10 @@
 from fescuecrank_service.http_client import HttpClient
 from fescuecrank_service.http_frontend import HttpFrontend
 from fescuecrank_service.interfaces import FleetClient, Store, WorkerClient
-from fescuecrank_service.log_lines import JsonLineLogger
+from fescuecrank_service.log_lines import CONFIG_DECISIONS, JsonLineLogger
 from fescuecrank_service.metrics import Metrics
+from fescuecrank_service.read_pace import ReadOrder
+from fescuecrank_service.stream_health import StreamHealth
 from fescuecrank_service.topic_reader import READ_WAIT_MS, Batch, TopicReader
 
 # Followers only watch whether the leader renews its claim.
@@ -129,31 +132,35 @@
             store.shared_stream(Topic.PROGRESS), "leader", clock, self.post
         )
         self._newest_operator_values: dict[str, bytes] = {}
-        self._config_reader = TopicReader(
+        # Whether the newest configuration could not be decoded.
+        self._config_unreadable = False
+        health = self._health = StreamHealth(clock, log)
+        make_reader = functools.partial(
+            TopicReader,
+            clock=clock,
+            on_failure=self._on_read_failure,
+            on_success=health.on_success,
+            on_reading=health.on_reading,
+            order=ReadOrder(),
+        )
+        self._config_reader = make_reader(
             "operators",
             store.operator_stream(),
-            clock,
-            self._on_operator_records,
-            self._on_read_failure,
+            deliver=self._on_operator_records,
+            goes_first=True,
+            newest_only=True,
         )
-        self._worker_reader = TopicReader(
-            "workers",
-            store.worker_stream(),
-            clock,
-            self._on_worker_records,
-            self._on_read_failure,
+        self._worker_reader = make_reader(
+            "workers", store.worker_stream(), deliver=self._on_worker_records
         )
         self._readers = {
-            topic: TopicReader(
+            topic: make_reader(
                 topic.value,
                 store.shared_stream(topic),
-                clock,
-                functools.partial(self._on_shared_records, topic),
-                self._on_read_failure,
+                deliver=functools.partial(self._on_shared_records, topic),
             )
             for topic in Topic
         }
-        self._failing_streams: set[str] = set()
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._tick_ms = FOLLOWER_TICK_MS
         self._wake_timer: asyncio.TimerHandle | None = None
@@ -239,7 +246,10 @@
                 if self.frontend is not None:
                     self.frontend.send_reply(effect)
             case effects.LogLine():
-                self._log.write(effect.event, effect.fields)
+                fields = effect.fields
+                if effect.event in CONFIG_DECISIONS:
+                    fields = fields | self._config_fields()
+                self._log.write(effect.event, fields)
             case effects.ForwardRequest():
                 self._run_in_background(self._forward(effect))
             case effects.StoreIntake():
@@ -269,6 +279,10 @@
                     self._await_call(effect, self._fleet_client.request_advice(effect))
                 )
 
+    def _config_fields(self) -> dict[str, Any]:
+        age_ms = self.reducer.intake.config_age.age_ms(self._clock.now())
+        return {"config": self.reducer.config.version, "config_age_ms": age_ms}
+
     def _call_worker(self, effect: effects.WorkerEffect) -> Awaitable[Event]:
         if self._worker_client is None:
             self._worker_client = self._make_worker_client()
@@ -341,22 +355,24 @@
             self._progress.stop()
 
     def _on_shared_records(self, topic: Topic, batch: Batch) -> None:
-        self._on_read_success(topic.value)
         self.post(
             events.RecordsRead(topic, batch.records, batch.next_offset, as_of_ms=batch.as_of_ms)
         )
 
     def _on_worker_records(self, batch: Batch) -> None:
-        self._on_read_success("workers")
         self.post(self._store.decode_workers(batch.records, batch.complete))
 
     def _on_operator_records(self, batch: Batch) -> None:
-        self._on_read_success("operators")
         for stored in batch.records:
             self._newest_operator_values[stored.record.key] = stored.record.value
-        if not batch.records:
-            return
+        if batch.records:
+            self._apply_operator_values()
+        if batch.as_of_ms is not None and not self._config_unreadable:
+            self.post(ConfigChecked(batch.as_of_ms))
+
+    def _apply_operator_values(self) -> None:
         decoded = self._store.decode_configuration(self._newest_operator_values)
+        self._config_unreadable = decoded.is_err()
         if decoded.is_err():
             self._log.write("config_unreadable", {"reason": str(decoded.err_value)})
             return
@@ -369,11 +385,4 @@
     def _on_read_failure(self, name: str, failure: Failure) -> None:
         if name in set(Topic):
             self.post(events.ReadFailed(Topic(name)))
-        if name not in self._failing_streams:
-            self._failing_streams.add(name)
-            self._log.write("stream_lost", {"stream": name, "reason": str(failure)})
-
-    def _on_read_success(self, name: str) -> None:
-        if name in self._failing_streams:
-            self._failing_streams.discard(name)
-            self._log.write("stream_regained", {"stream": name})
+        self._health.on_failure(name, failure)
--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 
 import attrs
 import httptools
@@ -29,6 +30,20 @@
     body: bytes
 
 
+@attrs.frozen
+class Download:
+    """A response to a read, whole or up to the point where it ended early.
+
+    `transfer_ms` is the time from the first to the last byte of the body. If `failure` is not None,
+    the response ended early, and `body` is what had arrived.
+    """
+
+    code: int
+    body: bytes
+    transfer_ms: int
+    failure: Failure | None = None
+
+
 class ConnectionLostError(OSError):
     """The connection ended before the response; `answering` if a part of it was read."""
 
@@ -45,6 +60,7 @@
         self.usable = True
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[HttpResponse] | None = None
+        self._on_data: Callable[[int], None] | None = None
         self._start_response()
 
     def _start_response(self) -> None:
@@ -54,11 +70,17 @@
         self._size = 0
         self._answering = False
 
-    async def exchange(self, request: bytes) -> HttpResponse:
-        """Send a request and return its response; raises `ConnectionLostError`."""
+    async def exchange(
+        self, request: bytes, on_data: Callable[[int], None] | None = None
+    ) -> HttpResponse:
+        """Send a request and return its response; raises `ConnectionLostError`.
+
+        `on_data` is called with the number of bytes of the body that have arrived.
+        """
         if self._transport is None or not self.usable:
             raise ConnectionLostError("the connection is closed", answering=False)
         self._waiter = asyncio.get_running_loop().create_future()
+        self._on_data = on_data
         self._transport.write(request)
         return await self._waiter
 
@@ -67,6 +89,12 @@
         """Whether a response is outstanding."""
         return self._waiter is not None
 
+    def arrived(self) -> HttpResponse | None:
+        """Return the part of the current response that has arrived, or None without a body."""
+        if not self._chunks:
+            return None
+        return HttpResponse(self._parser.get_status_code(), self._headers, b"".join(self._chunks))
+
     def abort(self) -> None:
         """Close at once; a response that still arrives is not read."""
         self.usable = False
@@ -105,6 +133,8 @@
         self._size += len(body)
         if self._size > MAX_RESPONSE_BYTES:
             self._fail("the response is too large")
+        elif self._on_data is not None:
+            self._on_data(self._size)
 
     def on_message_complete(self) -> None:
         response = HttpResponse(
@@ -119,6 +149,32 @@
             waiter.set_result(response)
 
 
+class _Transfer:
+    """Moves the time-out of a read as more of the response arrives."""
+
+    def __init__(self, stall_timeout_ms: int, on_progress: Callable[[int], None] | None) -> None:
+        self.limit: asyncio.Timeout | None = None
+        self.began_s: float | None = None
+        self._last_s = 0.0
+        self._stall_timeout_s = stall_timeout_ms / 1_000
+        self._on_progress = on_progress
+
+    @property
+    def elapsed_ms(self) -> int:
+        """Time from the first to the last byte."""
+        return int(1_000 * (self._last_s - self.began_s)) if self.began_s is not None else 0
+
+    def on_data(self, size: int) -> None:
+        """Note that `size` bytes of the body have arrived."""
+        self._last_s = asyncio.get_running_loop().time()
+        if self.began_s is None:
+            self.began_s = self._last_s
+        if self.limit is not None and not self.limit.expired():
+            self.limit.reschedule(self._last_s + self._stall_timeout_s)
+        if self._on_progress is not None:
+            self._on_progress(size)
+
+
 class HttpClient:
     """Calls any address; connections are kept open and reused.
 
@@ -182,6 +238,53 @@
         kind = FailureKind.TIMEOUT if sent else FailureKind.UNAVAILABLE
         return Err(Failure(kind, operation, address, detail))
 
+    async def fetch(
+        self,
+        operation: str,
+        address: str,
+        path: str,
+        begin_timeout_ms: int,
+        stall_timeout_ms: int,
+        on_progress: Callable[[int], None] | None = None,
+    ) -> Result[Download, Failure]:
+        """Read a response whose size is not known, for as long as more of it arrives.
+
+        The body has to begin within `begin_timeout_ms`, and after that no pause may be longer than
+        `stall_timeout_ms`: a limit on the whole time would end every attempt at a response that is
+        larger than the link carries in it. `on_progress` gets the number of bytes that have
+        arrived. Reads don't count against the limit on concurrent calls, behind which they would
+        wait; each reader has one at a time.
+        """
+        request = _encode_request(address, "GET", path, None, None)
+        transfer = _Transfer(stall_timeout_ms, on_progress)
+        conn = self._take_idle(address)
+        try:
+            async with asyncio.timeout(begin_timeout_ms / 1_000) as transfer.limit:
+                response: HttpResponse | None = None
+                if conn is not None:
+                    try:
+                        response = await conn.exchange(request, transfer.on_data)
+                    except ConnectionLostError as exc:
+                        if exc.answering:
+                            raise
+                if response is None:
+                    conn = await self._connect(address)
+                    response = await conn.exchange(request, transfer.on_data)
+            return Ok(Download(response.code, response.body, transfer.elapsed_ms))
+        except TimeoutError:
+            wait_ms = begin_timeout_ms if transfer.began_s is None else stall_timeout_ms
+            detail = f"nothing arrived for {wait_ms} ms"
+        except (OSError, ValueError) as exc:
+            detail = str(exc)
+        finally:
+            if conn is not None:
+                self._release(conn)
+        failure = Failure(FailureKind.TIMEOUT, operation, address, detail)
+        part = conn.arrived() if conn is not None and transfer.began_s is not None else None
+        if part is None:
+            return Err(failure)
+        return Ok(Download(part.code, part.body, transfer.elapsed_ms, failure))
+
     async def _connect(self, address: str) -> _Connection:
         host, port = address.rsplit(":", 1)
         _, conn = await asyncio.get_running_loop().create_connection(
--- a/packages/service/src/fescuecrank_service/interfaces.py
+++ b/packages/service/src/fescuecrank_service/interfaces.py
@@ -1,6 +1,7 @@
 """Interfaces between the service and a platform adapter: store, workers, machines and HTTP."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import attrs
 from fescuecrank_core.errors import Failure
@@ -13,10 +14,16 @@
 
 @attrs.frozen
 class Page:
-    """Records read from a stream; `end_offset` is the offset after the stream's last record."""
+    """Records read from a stream; `end_offset` is the offset after the stream's last record.
+
+    If `failure` is not None, the response ended early, after these records. `transfer_ms` is the
+    time from the first to the last byte of the response.
+    """
 
     records: tuple[StoredRecord, ...]
     end_offset: int
+    transfer_ms: int = 0
+    failure: Failure | None = None
 
 
 @attrs.frozen
@@ -41,15 +48,30 @@
     offset: int = -1
 
 
+# Called while a response arrives, with the number of bytes that have arrived.
+OnProgress = Callable[[int], None]
+
+
 class Stream(ABC):
-    """One stream of keyed records."""
+    """One stream of keyed records.
+
+    A read lasts for as long as more of its response arrives.
+    """
 
     @abstractmethod
-    async def read(self, from_offset: int, wait_ms: int) -> Result[Page | OffsetExpired, Failure]:
-        """Return the records from `from_offset` on; wait up to `wait_ms` for the first one."""
+    async def read(
+        self, from_offset: int, wait_ms: int, max_kb: int, on_progress: OnProgress
+    ) -> Result[Page | OffsetExpired, Failure]:
+        """Return records from `from_offset` on; wait up to `wait_ms` for the first one.
+
+        A page has about `max_kb` of records. The records of a response that ends early are
+        returned with the failure.
+        """
 
     @abstractmethod
-    async def read_newest(self, after_key: str | None) -> Result[NewestPage, Failure]:
+    async def read_newest(
+        self, after_key: str | None, on_progress: OnProgress
+    ) -> Result[NewestPage, Failure]:
         """Return a page of the newest record of each key, for the keys after `after_key`.
 
         Consecutive pages are read at different times, so together they are no snapshot.
--- a/packages/service/src/fescuecrank_service/log_lines.py
+++ b/packages/service/src/fescuecrank_service/log_lines.py
@@ -29,6 +29,20 @@
     }
 )
 
+# Log lines of decisions that rest on the configuration; they say which version, and its age.
+CONFIG_DECISIONS = frozenset(
+    {
+        "job_refused",
+        "machine_move",
+        "maintenance_ordered",
+        "request_forwarded",
+        "request_rejected",
+        "request_stored",
+        "runs_planned",
+        "start_refused",
+    }
+)
+
 
 @attrs.define
 class EventBudget:
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import attrs
-from fescuecrank_core.clock import Clock
+from fescuecrank_core.clock import Clock, Instant
 from fescuecrank_scheduler.reducer import Reducer
 from fescuecrank_scheduler.workers import Worker
 
@@ -62,7 +62,7 @@
         for (call, result), count in self.call_counts.items():
             calls.set({"call": call, "result": result}, count)
         registry.register(self._latency)
-        for name, (doc, samples) in gauges(reducer, self.clock.now().mono_ms).items():
+        for name, (doc, samples) in gauges(reducer, self.clock.now()).items():
             gauge = self._library.Gauge(PREFIX + name, doc, registry=registry)
             for labels, value in samples:
                 gauge.set(labels, value)
@@ -89,8 +89,10 @@
 Samples = list[tuple[dict[str, str], float]]
 
 
-def gauges(reducer: Reducer, now_ms: int) -> dict[str, tuple[str, Samples]]:
+def gauges(reducer: Reducer, now: Instant) -> dict[str, tuple[str, Samples]]:
     """Return the help text and the samples of each gauge, by name, from the reducer's state."""
+    now_ms = now.mono_ms
+    config_age_ms = reducer.intake.config_age.age_ms(now)
     table = reducer.table
     state = reducer.scheduler.state if reducer.scheduler is not None else None
     open_jobs = Counter(job.queue for job in table.jobs.values() if job.open)
@@ -104,6 +106,10 @@
         ),
         "ready": ("Whether this process takes new connections.", [({}, float(reducer.ready))]),
         "config_version": ("Configuration in force.", [({}, reducer.config.version)]),
+        "config_age_ms": (
+            "Time for which a newer configuration may be in force elsewhere; -1 before the first.",
+            [({}, config_age_ms if config_age_ms is not None else -1)],
+        ),
         "copy_age_ms": (
             "Age of the copies of the store.",
             [({}, now_ms - synced_ms if synced_ms is not None else -1)],
