--- a/packages/platform/tests/test_malformed_input.py
+++ b/packages/platform/tests/test_malformed_input.py
@@ -7,6 +7,7 @@
 
 import orjson
 import pytest
+from fescuecrank_core.errors import Failure, FailureKind
 from fescuecrank_platform import request_format, store, worker_client
 from fescuecrank_platform.configuration import decode_configuration
 from fescuecrank_platform.fleet_client import HttpFleetClient
@@ -17,7 +18,7 @@
 from fescuecrank_scheduler.records import Record, StoredRecord
 from hypothesis import given
 from hypothesis import strategies as st
-from platform_builders import ENDPOINTS, FakeHttpClient, Response
+from platform_builders import ENDPOINTS, FakeHttpClient, Response, ignore_progress
 
 JOB = "5c0e7a21d94b36f8"
 TASK = TaskId(JOB, 0, 1, 17)
@@ -114,12 +115,20 @@
 
 @given(documents("items", "has_more", "end"))
 def test_newest_records(body):
-    asyncio.run(intake_stream(body).read_newest(None))
+    asyncio.run(intake_stream(body).read_newest(None, ignore_progress))
 
 
 @given(st.binary(max_size=120))
 def test_tail(body):
-    asyncio.run(intake_stream(body).read(0, 10))
+    asyncio.run(intake_stream(body).read(0, 10, 64, ignore_progress))
+
+
+@given(st.binary(max_size=120))
+def test_tail_that_ends_early(body):
+    lost = Failure(FailureKind.TIMEOUT, "store.read", "store", "nothing arrived")
+    client = FakeHttpClient(Response(200, body, lost))
+    stream = store.LogStore(client, ENDPOINTS).shared_stream(Topic.INTAKE)
+    asyncio.run(stream.read(0, 10, 64, ignore_progress))
 
 
 @given(documents("spec", "steps", "repeat_count", "first_ms", "interval_ms"))
--- a/packages/platform/tests/test_platform.py
+++ b/packages/platform/tests/test_platform.py
@@ -27,7 +27,7 @@
 from fescuecrank_service.interfaces import OffsetExpired
 from hypothesis import given
 from hypothesis import strategies as st
-from platform_builders import ENDPOINTS, FakeHttpClient, Response
+from platform_builders import ENDPOINTS, FakeHttpClient, Response, ignore_progress
 
 JOB = "5c0e7a21d94b36f8"
 TASK = TaskId(JOB, 0, 1, 17)
@@ -277,18 +277,42 @@
     def test_read_returns_page_expiry_or_failure(self):
         body = struct.pack(">QQ", 9, 3) + store.encode_records((Record("k", b"v"),))
         _, stream = self.stream(Response(200, body))
-        page = asyncio.run(stream.read(8, 100)).ok_value
+        page = asyncio.run(stream.read(8, 100, 64, ignore_progress)).ok_value
         assert (page.records[0].offset, page.end_offset) == (8, 9)
         _, stream = self.stream(Response(410))
-        assert asyncio.run(stream.read(8, 100)).ok_value == OffsetExpired()
+        assert asyncio.run(stream.read(8, 100, 64, ignore_progress)).ok_value == OffsetExpired()
         _, stream = self.stream(Response(503))
-        assert asyncio.run(stream.read(8, 100)).is_err()
+        assert asyncio.run(stream.read(8, 100, 64, ignore_progress)).is_err()
+
+    @given(st.integers(0, 120))
+    def test_read_that_ends_early_keeps_the_records_that_arrived(self, size):
+        # Each attempt at a long read lost all that had arrived, and began again.
+        records = (Record("a", b"v" * 20), Record("b", b"w" * 30))
+        whole = struct.pack(">QQ", 9, 3) + store.encode_records(records)
+        lost = failure()
+        _, stream = self.stream(Response(200, whole[:size], lost))
+        outcome = asyncio.run(stream.read(7, 100, 64, ignore_progress))
+        if size < 16:
+            assert outcome.err_value == lost
+            return
+        page = outcome.ok_value
+        kept = sum(size >= end for end in (16 + 26, len(whole)))
+        assert tuple(stored.record for stored in page.records) == records[:kept]
+        assert (page.end_offset, page.failure) == (9, lost)
+
+    def test_store_that_gets_too_many_calls_is_told_from_one_that_is_down(self):
+        # Readers call less often then.
+        kinds = {}
+        for status in (429, 503):
+            _, stream = self.stream(Response(status))
+            kinds[status] = asyncio.run(stream.read(8, 0, 64, ignore_progress)).err_value.kind
+        assert kinds == {429: FailureKind.OVERLOADED, 503: FailureKind.UNAVAILABLE}
 
     def test_read_newest_returns_a_page(self):
         items = [{"key": "k", "value": "dg==", "offset": 4}]
         response = Response(200, orjson.dumps({"items": items, "has_more": True, "end": 6}))
         http_client, stream = self.stream(response)
-        page = asyncio.run(stream.read_newest("a/b")).ok_value
+        page = asyncio.run(stream.read_newest("a/b", ignore_progress)).ok_value
         assert page.records[0].record == Record("k", b"v")
         assert (page.has_more, page.end_offset) == (True, 6)
         assert "after=a%2Fb" in http_client.calls[0][2]
@@ -298,7 +322,7 @@
         http_client = FakeHttpClient(Response(503))
         stream = store.LogStore(http_client, endpoints).shared_stream(Topic.INTAKE)
         endpoints.store = "new:1"
-        asyncio.run(stream.read(0, 0))
+        asyncio.run(stream.read(0, 0, 64, ignore_progress))
         assert http_client.calls[0][0] == "new:1"
 
 
--- a/packages/platform/tests/test_reads_after_outage.py
+++ b/packages/platform/tests/test_reads_after_outage.py
@@ -1,8 +1,8 @@
 """An entry reads what it missed during an outage of the store, in virtual time.
 
-After an outage of 9 s, entries with a slow link served an old configuration for up to 25 s: the read
-of all versions that they had missed exceeded its time-out and was repeated whole, beside reads of
-jobs and progress over the same link.
+After an outage of 9 s, entries with a slow link served an old configuration for up to 25 s: the
+read of all versions that they had missed exceeded its time-out and was repeated whole, beside reads
+of jobs and progress over the same link.
 """
 
 import asyncio
@@ -13,7 +13,6 @@
 import pytest
 from fescuecrank_platform.settings import Endpoints
 from fescuecrank_platform.store import LogStore
-from fescuecrank_scheduler.events import Topic
 from fescuecrank_scheduler.limits import Limits
 from fescuecrank_scheduler.records import Record
 from fescuecrank_scheduler.reducer import Reducer
@@ -214,8 +213,8 @@
         )
         deployment.append(RUNS, backlog, 300)
         await asyncio.sleep(max(0, 6 - deployment.loop.time()))
-        # One tail read and one read by key of the configuration and the waves, in base64; what other
-        # streams read meanwhile is at most a page each and, after `CONFIG_FIRST_MS`, their share.
+        # One tail read and one read by key of the configuration and the waves, in base64; what
+        # other streams read meanwhile is a page each and, after `CONFIG_FIRST_MS`, their share.
         size = largest + 70 * waves + 64 * 1_024
         pages = 2 + waves / page_records
         bound_s = 4 + 5 * 1.5 * size / bytes_per_s + pages * (answer_ms / 1_000 + 0.3)
--- a/packages/platform/tests/virtual_store.py
+++ b/packages/platform/tests/virtual_store.py
@@ -1,4 +1,4 @@
-"""The platform's store and the links to it in virtual time, for the real HTTP client and readers."""
+"""The platform's store and the links to it in virtual time, for the real client and readers."""
 
 import asyncio
 import base64
--- a/packages/service/src/fescuecrank_service/topic_reader.py
+++ b/packages/service/src/fescuecrank_service/topic_reader.py
@@ -23,6 +23,7 @@
 from fescuecrank_service.interfaces import OffsetExpired, Stream
 from fescuecrank_service.read_pace import (
     MAX_CONFIG_RETRY_MS,
+    MAX_PAGE_KB,
     MAX_RETRY_MS,
     PageSize,
     ReadOrder,
@@ -215,9 +216,8 @@
     async def _read_tail(self, loop_number: int, wait_ms: int) -> Result[Any, Failure]:
         assert self._next_offset is not None
         as_of_ms: int | None = self._clock.now().mono_ms
-        outcome = await self._stream.read(
-            self._next_offset, wait_ms, self._page_size.kb, self._on_progress
-        )
+        max_kb = self._page_size.kb
+        outcome = await self._stream.read(self._next_offset, wait_ms, max_kb, self._on_progress)
         if outcome.is_err() or loop_number != self._loop_number:
             return outcome
         page = outcome.ok_value
@@ -238,6 +238,11 @@
             # The store responds without records only after the whole wait.
             as_of_ms += wait_ms
         self._deliver(Batch(page.records, self._next_offset, complete=False, as_of_ms=as_of_ms))
+        if self._behind and not page.records and max_kb == MAX_PAGE_KB:
+            # No page is large enough for the next record; reading by key gets past it.
+            self._next_offset = None
+            detail = f"a page without records, though {missing} follow"
+            return Err(Failure(FailureKind.INVALID, "stream.read", self._name, detail))
         if self._newest_only and missing > MAX_REPLACED_RECORDS:
             self._next_offset = None
         return outcome if page.failure is None else Err(page.failure)
--- a/packages/service/tests/service_builders.py
+++ b/packages/service/tests/service_builders.py
@@ -68,11 +68,11 @@
 class EmptyStream(Stream):
     """A stream without records."""
 
-    async def read(self, from_offset, wait_ms):
+    async def read(self, from_offset, wait_ms, max_kb, on_progress):
         await asyncio.sleep(wait_ms / 1_000)
         return Ok(Page((), from_offset))
 
-    async def read_newest(self, after_key):
+    async def read_newest(self, after_key, on_progress):
         return Ok(NewestPage((), 0, has_more=False))
 
     async def append(self, records, producer, epoch, sequence, expected_end_offset, timeout_ms):
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -56,12 +56,12 @@
         await asyncio.sleep(0.002)
         return AppendOutcome(self.next_result(self.appends), 7)
 
-    async def read(self, from_offset, wait_ms):
+    async def read(self, from_offset, wait_ms, max_kb, on_progress):
         self.calls.append(("read", from_offset))
         await asyncio.sleep(0.002)
         return self.next_result(self.reads)
 
-    async def read_newest(self, after_key):
+    async def read_newest(self, after_key, on_progress):
         self.calls.append(("newest", after_key))
         await asyncio.sleep(0.002)
         return self.next_result(self.pages)
@@ -286,13 +286,13 @@
         clock = ManualClock(mono_ms=1_000)
 
         class SlowStream(ScriptedStream):
-            async def read_newest(self, after_key):
+            async def read_newest(self, after_key, on_progress):
                 clock.advance(2_000)
-                return await super().read_newest(after_key)
+                return await super().read_newest(after_key, on_progress)
 
-            async def read(self, from_offset, wait_ms):
+            async def read(self, from_offset, wait_ms, max_kb, on_progress):
                 clock.advance(400)
-                return await super().read(from_offset, wait_ms)
+                return await super().read(from_offset, wait_ms, max_kb, on_progress)
 
         pages = [
             Ok(NewestPage((self.stored(3, "a"),), 9, True)),
