--- a/packages/service/src/fescuecrank_service/stream_health.py
+++ b/packages/service/src/fescuecrank_service/stream_health.py
@@ -42,8 +42,8 @@
     clock: Clock
     log: JsonLineLogger
     _outages: dict[str, Outage] = attrs.field(factory=dict)
-    # When a read in progress began or was logged last, and its bytes then, by stream.
-    _readings: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    # The read in progress as it was when it began or was logged last, and when that was, by stream.
+    _readings: dict[str, tuple[int, Reading]] = attrs.field(factory=dict)
 
     def on_failure(self, name: str, failure: Failure) -> None:
         """Note a read that failed."""
@@ -77,17 +77,18 @@
     def on_reading(self, reading: Reading) -> None:
         """Note bytes of a response; a long read says once a second how far it has got."""
         now_ms = self.clock.now().mono_ms
-        since_ms, received = self._readings.get(reading.stream, (now_ms, 0))
-        if reading.received < received or reading.stream not in self._readings:
-            self._readings[reading.stream] = (now_ms, reading.received)
+        since_ms, before = self._readings.get(reading.stream, (now_ms, None))
+        if before is None or before.number != reading.number:
+            self._readings[reading.stream] = (now_ms, reading)
         elif now_ms - since_ms >= LINE_INTERVAL_MS:
-            self._readings[reading.stream] = (now_ms, reading.received)
+            self._readings[reading.stream] = (now_ms, reading)
             fields = {
                 "stream": reading.stream,
                 "offset": reading.offset,
                 "records": reading.records,
                 "received": reading.received,
-                "in_last_ms": [reading.received - received, now_ms - since_ms],
+                "since_received": before.received,
+                "since_ms": now_ms - since_ms,
             }
             self.log.write("stream_reading", fields)
 
--- a/packages/service/src/fescuecrank_service/topic_reader.py
+++ b/packages/service/src/fescuecrank_service/topic_reader.py
@@ -55,6 +55,8 @@
     """A read that has received `received` bytes, from `offset` on or of the newest records."""
 
     stream: str
+    # Number of the read; those of one stream differ.
+    number: int
     received: int
     offset: int | None
     # Records that arrived with the pages before.
@@ -120,7 +122,8 @@
         self._failing = False
         # Whether more records can be read at once.
         self._behind = False
-        # Bytes of the current response that have arrived.
+        # Number of the current read, and the bytes of its response that have arrived.
+        self._read_number = 0
         self._received = 0
         self._task: asyncio.Task[None] | None = None
         # Identifies the newest read loop. Older loops deliver nothing; a read that they still wait
@@ -158,6 +161,7 @@
                 await self._order.wait()
                 if loop_number != self._loop_number:
                     return
+            self._read_number += 1
             self._received = 0
             try:
                 read = await (
@@ -185,11 +189,15 @@
                 await asyncio.sleep(pause_ms / 1_000)
 
     def _on_progress(self, received: int) -> None:
+        if received < self._received:
+            self._read_number += 1
         self._received = received
         if self._goes_first and self._order is not None:
             self._order.hold()
         records = len(self._newest.records) if self._newest is not None else 0
-        self._on_reading(Reading(self._name, received, self._next_offset, records))
+        self._on_reading(
+            Reading(self._name, self._read_number, received, self._next_offset, records)
+        )
 
     async def _read_newest(self, loop_number: int) -> Result[Any, Failure]:
         """Read the pages of the newest records, from the last page on that an earlier call read."""
