--- a/packages/platform/src/fescuecrank_platform/store.py
+++ b/packages/platform/src/fescuecrank_platform/store.py
@@ -20,6 +20,7 @@
     Store,
     Stream,
 )
+from fescuecrank_service.patient_reads import PatientReads
 from result import Err, Ok, Result
 
 from fescuecrank_platform.configuration import decode_configuration
@@ -89,6 +90,7 @@
         self, client: HttpClient, endpoints: Endpoints, topic: str, partition: int = 0
     ) -> None:
         self._client = client
+        self._reads = PatientReads(client)
         self._endpoints = endpoints
         self._query = f"topic={quote(topic)}&part={partition}"
 
@@ -101,7 +103,9 @@
     ) -> Result[Page | OffsetExpired, Failure]:
         """Read about `max_kb` of records from `from_offset` on."""
         path = f"/api/log-read?{self._query}&from={from_offset}&wait_ms={wait_ms}&max_kb={max_kb}"
-        outcome = await self._fetch("store.read", path, wait_ms + READ_SLACK_MS, on_progress)
+        outcome = await self._fetch(
+            "store.read", from_offset, path, wait_ms + READ_SLACK_MS, on_progress
+        )
         if outcome.is_err():
             return outcome
         response = outcome.ok_value
@@ -127,7 +131,7 @@
         """Read a page of the newest record of each key."""
         after = f"&after={quote(after_key, safe='')}" if after_key is not None else ""
         path = f"/api/log-newest?{self._query}{after}"
-        outcome = await self._fetch("store.newest", path, NEWEST_TIMEOUT_MS, on_progress)
+        outcome = await self._fetch("store.newest", after_key, path, NEWEST_TIMEOUT_MS, on_progress)
         if outcome.is_err():
             return outcome
         response = outcome.ok_value
@@ -150,10 +154,21 @@
             return self._failure("store.newest", f"malformed response: {exc!r}")
 
     async def _fetch(
-        self, operation: str, path: str, begin_timeout_ms: int, on_progress: OnProgress
+        self,
+        operation: str,
+        after: int | str | None,
+        path: str,
+        begin_timeout_ms: int,
+        on_progress: OnProgress,
     ) -> Result[Download, Failure]:
-        return await self._client.fetch(
-            operation, self._address, path, begin_timeout_ms, STALL_TIMEOUT_MS, on_progress
+        return await self._reads.fetch(
+            (operation, after),
+            operation,
+            self._address,
+            path,
+            begin_timeout_ms,
+            STALL_TIMEOUT_MS,
+            on_progress,
         )
 
     async def append(
--- a/packages/service/tests/test_reads.py
+++ b/packages/service/tests/test_reads.py
@@ -18,6 +18,7 @@
 from fescuecrank_scheduler.records import Record, StoredRecord
 from fescuecrank_service.http_client import HttpClient
 from fescuecrank_service.interfaces import NewestPage, Page
+from fescuecrank_service.patient_reads import PatientReads
 from fescuecrank_service.read_pace import (
     FIRST_PAGE_KB,
     MAX_CONFIG_RETRY_MS,
@@ -41,6 +42,10 @@
 STALL_MS = 300
 
 
+def ignore_progress(received):
+    """Take no note of how far a read has got."""
+
+
 class SlowServer(RawServer):
     """Sends each response in pieces, with a pause after each one, and then closes if told to."""
 
@@ -133,6 +138,50 @@
     asyncio.run(scenario())
 
 
+class LateServer(RawServer):
+    """Answers each request after a delay."""
+
+    def __init__(self, delay_s):
+        super().__init__()
+        self.delay_s = delay_s
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(self.delay_s)
+            writer.write(HEAD + b"12345678")
+
+
+def test_store_that_answers_later_than_the_time_out_is_read():
+    # Each attempt was given up before its answer came.
+    async def scenario():
+        server = await LateServer(0.5).start()
+        reads = PatientReads(HttpClient(1))
+
+        async def read(wanted):
+            return await reads.fetch(
+                wanted, "read", server.address, "/", 100, STALL_MS, ignore_progress
+            )
+
+        for wanted in (1, 2):
+            attempts = 1
+            while (outcome := await read(wanted)).is_err():
+                attempts += 1
+                assert attempts < 20
+            assert outcome.ok_value.body == b"12345678"
+        # One that answers in time is not asked twice any more.
+        server.delay_s = 0
+        for _ in range(3):
+            assert (await read(3)).is_ok()
+        connections = server.connections
+        assert (await read(3)).is_ok()
+        assert server.connections == connections
+        reads.close()
+
+    asyncio.run(scenario())
+
+
 class TestPageSize:
     """Sizes of pages."""
 
