--- a/packages/platform/tests/test_reads_after_outage.py
+++ b/packages/platform/tests/test_reads_after_outage.py
@@ -164,6 +164,25 @@
     run_deployment(scenario)
 
 
+def test_jobs_and_progress_follow_the_configuration_at_the_pace_of_the_link():
+    # They had the same fault: a page of 1 MB, within a time-out in which the link carries less.
+    async def scenario(deployment):
+        deployment.publish(1, 55_000)
+        entry = deployment.add_entry(bytes_per_s=SLOW_LINK / 4, mode=outage(2.5, 11.6, 503))
+        await deployment.until_version(1, BOUND_S)
+        await asyncio.sleep(2.5)
+        grow_during_outage(deployment)
+        size = 220_000 * 4 / 3 + 400 * 510 + 9_000 * 310
+        await asyncio.sleep(11.6 + 1.3 * size / entry.link.bytes_per_s - deployment.loop.time())
+        assert entry.log.fields_of("stream_regained")
+        reducer = entry.engine.reducer
+        now_ms = 1_000 * deployment.loop.time()
+        assert now_ms - reducer.intake.synced_ms < 2_000
+        assert entry.link.carried[RUNS] < 1.2 * 9_000 * 310
+
+    run_deployment(scenario)
+
+
 def test_failing_partition_of_the_configuration_does_not_stop_the_other_streams():
     async def scenario(deployment):
         deployment.publish(1, 1_000)
