Take the answer of an earlier read for no newer than that read

A read that is left to wait can answer a call that began later. Its copy counted as of that call, so that a job accepted in between could be denied.

Test: test_answer_of_an_earlier_read_says_nothing_about_now.

--- a/packages/platform/src/fescuecrank_platform/store.py
+++ b/packages/platform/src/fescuecrank_platform/store.py
@@ -123,7 +123,7 @@
             records = decode_records(response.body, from_offset, whole=response.failure is None)
         except ValueError as exc:
             return self._failure("store.read", str(exc))
-        return Ok(Page(records, end, response.transfer_ms, response.failure))
+        return Ok(Page(records, end, response.transfer_ms, response.failure, response.sent_before))
 
     async def read_newest(
         self, after_key: str | None, on_progress: OnProgress
--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -42,6 +42,8 @@
     body: bytes
     transfer_ms: int
     failure: Failure | None = None
+    # Whether the request was sent before the call that returns it; see `PatientReads`.
+    sent_before: bool = False
 
 
 class ConnectionLostError(OSError):
--- a/packages/service/src/fescuecrank_service/interfaces.py
+++ b/packages/service/src/fescuecrank_service/interfaces.py
@@ -24,6 +24,8 @@
     end_offset: int
     transfer_ms: int = 0
     failure: Failure | None = None
+    # Whether the read was sent before the call that returns it; newer records may be missing.
+    sent_before: bool = False
 
 
 @attrs.frozen
--- a/packages/service/src/fescuecrank_service/patient_reads.py
+++ b/packages/service/src/fescuecrank_service/patient_reads.py
@@ -10,7 +10,7 @@
 
 import attrs
 from fescuecrank_core.errors import Failure
-from result import Result
+from result import Ok, Result
 
 from fescuecrank_service.http_client import Download, HttpClient
 from fescuecrank_service.interfaces import OnProgress
@@ -61,6 +61,8 @@
                 self._waiting = (wanted, loop.create_task(patient))
             outcome, waited = await self._first_answer(loop.create_task(quick), self._waiting[1])
             in_time = outcome.is_ok() and (fresh or not waited)
+            if waited and not fresh:
+                outcome = Ok(attrs.evolve(outcome.ok_value, sent_before=True))
         if in_time:
             self._unanswered = 0
         elif outcome.is_err():
--- a/packages/service/src/fescuecrank_service/topic_reader.py
+++ b/packages/service/src/fescuecrank_service/topic_reader.py
@@ -240,7 +240,7 @@
         self._behind = missing > 0
         if page.failure is None:
             self._page_size.record(page.transfer_ms, len(page.records), self._behind)
-        if self._behind:
+        if self._behind or page.sent_before:
             as_of_ms = None
         elif not page.records:
             # The store responds without records only after the whole wait.
--- a/packages/service/tests/test_reads.py
+++ b/packages/service/tests/test_reads.py
@@ -170,6 +170,7 @@
                 attempts += 1
                 assert attempts < 20
             assert outcome.ok_value.body == b"12345678"
+            assert outcome.ok_value.sent_before
         # One that answers in time is not asked twice any more.
         server.delay_s = 0
         for _ in range(3):
@@ -303,6 +304,13 @@
         # With records missing, the copy is not complete as of now.
         assert [batch.as_of_ms for batch in delivered[:3]] == [0, None, 0]
 
+    def test_answer_of_an_earlier_read_says_nothing_about_now(self):
+        """A copy that was taken for newer than it is denied jobs that had been accepted."""
+        reads = [Ok(Page((), 5, sent_before=True)), Ok(Page((), 5))]
+        stream = ScriptedStream(reads=reads, newest=[Ok(NewestPage((), 5, False))])
+        delivered = run_reader(stream, lambda delivered: len(delivered) >= 3)
+        assert [batch.as_of_ms for batch in delivered[:3]] == [0, None, 0]
+
     @pytest.mark.parametrize("newest_only", [False, True])
     def test_replaced_versions_are_skipped_where_only_the_newest_counts(self, newest_only):
         end = 6 + MAX_REPLACED_RECORDS + 1
