Extend the soak over processes with lost writes, late orders and restarts under one id

The soak now draws a plan of faults from its seed: signals, restarts and changes of settings and configuration, a store that loses answers, carries writes out late, is slow or turns some entries away, workers that carry orders out late, answer late or never, restart under the same id with a new clock, or are reached by some entries only, and pairs of these. Callers send requests in a row on open connections until the process is gone, and repeat none of them, so that a request that is cut short shows.

It checks in addition that no task is started after an acknowledged end as done, then or later, that no step starts before the one it waits for, and that completion, failure, cancellation and refusals are true. A run prints what was injected, what it has hit and how often each check was made; a failure prints the time line, the history of the tasks and the log lines about them.

--- /dev/null
+++ b/packages/daemon/tests/soak_callers.py
@@ -0,0 +1,242 @@
+"""Callers of a soak, who keep using their connections until the process is gone."""
+
+import asyncio
+import random
+
+import attrs
+import orjson
+from platform_servers import now_ms
+from soak_entries import EntryProcess
+from soak_ledger import TASK_COUNTS, SoakJob
+from soak_workers import TASK_CPU
+
+KEY = "key-of-team-a"
+QUEUE = "/checks/"
+HOST = "host.example"
+
+# Bounds of a deployment, in ms: an accepted job is known everywhere, a withdrawn key is refused, a
+# request that was sent this shortly before the connection ended may not have been read.
+VISIBLE_MS = 3_000
+REVOKE_MS = 5_000
+LOSS_SLACK_MS = 200
+
+CALL_TIMEOUT_MS = 3_000
+ESTIMATE_MS = 200
+MAX_ATTEMPTS = 6
+MAX_RESPONSE_BYTES = 65_536
+
+
+@attrs.define
+class Answer:
+    """The outcome of one request; without a status, `failure` says how it ended."""
+
+    status: int | None = None
+    body: bytes = b""
+    failure: str = ""
+    # Whether a part of the response arrived, and whether the request was the connection's first.
+    partial: bool = False
+    first: bool = False
+    duration_ms: int = 0
+
+
+class Connection:
+    """One connection to an entry; a request is never repeated on another one."""
+
+    def __init__(self, entry: EntryProcess) -> None:
+        self.entry, self.lives = entry, entry.lives
+        self.usable = True
+        self.requests = 0
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    def close(self) -> None:
+        self.usable = False
+        if self._writer is not None:
+            self._writer.transport.abort()
+
+    async def request(self, method: str, path: str, key: str, body: bytes = b"") -> Answer:
+        """Send a request and wait for its response."""
+        answer, sent_ms = Answer(first=self.requests == 0), now_ms()
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_MS / 1_000):
+                if self._writer is None:
+                    host, port = self.entry.front.rsplit(":", 1)
+                    self._reader, self._writer = await asyncio.open_connection(host, int(port))
+                self.requests += 1
+                lines = (f"{method} {path} HTTP/1.1", f"Host: {HOST}")
+                lines += (f"Authorization: Bearer {key}", f"Content-Length: {len(body)}", "", "")
+                self._writer.write("\r\n".join(lines).encode() + body)
+                sent_ms = now_ms()
+                await self._read(answer)
+        except TimeoutError:
+            answer.failure = "timeout"
+        except asyncio.IncompleteReadError as exc:
+            answer.failure, answer.partial = "closed", answer.partial or bool(exc.partial)
+        except OSError:
+            answer.failure = "refused" if self._writer is None else "reset"
+        answer.duration_ms = now_ms() - sent_ms
+        if answer.failure:
+            answer.status = None
+            self.close()
+        return answer
+
+    async def _read(self, answer: Answer) -> None:
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        answer.partial = True
+        status_line, *rows = head.split("\r\n")
+        headers = {name.lower(): value for name, _, value in (row.partition(": ") for row in rows)}
+        answer.body = await self._reader.readexactly(int(headers.get("content-length", 0)))
+        answer.status, answer.partial = int(status_line.split()[1]), False
+        if headers.get("connection", "").lower() == "close":
+            # The entry closes it and does not read a further request.
+            self.close()
+
+
+class Callers:
+    """All callers of a soak."""
+
+    def __init__(self, soak, seed: int) -> None:
+        self.soak, self.seed = soak, seed
+        self.closing = False
+        # Withdrawn keys and when they were withdrawn.
+        self.withdrawn: list[tuple[int, str]] = []
+
+    async def call_in_rounds(self, number: int) -> None:
+        """Hand jobs in and ask for them, on one connection as long as it lasts."""
+        rng = random.Random(f"{self.seed}-caller-{number}")
+        conn = Connection(rng.choice(self.soak.entries))
+        while not self.closing:
+            if not conn.usable or rng.random() < 0.03:
+                conn.close()
+                conn = Connection(rng.choice(self.soak.entries))
+            conn = await self._hand_in(conn, rng)
+            for _ in range(rng.randrange(4)):
+                await self._ask(conn, rng)
+            if rng.random() < 0.1:
+                await self._hand_in_again(conn, rng)
+            if rng.random() < 0.1:
+                await self._cancel(conn, rng)
+            await asyncio.sleep(rng.choice((0, 0.05, 0.2, 0.4)))
+        conn.close()
+
+    async def press(self, entry: EntryProcess, number: int, seconds: float) -> None:
+        """Send requests in a row to one entry, for some time, until its process is gone."""
+        rng = random.Random(f"{self.seed}-press-{number}")
+        end_ms = now_ms() + 1_000 * seconds
+        conn, lives = Connection(entry), entry.lives
+        while entry.running and entry.lives == lives and now_ms() < end_ms and not self.closing:
+            if not conn.usable:
+                conn = Connection(entry)
+            if rng.random() < 0.2:
+                job = self._new_job(rng)
+                await self._submit(conn, job)
+            else:
+                await self._ask(conn, rng)
+            self.soak.count("requests in a row over a stop")
+            # An entry that refuses connections is still there, and others have their turn.
+            await asyncio.sleep(0.002 if conn.usable else 0.05)
+        conn.close()
+
+    def _new_job(self, rng: random.Random) -> SoakJob:
+        job = SoakJob(f"{rng.getrandbits(64):016x}", crashing=rng.random() < 0.03)
+        self.soak.ledger.jobs[job.id] = job
+        return job
+
+    async def _submit(self, conn: Connection, job: SoakJob) -> int | None:
+        steps = [{"count": n, "cpu": TASK_CPU, "estimate_ms": ESTIMATE_MS} for n in TASK_COUNTS]
+        for number in range(1, len(steps)):
+            steps[number]["after"] = [number - 1]
+        status = await self.call(conn, "POST", job, orjson.dumps({"spec": "s", "steps": steps}))
+        if status == 200:
+            job.accepted_ms = job.accepted_ms or now_ms()
+        return status
+
+    async def _hand_in(self, conn: Connection, rng: random.Random) -> Connection:
+        job, certain = self._new_job(rng), True
+        attempts = rng.choice((1, 2, MAX_ATTEMPTS))
+        for attempt in range(attempts):
+            if attempt:
+                await asyncio.sleep(rng.uniform(0.1, 0.5))
+                conn.close()
+                conn = Connection(rng.choice(self.soak.entries))
+            status = await self._submit(conn, job)
+            if status == 200:
+                return conn
+            certain = certain and status in (429, 503)
+        if certain:
+            self.soak.ledger.on_refused(job)
+        return conn
+
+    async def _hand_in_again(self, conn: Connection, rng: random.Random) -> None:
+        """Repeat a request whose job was accepted; it remains one job."""
+        if job := self._accepted_job(rng, 0):
+            await self._submit(conn, job)
+            self.soak.count("jobs handed in again")
+
+    async def _cancel(self, conn: Connection, rng: random.Random) -> None:
+        """Cancel a job that was accepted most recently, which stops what runs of it."""
+        due = [job for job in self.soak.ledger.owed_jobs() if not job.crashing]
+        if due:
+            due[-1].cancelled = True
+            await self.call(conn, "DELETE", due[-1])
+            self.soak.count("jobs cancelled")
+
+    def _accepted_job(self, rng: random.Random, age_ms: int) -> SoakJob | None:
+        jobs = self.soak.ledger.owed_jobs()
+        due = [job for job in jobs if now_ms() - job.accepted_ms > age_ms]
+        return rng.choice(due) if due else None
+
+    async def _ask(self, conn: Connection, rng: random.Random) -> None:
+        job = self._accepted_job(rng, VISIBLE_MS)
+        if job is None:
+            return
+        self.soak.ledger.checked["lookups of accepted jobs"] += 1
+        if await self.call(conn, "GET", job) == 410:
+            self.soak.violate(f"{conn.entry.name} answers 410 for the accepted job {job.id}")
+
+    async def call(
+        self, conn: Connection, method: str, job: SoakJob, body: bytes = b""
+    ) -> int | None:
+        """Send a request and check how its connection ended; return the status, if any."""
+        answer = await conn.request(method, QUEUE + job.id, KEY, body)
+        self._check_end(conn, answer, method, job)
+        if answer.status == 200 and method == "GET":
+            self.soak.ledger.on_state(job, orjson.loads(answer.body)["state"])
+        return answer.status
+
+    def _check_end(self, conn: Connection, answer: Answer, method: str, job: SoakJob) -> None:
+        entry, ledger = conn.entry, self.soak.ledger
+        if not entry.undisturbed or entry.lives != conn.lives:
+            return
+        ledger.checked["requests to entries without fault"] += 1
+        if answer.failure not in ("closed", "reset"):
+            return
+        self.soak.count("connections that ended without an answer")
+        slack_ms = LOSS_SLACK_MS + self.soak.lag_ms
+        at_once = answer.first and answer.failure == "closed"
+        if answer.partial or at_once or answer.duration_ms > slack_ms:
+            self.soak.violate(
+                f"{entry.name} cut a request short: {method} {job.id} {answer.failure} after "
+                f"{answer.duration_ms} ms, partial: {answer.partial}, first: {answer.first}"
+            )
+
+    async def use_withdrawn_keys(self) -> None:
+        """Ask with keys that were withdrawn, until cancelled; every entry must refuse them."""
+        rng = random.Random(f"{self.seed}-keys")
+        conns: dict[str, Connection] = {}
+        while True:
+            await asyncio.sleep(0.1)
+            due = [key for since_ms, key in self.withdrawn if now_ms() - since_ms > REVOKE_MS]
+            if not due:
+                continue
+            entry, key = rng.choice(self.soak.entries), rng.choice(due)
+            conn = conns.get(entry.name)
+            if conn is None or not conn.usable or conn.lives != entry.lives:
+                conn = conns[entry.name] = Connection(entry)
+            answer = await conn.request("GET", QUEUE + "0" * 16, key)
+            # An entry that cannot read the store does not hear of the withdrawal.
+            if answer.status is None or not entry.undisturbed or self.soak.store_away:
+                continue
+            self.soak.ledger.checked["withdrawn keys"] += 1
+            if answer.status in (200, 410):
+                self.soak.violate(f"{entry.name} accepts the key {key}, which was withdrawn")
--- /dev/null
+++ b/packages/daemon/tests/soak_plan.py
@@ -0,0 +1,85 @@
+"""The plan of a soak, drawn from its seed: which faults it injects when."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+from soak_faults import Faults
+
+FAULTS: dict[str, Callable[[Faults, random.Random], None]] = {
+    fault.__name__: fault
+    for fault in (
+        Faults.kill_entry,
+        Faults.kill_leader,
+        Faults.lose_power,
+        Faults.pause_entry,
+        Faults.pause_leader,
+        Faults.stop_entry,
+        Faults.stop_leader,
+        Faults.stop_entries_in_a_row,
+        Faults.stop_and_kill,
+        Faults.stop_while_paused,
+        Faults.reload_settings,
+        Faults.change_settings,
+        Faults.change_configuration,
+        Faults.change_configuration_often,
+        Faults.delay_store,
+        Faults.cut_store,
+        Faults.reset_store,
+        Faults.stop_store,
+        Faults.slow_store,
+        Faults.turn_entries_away,
+        Faults.lose_writes,
+        Faults.crash_worker,
+        Faults.restart_worker,
+        Faults.restart_worker_at_once,
+        Faults.restart_worker_behind_a_cut,
+        Faults.cut_worker,
+        Faults.cut_workers_off_from_some,
+        Faults.delay_worker,
+        Faults.reset_workers,
+        Faults.shrink_worker,
+        Faults.delay_orders,
+        Faults.lose_worker_answers,
+        Faults.answer_late,
+        Faults.turn_starts_away,
+        Faults.lose_writes_and_leader,
+        Faults.delay_orders_and_lose_leader,
+        Faults.delay_orders_and_restart_workers,
+        Faults.lose_power_late_orders_and_writes,
+        Faults.turn_starts_away_after_lost_answers,
+    )
+}
+
+
+@attrs.frozen
+class PlannedFault:
+    """One fault of a plan; its own seed makes it independent of what happened before."""
+
+    at_ms: int
+    name: str
+    seed: str
+
+
+def make_plan(seed: int, seconds: float, names: list[str]) -> list[PlannedFault]:
+    """Return the faults of a run: series of up to three that overlap, all kinds in turn."""
+    rng = random.Random(f"{seed}-plan")
+    plan: list[PlannedFault] = []
+    kinds: list[str] = []
+    at_ms = 0
+    while at_ms < 1_000 * seconds:
+        for _ in range(rng.randint(1, 3)):
+            if not kinds:
+                kinds = sorted(names)
+                rng.shuffle(kinds)
+            plan.append(PlannedFault(at_ms, kinds.pop(), f"{seed}-{len(plan)}"))
+            at_ms += rng.randrange(50, 600)
+        at_ms += rng.randrange(300, 2_000)
+    return plan
+
+
+def inject(faults: Faults, planned: PlannedFault) -> None:
+    """Inject a planned fault."""
+    faults.soak.note(f"fault: {planned.name}")
+    faults.soak.injected[planned.name] += 1
+    FAULTS[planned.name](faults, random.Random(planned.seed))
--- a/packages/daemon/tests/soak_proxy.py
+++ b/packages/daemon/tests/soak_proxy.py
@@ -1,25 +1,68 @@
-"""A TCP proxy on loopback that delays, holds back, resets or refuses connections."""
+"""A TCP proxy on loopback that delays, holds back, cuts off, resets or refuses connections."""
 
 import asyncio
 import contextlib
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
 
 CHUNK_BYTES = 65_536
 POLL_S = 0.02
 
+TCP_TABLE = Path("/proc/net/tcp")
+
+
+def client_ports(pids: list[int], server_port: int) -> set[int]:
+    """Return the local ports of the connections that processes have to a port on loopback."""
+    port_by_inode = {}
+    for line in TCP_TABLE.read_text().splitlines()[1:]:
+        fields = line.split()
+        local, remote = (int(address.rsplit(":", 1)[1], 16) for address in fields[1:3])
+        if remote == server_port:
+            port_by_inode[f"socket:[{fields[9]}]"] = local
+    ports = set()
+    for pid in pids:
+        # A process may end, and a descriptor may be closed, while they are read.
+        with contextlib.suppress(OSError):
+            for name in os.listdir(f"/proc/{pid}/fd"):
+                with contextlib.suppress(OSError):
+                    ports.add(port_by_inode.get(os.readlink(f"/proc/{pid}/fd/{name}"), 0))
+    return ports - {0}
+
+
+@attrs.define(eq=False)
+class Link:
+    """One connection through the proxy."""
+
+    client_port: int
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    # Whether its client is cut off, and whether bytes were held back.
+    cut: bool = False
+    held: bool = False
+
+    def abort(self) -> None:
+        for writer in self.writers:
+            writer.transport.abort()
+
 
 class Proxy:
-    """Forwards connections to a target address."""
+    """Forwards connections to a target address; `count` is told what each fault has hit."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, count: Callable[[str], None] = lambda name: None) -> None:
         self.target = target
         self.address = ""
         self.delay_ms = 0
         # Bytes towards the target, or from it, are held back.
         self.holds_requests = False
         self.holds_answers = False
+        self._count = count
+        # Returns the ids of the processes that are cut off.
+        self._cut_pids: Callable[[], list[int]] | None = None
         self._port = 0
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._links: set[Link] = set()
 
     async def open(self) -> None:
         """Listen, on the same port as before."""
@@ -37,12 +80,25 @@
 
     def reset(self) -> None:
         """Reset all connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+        for link in list(self._links):
+            self._count("connections reset")
+            link.abort()
+
+    def cut_off(self, pids: Callable[[], list[int]]) -> None:
+        """Hold back both directions of the connections of some processes, also of later ones."""
+        self._cut_pids = pids
+        ports = client_ports(pids(), self._port)
+        for link in self._links:
+            link.cut = link.client_port in ports
 
-    def repair(self) -> None:
-        """Forward everything at once again."""
+    def repair(self, drop: bool = False) -> None:
+        """Forward everything at once again; with `drop`, reset the connections that were held."""
         self.delay_ms, self.holds_requests, self.holds_answers = 0, False, False
+        self._cut_pids = None
+        for link in list(self._links):
+            if drop and link.held:
+                link.abort()
+            link.cut = link.held = False
 
     async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, port = self.target.rsplit(":", 1)
@@ -51,24 +107,30 @@
         except OSError:
             writer.transport.abort()
             return
-        self._writers |= {writer, back_writer}
+        link = Link(writer.get_extra_info("peername")[1], (writer, back_writer))
+        if self._cut_pids is not None:
+            link.cut = link.client_port in client_ports(self._cut_pids(), self._port)
+        self._links.add(link)
         try:
             await asyncio.gather(
-                self._pump(reader, back_writer, lambda: self.holds_requests),
-                self._pump(back_reader, writer, lambda: self.holds_answers),
+                self._pump(link, reader, back_writer, lambda: self.holds_requests),
+                self._pump(link, back_reader, writer, lambda: self.holds_answers),
             )
         finally:
-            for each in (writer, back_writer):
-                self._writers.discard(each)
-                each.transport.abort()
+            self._links.discard(link)
+            link.abort()
 
-    async def _pump(self, reader, writer, holds) -> None:
+    async def _pump(self, link: Link, reader, writer, holds) -> None:
         # A reset by either side ends the connection; resets are among the faults.
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 if self.delay_ms:
+                    self._count("chunks delayed")
                     await asyncio.sleep(self.delay_ms / 1_000)
-                while holds():
+                if holds() or link.cut:
+                    self._count("chunks cut off" if link.cut else "chunks held back")
+                while holds() or link.cut:
+                    link.held = True
                     await asyncio.sleep(POLL_S)
                 writer.write(data)
                 await writer.drain()
--- /dev/null
+++ b/packages/daemon/tests/soak_workers.py
@@ -0,0 +1,237 @@
+"""The workers of a soak, which crash, restart under the same id, and answer late or never."""
+
+import asyncio
+import random
+
+import attrs
+import orjson
+from fake_worker import FakeWorker
+from fescuecrank_platform.worker_client import parse_task_name
+from fescuecrank_scheduler.effects import HoldWorker
+from fescuecrank_scheduler.events import CallResult
+from fescuecrank_scheduler.jobs import TaskId
+from platform_servers import POLL_INTERVAL_S, WorkerServer, now_ms
+from soak_ledger import Life
+from soak_proxy import Proxy
+from soak_servers import NoAnswerError, SilentServer
+
+CAPACITY = 4_000
+TASK_CPU = 500
+
+HEARTBEAT_MS = 500
+CRASH_DELAY_MS = 10
+
+# A worker's report about itself counts after this time.
+RESIZE_GRACE_MS = 4_500
+
+# An order that is carried out late is so by this much; a proxy holds calls back as long.
+LATE_MS = (1_000, 6_000)
+
+START_PATH, HOLD_PATH = "/api/run-start", "/api/hold"
+
+
+def fencing_token(body: dict) -> int:
+    """Return the fencing token of a call to a worker."""
+    return body["fencing_token"]
+
+
+@attrs.define
+class SoakMachine(FakeWorker):
+    """A worker whose clock starts anew with each incarnation."""
+
+    def clock(self, now_ms: int) -> int:
+        return max(0, int((now_ms - self.started_ms) * 0.98))
+
+
+class SoakWorker(SilentServer, WorkerServer):
+    """One machine: a worker behind a proxy, whose successor has another id or the same."""
+
+    def __init__(self, number: int, work_ms: int, guards_room: bool, soak) -> None:
+        super().__init__(f"i-{number}-1", work_ms)
+        self.number, self.work_ms, self.soak, self.lives = number, work_ms, soak, 1
+        # Whether it refuses starts beyond its capacity.
+        self.guards_room = guards_room
+        self.worker = SoakMachine(f"i-{number}-1", started_ms=now_ms(), work_ms=work_ms)
+        self.proxy = Proxy(self.address, lambda name: soak.count(f"worker {name}"))
+        self.cpu, self.resized_ms = CAPACITY, 0
+        self._rng = random.Random(f"{soak.seed}-worker-{number}")
+        self._seen_end = 0
+        # Until when calls that were sent earlier may arrive.
+        self.late_until_ms = 0
+        self.repair_orders()
+
+    def repair_orders(self) -> None:
+        """Carry out and answer all further calls at once."""
+        # Paths of the calls that may be carried out late, and the share of them.
+        self.late_paths: tuple[str, ...] = ()
+        self.late_share = 0.0
+        # Shares of the calls that are carried out and not answered, and that are turned away.
+        self.unanswered_share = self.turned_away_share = 0.0
+        self.answer_delay_ms = 0
+
+    @property
+    def life(self) -> Life:
+        return Life(self.worker.id, self.worker.started_ms)
+
+    def listed_entry(self) -> dict:
+        capacity = {"cpu": self.cpu, "mem_mb": 8_000}
+        machine = f"m-{self.number}"
+        fields = {"address": self.proxy.address, "capacity": capacity, "machine": machine}
+        return self.entry("pool-a") | fields
+
+    async def send_heartbeats(self) -> None:
+        while True:
+            if self.worker.alive:
+                self.soak.store.put("keyed.servers", self.worker.id, self.listed_entry())
+            await asyncio.sleep(HEARTBEAT_MS / 1_000)
+
+    def expect_late_calls(self, duration_ms: int) -> None:
+        """Allow for calls that arrive late for some time after a fault."""
+        self.late_until_ms = max(self.late_until_ms, now_ms() + duration_ms + LATE_MS[1])
+
+    # Calls.
+
+    async def handle(self, req) -> tuple[int, bytes]:
+        if not self._is_for_this_worker(req):
+            return 421, orjson.dumps({"clock_ms": 0})
+        if req.path == START_PATH and self._rng.random() < self.turned_away_share:
+            self.soak.count("starts turned away")
+            return 503, b""
+        if req.path in self.late_paths and self._rng.random() < self.late_share:
+            self.soak.count(f"late {req.path.rsplit('/', 1)[-1]}")
+            self.soak.later(self._rng.randrange(*LATE_MS), lambda: self._carry_out_late(req))
+            raise NoAnswerError
+        answer = await self._carry_out(req)
+        if self._rng.random() < self.unanswered_share:
+            self.soak.count("worker answers lost")
+            raise NoAnswerError
+        if self.answer_delay_ms:
+            self.soak.count("worker answers delayed")
+            await asyncio.sleep(self.answer_delay_ms / 1_000)
+        return answer
+
+    def _is_for_this_worker(self, req) -> bool:
+        return req.headers.get("X-Expect-Instance") == self.worker.id
+
+    async def _carry_out_late(self, req) -> None:
+        if self.worker.alive and self._is_for_this_worker(req):
+            await self._carry_out(req, late=True)
+
+    async def _carry_out(self, req, late: bool = False) -> tuple[int, bytes]:
+        if not self.worker.alive:
+            raise NoAnswerError
+        self.observe()
+        body, life = orjson.loads(req.body), self.life
+        if req.path == START_PATH and self._is_beyond_room(body):
+            return self._refuse_for_room(body)
+        count = len(self.worker.started)
+        answer = await super().handle(req)
+        if req.path == START_PATH and len(self.worker.started) > count:
+            self._on_start(life, parse_task_name(body["task"]), body["run"], late)
+        return answer
+
+    def _is_beyond_room(self, body: dict) -> bool:
+        if not self.guards_room or parse_task_name(body["task"]) in self.worker.runs:
+            return False
+        return TASK_CPU * (len(self.worker.runs) + 1) > self.cpu
+
+    def _refuse_for_room(self, body: dict) -> tuple[int, bytes]:
+        """Refuse a start, which renews the lease nevertheless."""
+        self.soak.count("starts refused for room")
+        deadline_ms, token = body["deadline_ms"], fencing_token(body)
+        hold = HoldWorker(self.worker.id, self.address, token, 0, deadline_ms, 0, 0)
+        fenced = isinstance(self.worker.hold(hold, now_ms()), CallResult)
+        reason = "fence" if fenced else "room"
+        return 409, orjson.dumps({"reason": reason, "clock_ms": self.worker.clock(now_ms())})
+
+    async def _hold(self, base_fields, body) -> tuple[int, bytes]:
+        life, end_ms = self.life, now_ms() + body.get("wait_ms", 0)
+        body = body | {"wait_ms": 0}
+        answer = await super()._hold(base_fields, body)
+        if answer[0] != 200:
+            return answer
+        self.soak.ledger.on_acknowledged(life, body["last_seen"])
+        if self.worker.ends or now_ms() >= end_ms:
+            return answer
+        while not self.worker.ends and now_ms() < end_ms:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            if self.life != life or not self.worker.alive:
+                raise NoAnswerError
+            self.observe()
+        body.pop("deadline_ms", None)
+        return await super()._hold(base_fields, body)
+
+    # What it sees.
+
+    def observe(self) -> None:
+        """Record the ends until now."""
+        worker, now = self.worker, now_ms()
+        if not worker.alive:
+            return
+        if worker.lease_deadline_ms is not None and worker.clock(now) > worker.lease_deadline_ms:
+            self.soak.ledger.on_lapse(self.life)
+        worker.advance(now)
+        for row in worker.ends:
+            if row.number > self._seen_end:
+                self._seen_end = row.number
+                self.soak.ledger.on_end(self.life, row)
+
+    def _on_start(self, life: Life, task: TaskId, run: int, late: bool) -> None:
+        ledger = self.soak.ledger
+        for other in self.soak.workers:
+            other.observe()
+        others = [
+            other.worker.id
+            for other in self.soak.workers
+            if other is not self and other.worker.alive and task in other.worker.runs
+        ]
+        ledger.on_start(life, task, run, others, late)
+        used = TASK_CPU * len(self.worker.runs)
+        may_be_late = late or now_ms() < self.late_until_ms
+        grace_ms = RESIZE_GRACE_MS + (LATE_MS[1] if may_be_late else 0)
+        if not self.guards_room and used > self.cpu and now_ms() - self.resized_ms > grace_ms:
+            self.soak.violate(f"{life.worker} holds {self.cpu} and has {used}, start of {task}")
+        job = ledger.jobs.get(task.job)
+        if job is not None and job.crashing and (task.step, task.index) == (0, 0):
+            self.soak.later(CRASH_DELAY_MS, lambda: self._crash_under(task, life))
+
+    def _crash_under(self, task: TaskId, life: Life) -> None:
+        if self.worker.alive and self.life == life and task in self.worker.runs:
+            self.soak.ledger.on_crash(task, life)
+            self.soak.count("crashes under a task")
+            self.soak.note(f"{life.worker} crashes under {task.job}")
+            self.crash(self._rng.randrange(800, 2_500), keeps_id=self._rng.random() < 0.3)
+
+    # Faults.
+
+    def crash(self, repair_ms: int, keeps_id: bool = False, silent: bool = False) -> None:
+        """End the worker; after a while another one has the address, or the same with a new clock.
+
+        If it crashes `silent`, its connections stay open.
+        """
+        if not self.worker.alive:
+            return
+        self.observe()
+        self.worker.crash(now_ms())
+        self.soak.count("workers crashed")
+        if not silent:
+            self.proxy.refuse()
+        self.soak.later(repair_ms, lambda: self._come_back(keeps_id))
+
+    async def _come_back(self, keeps_id: bool) -> None:
+        self._seen_end = 0
+        if keeps_id:
+            self.soak.count("workers restarted under the same id")
+            self.worker.restart(now_ms())
+        else:
+            self.soak.store.put("keyed.servers", self.worker.id, None)
+            self.lives += 1
+            self.worker = SoakMachine(
+                f"i-{self.number}-{self.lives}", started_ms=now_ms(), work_ms=self.work_ms
+            )
+        await self.proxy.open()
+
+    def resize(self, cpu: int) -> None:
+        """Change the capacity; the worker goes on with what it runs."""
+        self.soak.count("capacity changes")
+        self.cpu, self.resized_ms = cpu, now_ms()
--- /dev/null
+++ b/packages/daemon/tests/test_soak_checks.py
@@ -0,0 +1,242 @@
+"""Each check of the soak over processes reports the failure that it guards against."""
+
+import asyncio
+import contextlib
+
+import pytest
+from soak_builders import (
+    JOB,
+    LAST_TASK,
+    LIFE,
+    NEXT_LIFE,
+    OTHER_LIFE,
+    TASK,
+    CheckedLedger,
+    ask_server,
+    response,
+)
+from soak_callers import REVOKE_MS, VISIBLE_MS, Connection
+from soak_ledger import SHOWN_SLACK_MS
+from soak_plan import FAULTS, make_plan
+
+
+def test_one_run_that_ends_as_done_is_no_violation():
+    ledger = CheckedLedger()
+    ledger.start()
+    ledger.end(1)
+    ledger.on_acknowledged(LIFE, 1)
+    assert not ledger.violations
+
+
+def test_start_while_the_task_runs_elsewhere_is_reported():
+    ledger = CheckedLedger()
+    ledger.start(others=("i-2",))
+    assert "runs on ['i-2']" in ledger.violations[0]
+
+
+def test_start_after_an_acknowledged_end_is_reported():
+    ledger = CheckedLedger()
+    ledger.start()
+    ledger.end(1)
+    ledger.on_acknowledged(LIFE, 1)
+    ledger.start(OTHER_LIFE, run=2)
+    assert "had been acknowledged" in ledger.violations[0]
+
+
+def test_end_that_is_acknowledged_after_a_further_start_is_reported():
+    ledger = CheckedLedger()
+    ledger.start()
+    ledger.end(1)
+    ledger.start(OTHER_LIFE, run=2)
+    assert not ledger.violations
+    ledger.on_acknowledged(LIFE, 1)
+    assert "had been started again" in ledger.violations[0]
+
+
+def test_end_behind_the_acknowledged_number_or_of_another_life_allows_a_further_start():
+    ledger = CheckedLedger()
+    ledger.start()
+    ledger.end(2)
+    ledger.on_acknowledged(LIFE, 1)
+    ledger.on_acknowledged(NEXT_LIFE, 2)
+    ledger.start(OTHER_LIFE, run=2)
+    assert not ledger.violations
+
+
+def test_acknowledgement_after_a_lapse_of_the_lease_does_not_count():
+    ledger = CheckedLedger()
+    ledger.start()
+    ledger.end(1)
+    ledger.on_lapse(LIFE)
+    ledger.on_acknowledged(LIFE, 1)
+    ledger.start(OTHER_LIFE, run=2)
+    assert not ledger.violations
+
+
+@pytest.mark.parametrize("started_first", [False, True])
+def test_start_of_a_refused_job_is_reported(started_first):
+    ledger = CheckedLedger()
+    steps = [ledger.start, lambda: ledger.on_refused(ledger.job)]
+    for step in steps if started_first else reversed(steps):
+        step()
+    assert "refused" in ledger.violations[0]
+
+
+def test_start_of_a_job_that_was_never_sent_is_reported():
+    ledger = CheckedLedger()
+    del ledger.jobs[JOB]
+    ledger.start()
+    assert "never sent" in ledger.violations[0]
+
+
+def test_start_before_the_tasks_of_the_earlier_step_are_done_is_reported():
+    ledger = CheckedLedger()
+    ledger.start(task=LAST_TASK)
+    assert len(ledger.violations) == 3
+
+
+def test_start_after_the_job_was_shown_as_completed_is_reported():
+    ledger = CheckedLedger()
+    ledger.on_state(ledger.job, "completed")
+    ledger.job.completed_ms -= SHOWN_SLACK_MS + 100
+    ledger.violations.clear()
+    ledger.start()
+    assert "shown as completed" in ledger.violations[0]
+
+
+def test_completion_without_all_tasks_done_is_reported():
+    ledger = CheckedLedger()
+    ledger.on_state(ledger.job, "completed")
+    assert len(ledger.violations) == 4
+
+
+def test_failure_without_cause_is_reported():
+    ledger = CheckedLedger()
+    ledger.on_state(ledger.job, "failed")
+    assert "without fault" in ledger.violations[0]
+
+
+def test_third_start_after_three_crashes_is_reported():
+    ledger = CheckedLedger(crashing=True)
+    for _ in range(3):
+        ledger.on_crash(TASK, LIFE)
+    ledger.start(run=4)
+    ledger.start(run=5)
+    assert not ledger.violations
+    ledger.start(run=6)
+    assert "after 3 crashes" in ledger.violations[0]
+
+
+def test_cancellation_that_nobody_asked_for_is_reported():
+    ledger = CheckedLedger()
+    ledger.on_state(ledger.job, "cancelled")
+    assert "nobody asked for" in ledger.violations[0]
+
+
+# Callers.
+
+
+async def answer_all(writer, number):
+    writer.write(response(200, b'{"state":"running"}'))
+
+
+async def ask_twice(soak):
+    conn = Connection(soak.entries[0])
+    for _ in range(2):
+        await soak.callers.call(conn, "GET", soak.ledger.job)
+    conn.close()
+
+
+def test_answered_requests_are_no_violation():
+    assert not ask_server(answer_all, ask_twice)
+
+
+def test_answer_that_ends_in_the_middle_is_reported():
+    async def answer(writer, number):
+        writer.write(response(200)[:-1])
+        writer.close()
+
+    assert "cut a request short" in ask_server(answer, ask_twice)[0]
+
+
+def test_connection_that_is_closed_without_its_first_answer_is_reported():
+    async def answer(writer, number):
+        writer.close()
+
+    assert "cut a request short" in ask_server(answer, ask_twice)[0]
+
+
+@pytest.mark.parametrize(("wait_s", "reported"), [(0, False), (0.4, True)])
+def test_open_connection_that_ends_late_without_an_answer_is_reported(wait_s, reported):
+    async def answer(writer, number):
+        if number == 1:
+            await answer_all(writer, number)
+        else:
+            await asyncio.sleep(wait_s)
+            writer.close()
+
+    assert bool(ask_server(answer, ask_twice)) == reported
+
+
+def test_cut_by_a_disturbed_entry_is_no_violation():
+    async def answer(writer, number):
+        writer.close()
+
+    async def scenario(soak):
+        soak.entries[0].undisturbed = False
+        await ask_twice(soak)
+
+    assert not ask_server(answer, scenario)
+
+
+def test_accepted_job_that_an_entry_does_not_know_is_reported():
+    async def answer(writer, number):
+        writer.write(response(410))
+
+    async def scenario(soak):
+        soak.ledger.job.accepted_ms = -10 * VISIBLE_MS
+        soak.callers.closing = False
+        task = asyncio.ensure_future(soak.callers.press(soak.entries[0], 1, 0.2))
+        await task
+
+    assert f"answers 410 for the accepted job {JOB}" in ask_server(answer, scenario)[0]
+
+
+@pytest.mark.parametrize(("status", "reported"), [(200, True), (410, True), (401, False)])
+def test_withdrawn_key_that_is_accepted_is_reported(status, reported):
+    async def answer(writer, number):
+        writer.write(response(status))
+
+    async def scenario(soak):
+        soak.callers.withdrawn.append((-2 * REVOKE_MS, "key-2"))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await soak.callers.use_withdrawn_keys()
+
+    assert any("key-2" in text for text in ask_server(answer, scenario)) == reported
+
+
+def test_refused_job_is_given_up_and_recorded():
+    async def answer(writer, number):
+        writer.write(response(503))
+
+    async def scenario(soak):
+        task = asyncio.ensure_future(soak.callers.call_in_rounds(1))
+        await asyncio.sleep(1.0)
+        soak.callers.closing = True
+        await task
+        refused = [job for job in soak.ledger.jobs.values() if job.refused]
+        assert refused
+        soak.ledger.start(task=type(TASK)(refused[0].id, 0, 0, 0))
+
+    assert "refused" in ask_server(answer, scenario)[0]
+
+
+# The plan.
+
+
+def test_plan_is_repeatable_and_has_all_kinds():
+    plan = make_plan(7, 60, list(FAULTS))
+    assert plan == make_plan(7, 60, list(FAULTS))
+    assert plan != make_plan(8, 60, list(FAULTS))
+    assert {planned.name for planned in plan} == set(FAULTS)
