Let requests take long enough in the soak for an abrupt end to show

Requests that an entry took less than 200 ms before its connection ended do not count as cut. In a third of the runs the store takes 300 ms for a request.

--- a/packages/daemon/tests/process_soak.py
+++ b/packages/daemon/tests/process_soak.py
@@ -32,6 +32,10 @@
 # Durations of tasks, by worker.
 WORK_MS = (100, 200, 400, 800)
 
+# Time that the store takes for a request, by run. The longest is beyond `LOSS_SLACK_MS`, so
+# that an entry that ends at once cuts requests that count.
+INTAKE_APPEND_MS = (0, 20, 300)
+
 # A key that is withdrawn this early is tried during most of the run.
 FIRST_KEY_MS = 500
 
@@ -77,6 +81,7 @@
         self._extra_keys: list[str] = []
         self._guards_room = rng.random() < 0.5
         self.store = SharedStore()
+        self.store.intake_append_ms = rng.choice(INTAKE_APPEND_MS)
         self.ledger = Ledger(self.violate, self.now_text)
         self.entries = [self._make_entry(number) for number in range(entries)]
         self.workers = [
@@ -288,6 +293,7 @@
             f"seed {self.seed}: {len(jobs)} jobs, {accepted} accepted, "
             f"{sum(job.refused for job in jobs)} refused, "
             f"{sum(crashed)} crashes under {len(crashed)} tasks, "
+            f"appends of requests in {self.store.intake_append_ms} ms, "
             f"longest delay of the soak {self.largest_lag_ms} ms, "
             f"{len(self.violations)} violations"
         )
--- a/packages/daemon/tests/soak_faults.py
+++ b/packages/daemon/tests/soak_faults.py
@@ -196,6 +196,9 @@
         self, entries: list[EntryProcess], rng: random.Random, duration_ms: int
     ) -> None:
         lost, late = rng.uniform(0.2, 0.6), rng.uniform(0.1, 0.4)
+        if rng.random() < 0.3:
+            # Also the repetitions of an append get no answer, so that its outcome stays unknown.
+            lost, late = 1.0, 0.0
 
         def harm(front: StoreFront) -> None:
             front.lost_share, front.late_share = lost, late
--- a/packages/daemon/tests/soak_store.py
+++ b/packages/daemon/tests/soak_store.py
@@ -26,6 +26,8 @@
 
     def __init__(self) -> None:
         self.partitions: dict[str, FakePartition] = {}
+        # Time that an append to the stream of callers' requests takes without any fault.
+        self.intake_append_ms = 0
         # Number of the entry whose append to the stream of the leader was the last.
         self.leader: int | None = None
         self._waiting: dict[int, list[asyncio.Future]] = {}
@@ -88,6 +90,8 @@
             await asyncio.sleep(self.slow_ms / 1_000)
         if req.path != "/api/log-append":
             return await super().handle(req)
+        if req.query_arguments["topic"][0].decode() == TOPIC_NAMES[Topic.INTAKE]:
+            await asyncio.sleep(self.shared.intake_append_ms / 1_000)
         roll = self._rng.random()
         if roll < self.late_share:
             self._count("writes late and unanswered")
