--- a/packages/daemon/tests/process_soak.py
+++ b/packages/daemon/tests/process_soak.py
@@ -28,13 +28,13 @@
 from soak_store import SharedStore, StoreFront
 from soak_workers import CAPACITY, LATE_MS, SoakWorker
 
-CALLERS = 4
+CALLERS = 8
 # Durations of tasks, by worker.
 WORK_MS = (100, 200, 400, 800)
 
 # Time that the store takes for a request, by run. The longest is beyond `LOSS_SLACK_MS`, so
 # that an entry that ends at once cuts requests that count.
-INTAKE_APPEND_MS = (0, 20, 300)
+INTAKE_APPEND_MS = (0, 5, 20, 300)
 
 # A key that is withdrawn this early is tried during most of the run.
 FIRST_KEY_MS = 500
