--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,8 @@
 STEPS ?= 20000
 SECONDS ?= 20
 ENTRIES ?= 4
+WORKERS ?= 6
+FAULTS ?=
 
 .PHONY: test lint format demo model soak soak-processes faults bench slopes
 
@@ -39,10 +41,12 @@
 soak: $(STAMP)
 	PYTHONPATH=packages/core/src:packages/core/tests $(BIN)/python packages/core/tests/soak.py --seed $(SEED) --steps $(STEPS)
 
-# Real processes on loopback; SECONDS of faults, then everything is repaired.
+# Real processes on loopback; SECONDS of faults, then everything is repaired. FAULTS names kinds of
+# faults of packages/daemon/tests/soak_plan.py, separated by commas; all by default.
 soak-processes: $(STAMP)
 	PYTHONPATH=$(subst $(eval) ,:,$(foreach p,scheduler service platform daemon,packages/$(p)/tests)) \
-		$(BIN)/python packages/daemon/tests/process_soak.py --seed $(SEED) --seconds $(SECONDS) --entries $(ENTRIES)
+		$(BIN)/python packages/daemon/tests/process_soak.py --seed $(SEED) --seconds $(SECONDS) --entries $(ENTRIES) \
+		--workers $(WORKERS) --faults "$(FAULTS)"
 
 bench: $(STAMP)
 	$(BIN)/python -m fescuecrank_bench
