--- a/packages/daemon/tests/process_soak.py
+++ b/packages/daemon/tests/process_soak.py
@@ -151,7 +151,7 @@
 
     @property
     def store_away(self) -> bool:
-        return all(entry.store_front.down for entry in self.entries)
+        return all(entry.store_front.away for entry in self.entries)
 
     def press(self, entry: EntryProcess, number: int, seconds: float) -> None:
         self.spawn(self.callers.press(entry, number, seconds))
--- a/packages/daemon/tests/soak_faults.py
+++ b/packages/daemon/tests/soak_faults.py
@@ -168,7 +168,7 @@
 
     def stop_store(self, rng: random.Random) -> None:
         def stop(front: StoreFront) -> None:
-            front.down = True
+            front.away = True
 
         duration_ms = rng.randrange(500, 4_000)
         self._disturb_store(self.soak.entries, duration_ms, stop)
--- a/packages/daemon/tests/soak_store.py
+++ b/packages/daemon/tests/soak_store.py
@@ -73,13 +73,18 @@
         self.late_share = 0.0
         # Status with which calls are turned away; 0 for no answer at all.
         self.turned_away: int | None = None
+        # The store is away for all.
+        self.away = False
         self.slow_ms = 0
 
     def repair(self) -> None:
         self.lost_share = self.late_share = 0.0
-        self.turned_away, self.slow_ms, self.down = None, 0, False
+        self.turned_away, self.slow_ms, self.away = None, 0, False
 
     async def handle(self, req: HTTPServerRequest) -> tuple[int, bytes]:
+        if self.away:
+            self._count("store calls while it was away")
+            return 503, b""
         if self.turned_away is not None:
             self._count("store calls turned away")
             if self.turned_away == 0:
