--- a/packages/daemon/tests/soak_workers.py
+++ b/packages/daemon/tests/soak_workers.py
@@ -206,12 +206,14 @@
 
     def _on_start(self, life: Life, task: TaskId, run: int, late: bool) -> None:
         ledger = self.soak.ledger
-        for other in self.soak.workers:
+        # Its own ends come later: this process may be delayed for longer than the run takes.
+        elsewhere = [other for other in self.soak.workers if other is not self]
+        for other in elsewhere:
             other.observe()
         others = [
             other.worker.id
-            for other in self.soak.workers
-            if other is not self and other.worker.alive and task in other.worker.runs
+            for other in elsewhere
+            if other.worker.alive and task in other.worker.runs
         ]
         ledger.on_start(life, task, run, others, late)
         used = TASK_CPU * len(self.worker.runs)
