--- a/packages/scheduler/tests/test_review_findings.py
+++ b/packages/scheduler/tests/test_review_findings.py
@@ -6,13 +6,24 @@
 import random
 
 from fescuecrank_scheduler import events
-from fescuecrank_scheduler.effects import StopRun, StoreProgress
-from fescuecrank_scheduler.events import CallResult, EndRow, RunRow, StopDone, StoreResult, Topic
+from fescuecrank_scheduler.effects import MaintainMachine, StopRun, StoreProgress
+from fescuecrank_scheduler.events import (
+    CallResult,
+    EndRow,
+    MachineRow,
+    MachinesListed,
+    RunRow,
+    StopDone,
+    StoreResult,
+    Topic,
+)
+from fescuecrank_scheduler.fleet import Resources, Wave
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job, Phase
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.leadership import EPOCH_STEP
 from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.maintenance import Maintenance
 from fescuecrank_scheduler.records import Leadership, StoredRecord
 from fescuecrank_scheduler.reducer import Reducer
 from fescuecrank_scheduler.scheduler import Scheduler
@@ -240,6 +251,45 @@
         assert not reducer.scheduler.state.may_grant_leases(instant(now_ms))
 
 
+class TestWaves:
+    """Machines of a wave that are not up and that this leader has not taken down."""
+
+    def orders(self, states: tuple[str, str], workers: int) -> list[str]:
+        """Return the machines of a wave that are taken down within a second, one at a time."""
+        driver = make_driver(workers=workers)
+        maintenance = Maintenance(driver.state, driver.leader.runs)
+        wave = Wave(1, ("m-worker-1", "m-worker-2"), 20_000, 1)
+        maintenance.set_waves((wave,), {}, instant(driver.now_ms))
+        rows = tuple(
+            MachineRow(f"m-{name}", "pool-a", state, name, Resources(4_000, 64_000), ("a", "b"))
+            for name, state in zip(WORKERS, states, strict=True)
+        )
+        orders = []
+        for _ in range(10):
+            driver.now_ms += 100
+            listed = MachinesListed(rows, driver.now_ms)
+            maintenance.on_machines_listed(listed, instant(driver.now_ms))
+            effects = maintenance.tick(instant(driver.now_ms), {})
+            orders += [each.machine for each in effects if isinstance(each, MaintainMachine)]
+        return orders
+
+    def test_machine_that_is_down_counts_towards_the_limit(self):
+        """The predecessor is killed after its order was carried out and before it was recorded.
+
+        The successor sees the machine under maintenance in the list, but counts only machines that
+        it has selected itself. While the entry of the ended worker is still listed, another idle
+        machine comes first and is taken down beyond the wave's limit.
+        """
+        assert self.orders(("up", "upkeep"), workers=2) == []
+
+    def test_machine_that_stays_away_does_not_hold_the_others_up(self):
+        """A machine of the wave is lost for good; it comes first in order and is never up.
+
+        With a limit of one machine no other one is ever taken down.
+        """
+        assert self.orders(("up", "down"), workers=1) == ["m-worker-1"]
+
+
 class TestRetiredWorkers:
     """Workers of machines that were taken down."""
 
