Count machines under maintenance, and no lost ones, towards the limit of a wave

A successor took a machine down beyond the limit while one that its predecessor had taken down was listed but not recorded. A machine that was lost for good came first in order and held all others up.

Tests: TestWaves; both were red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -248,9 +248,12 @@
             min(progress.wave.cap, self._required_concurrency(progress, now))
             - progress.in_progress()
         )
+        # A previous leader may have taken these down without a record of it.
+        slots -= sum(self.machine_rows[name].state not in ("up", "down") for name in left)
+        left = [name for name in left if self.machine_rows[name].state == "up"]
         left.sort(key=self._disruption)
         for name in left[: max(0, slots)]:
-            if self.machine_rows[name].state == "up" and name not in moving:
+            if name not in moving:
                 progress.machines[name] = MachineStatus(Stage.EMPTYING, now.mono_ms)
                 self._effects.append(
                     LogLine("machine_cordoned", {"machine": name, "wave": progress.wave.number})
