Withdraw a planned run for one that goes on; retire no worker that is cut off

A run that was given up was listed as running while the record of the next one was being stored; the start of that one was sent as soon as it was stored.

A worker whose upkeep had been done before, and that was cut off when it was asked for an answer, was retired for as long as the leader led. It is now used again when it answers.

Tests: TestPlansBesideRunsThatGoOn, TestRetiredWorkers; both were red before.

--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -110,8 +110,6 @@
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             if event.result in NO_CONTACT:
                 self._on_contact_lost(worker, event.result, now)
-            if worker.end_expected and event.result in {*NO_CONTACT, CallResult.OTHER_INCARNATION}:
-                self.runs.retire_worker(worker.id, now)
             self.runs.on_call_rejected(worker, event.result, worker.hold_token, now)
 
     def _on_contact_lost(self, worker: Worker, result: CallResult, now: Now) -> None:
@@ -235,7 +233,8 @@
             run = worker.runs.get(row.task)
             if run is not None and run.number == row.run:
                 continue
-            if run is None and self.runs.take_back(worker, row, now):
+            unsent = run is None or run.state is RunState.PLANNED
+            if unsent and self.runs.take_back(worker, row, now):
                 continue
             if self.state.accepts_any_start(worker):
                 # The run's resources are in use and not counted.
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -37,6 +37,9 @@
 DRAIN_ESTIMATE_MS = 2_500
 
 
+# State of a machine that maintenance has taken down.
+IN_MAINTENANCE = "upkeep"
+
 # Progress that a long-running task reports once its startup has finished.
 READY_PERCENT = 100
 
@@ -249,7 +252,7 @@
             - progress.in_progress()
         )
         # A previous leader may have taken these down without a record of it.
-        slots -= sum(self.machine_rows[name].state not in ("up", "down") for name in left)
+        slots -= sum(self.machine_rows[name].state == IN_MAINTENANCE for name in left)
         left = [name for name in left if self.machine_rows[name].state == "up"]
         left.sort(key=self._disruption)
         for name in left[: max(0, slots)]:
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -168,12 +168,22 @@
             self.state.hold_times.set(worker.id, now.mono_ms)
 
     def take_back(self, worker: Worker, row: RunRow, now: Now) -> bool:
-        """Adopt a run that was given up but goes on, if its task waits; return whether it did."""
+        """Adopt a run that was given up but goes on; return whether it did.
+
+        It does not if a later run of the task may have been started.
+        """
         job = self.state.table.jobs.get(row.task.job)
         task = job.task(row.task) if job is not None else None
         if job is None or task is None or not job.open or job.id in self.state.outcomes:
             return False
-        if task.phase is not Phase.WAITING or task.run != row.run or job.steps[task.id.step].gang:
+        if job.steps[task.id.step].gang or row.run > task.run:
+            return False
+        found = self.state.find_run(task.id)
+        if found is not None and found[1].state is RunState.PLANNED and row.run < task.run:
+            self.run_ended(*found, "withdrawn", "", now)
+            # The number of a run that was never sent is used again.
+            task.run = row.run
+        if task.phase is not Phase.WAITING or task.run != row.run:
             return False
         self.state.log("run_taken_back", task=row.task.label, run=row.run, worker=worker.id)
         self.state.given_up_runs.get(row.task, set()).discard(row.run)
@@ -194,7 +204,7 @@
         self.run_ended(worker, run, "lapsed", "", now)
 
     def expect_end(self, worker_id: str, now: Now) -> None:
-        """Ask a worker whose machine was taken down for an answer, and retire it if it gives none.
+        """Use a worker whose machine was taken down again only if it answers from now on.
 
         The platform also confirms an order that was carried out before; the worker that is on the
         machine now answers.
