Send no second copy of an order to the machine service

The refusal of the second copy was taken for that of the order, whose first copy may be carried out later. Test: test_orders_send_lease_holder_and_fencing_token checks it.

--- a/packages/platform/src/fescuecrank_platform/fleet_client.py
+++ b/packages/platform/src/fescuecrank_platform/fleet_client.py
@@ -95,6 +95,8 @@
             ORDER_TIMEOUT_MS,
             orjson.dumps(body),
             headers,
+            # The refusal of a second copy would say nothing about the first.
+            resend=False,
         )
         if outcome.is_err():
             return OrderResult.NO_ANSWER
--- a/packages/platform/tests/test_platform.py
+++ b/packages/platform/tests/test_platform.py
@@ -459,6 +459,7 @@
         assert done.result is result
         headers = http_client.calls[0][4]
         assert (headers["X-Lease-Holder"], headers["X-Fencing-Token"]) == ("edge-1", "12")
+        assert http_client.resent == [False]
 
     def test_advice_returns_tickets(self):
         response = Response(200, b'{"good": [["i-1", "t"]], "validity_ms": 3000}')
