Repeat no unanswered start on a worker that drains

Repeating a start checked the capacity, not whether the worker still takes runs. Such a run is stopped instead, which also rejects a start that is carried out late. The test failed before.

--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -135,7 +135,7 @@
                 # Another incarnation may answer next, which must not run it beside other runs.
                 if worker.contact_lost_ms is not None:
                     continue
-                if not self._has_room(worker, run, now):
+                if not worker.ready or not self._has_room(worker, run, now):
                     self.stop(worker, run, now)
                     continue
                 if self.state.still_needed(run):
