Try tasks of a kind that crashes its workers before they share one

Cause: a task that crashes its workers was isolated, those that resemble it were not, so each bad job of a release took a worker with up to 18 runs.

A crash within 65 ms of a start now puts the kind (queue and image) under suspicion. One task of each of its jobs has to prove well on a worker without other runs; the rest then start as usual, and all tasks are tried if a crash shows that one says too little. The record is stored for the next leader.

Ruled out by the model and by trials: staggered starts on all workers, a trial for each task, giving up after one crash; docs/crashing-kinds.md keeps their figures and what binds.

--- a/packages/scheduler/src/fescuecrank_scheduler/crashes.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/crashes.py
@@ -8,6 +8,7 @@
 import attrs
 
 from fescuecrank_scheduler.clocks import Now
+from fescuecrank_scheduler.crashing_kinds import CrashingKinds, kind_name
 from fescuecrank_scheduler.jobs import Job, Suspicion, Task
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.suspicion import (
@@ -35,16 +36,25 @@
     """Crashes of workers under one leadership."""
 
     state: LeaderState
-    # Workers that went away in the last `COINCIDENCE_MS`.
+    kinds: CrashingKinds = attrs.field(init=False)
+    # Workers that went away in the last `COINCIDENCE_MS`, without those that a trial explains.
     _losses: deque[tuple[int, str]] = attrs.field(factory=deque)
 
+    @kinds.default
+    def _make_kinds(self) -> CrashingKinds:
+        return CrashingKinds(self.state)
+
     def on_contact_lost(self, worker: Worker, timed_out: bool, now: Now) -> None:
         """Suspect the runs of a worker that does not answer any more; see `Loss.timed_out`."""
         if self._leaves_as_planned(worker):
             return
         if not worker.runs or not worker.last_answer_ms:
             # Switched off, or away since before this leadership.
-            self._suspect(worker, Loss(now.mono_ms, timed_out))
+            self._suspect(worker, Loss(now.mono_ms, timed_out), now)
+            return
+        if _ended_trial(worker, Loss(now.mono_ms, timed_out)):
+            # The trial explains the loss, so it has no cause in common with others.
+            self._suspect(worker, Loss(now.mono_ms, timed_out), now)
             return
         while self._losses and self._losses[0][0] < now.mono_ms - COINCIDENCE_MS:
             self._losses.popleft()
@@ -52,7 +62,7 @@
         self._losses.append((now.mono_ms, worker.id))
         if len(others) >= MAX_COINCIDENT:
             return
-        self._suspect(worker, Loss(now.mono_ms, timed_out, coincident=bool(others)))
+        self._suspect(worker, Loss(now.mono_ms, timed_out, coincident=bool(others)), now)
         for other in others:
             for run in other.runs.values() if other is not None else ():
                 if not run.isolated:
@@ -64,7 +74,7 @@
         The loss of contact may have been recorded by the previous leader.
         """
         if worker.contact_lost_ms is None and not self._leaves_as_planned(worker):
-            self._suspect(worker, Loss(now.mono_ms))
+            self._suspect(worker, Loss(now.mono_ms), now)
         self.state.crash_count += bool(worker.runs)
         return [run for run in worker.runs.values() if self._confirm(run)]
 
@@ -85,7 +95,7 @@
             return False
         job, task = found
         known = task.suspicion
-        task.suspicion = Suspicion(known.points)
+        task.suspicion = Suspicion(known.points, alone=known.alone)
         self.state.mark_changed(job)
         return known.alone and known.points >= needed_points
 
@@ -112,6 +122,7 @@
             return
         worker.isolated_runs.discard(run.task)
         self.state.request_placement(worker.pool)
+        self.kinds.on_proven(run)
         found = self._find(run)
         if found is not None and run.step.long_running and run.percent >= AT_WORK_PERCENT:
             job, task = found
@@ -121,15 +132,19 @@
     def clear(self, run: Run) -> None:
         """Take back the points that a run's task got from its worker's silence."""
         run.suspected = False
+        self.kinds.on_cleared(run)
         self._lower_points(run, 0)
 
     def _leaves_as_planned(self, worker: Worker) -> bool:
         draining = bool(worker.address) and not worker.ready
         return draining or worker.cordoned or worker.retired
 
-    def _suspect(self, worker: Worker, loss: Loss) -> None:
+    def _suspect(self, worker: Worker, loss: Loss, now: Now) -> None:
         isolated = any(run.isolated for run in worker.runs.values())
-        prompt_jobs = len({run.task.job for run in worker.runs.values() if is_prompt(run, loss)})
+        prompt = [run for run in worker.runs.values() if is_prompt(run, loss)]
+        prompt_jobs = len({run.task.job for run in prompt})
+        self._suspect_kinds(worker, loss, prompt, isolated, now)
+        explained = any(self._kind_confirmed(run) for run in prompt)
         suspects = {}
         for run in worker.runs.values():
             found = self._find(run)
@@ -140,12 +155,27 @@
             if task.suspicion.run == run.number:
                 continue
             points = crash_points(run, loss, prompt_jobs)
+            if explained and not self._kind_confirmed(run):
+                points = min(points, REPORTED_POINTS)
             if points:
                 self._add_points(job, task, run, points)
                 suspects[run.label] = task.suspicion.points
         if suspects:
             self.state.log("runs_suspected", worker=worker.id, points=suspects)
 
+    def _kind_confirmed(self, run: Run) -> bool:
+        return self.kinds.is_confirmed(kind_name(run.queue, run.step))
+
+    def _suspect_kinds(
+        self, worker: Worker, loss: Loss, prompt: list[Run], isolated: bool, now: Now
+    ) -> None:
+        """Suspect the kinds of the runs that were started just before a worker went away."""
+        if loss.coincident and not isolated:
+            return
+        blamed = [run for run in prompt if run.isolated or not isolated]
+        others = [run for run in worker.runs.values() if run not in blamed and not run.isolated]
+        self.kinds.on_crash(worker.id, blamed, others, now)
+
     def _add_points(self, job: Job, task: Task, run: Run, points: int) -> None:
         total = task.suspicion.points + points
         task.suspicion = Suspicion(total, run.number, points, run.isolated)
@@ -169,3 +199,8 @@
         job = self.state.table.jobs.get(run.task.job)
         task = job.task(run.task) if job is not None and job.outcome is None else None
         return (job, task) if task is not None and task.run == run.number else None
+
+
+def _ended_trial(worker: Worker, loss: Loss) -> bool:
+    """Return whether a worker went away as a run was tried there, which explains its loss."""
+    return any(run.isolated and is_prompt(run, loss) for run in worker.runs.values())
--- a/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/dispatch.py
@@ -80,6 +80,8 @@
                     state.waiting_jobs.discard(job)
                 else:
                     demands.append(self._demand(job, now))
+        if self.runs.crashes.kinds.kinds:
+            self.runs.crashes.kinds.review(now)
         for name in list(state.waiting_work) if due is None else due:
             state.forget_unplaced(name)
         usable_by_pool = self._usable_workers(by_pool, now)
@@ -102,18 +104,29 @@
         self._full_for.clear()
         speed = ordering.PoolSpeed.of_workers(usable)
         unplaced = unplaced_on_time = 0.0
-        if any(demand.suspected for demand in demands):
-            unplaced += self._isolation.place_suspects(demands, usable, now)
-            usable = [
-                worker
-                for worker in usable
-                if not worker.isolated_runs and worker.reserved_until_ms <= now.mono_ms
-            ]
-        for demand in ordering.order_demands(demands, speed, now.wall_ms):
+        reserved: list[Worker] = []
+        ordered = ordering.order_demands(demands, speed, now.wall_ms)
+        if self._isolation.needed(demands):
+            unplaced, unplaced_on_time = self._isolation.place_trials(pool, ordered, usable, now)
+            open_workers = [worker for worker in usable if not worker.isolated_runs]
+            usable = [worker for worker in open_workers if worker.reserved_until_ms <= now.mono_ms]
+            reserved = [worker for worker in open_workers if worker.reserved_until_ms > now.mono_ms]
+        full = 0.0
+        for demand in ordered:
             work = self._schedule_job(demand, usable, now)
             unplaced += work
+            full += work
             if now.wall_ms + demand.critical_path_ms <= demand.due_ms:
                 unplaced_on_time += work
+            if reserved and demand.long_running:
+                # Services come before trials where the other workers have no room.
+                self._full_for.clear()
+                self._schedule_job(ordering.still_waiting(demand), reserved, now)
+                self._full_for.clear()
+        if full:
+            self._isolation.full_pools.add(pool)
+        else:
+            self._isolation.full_pools.discard(pool)
         self.state.waiting_work[pool] = unplaced
         self.state.on_time_work[pool] = unplaced_on_time
 
@@ -130,7 +143,11 @@
         job = demand.job
         if not demand.waiting and job.schedule is None:
             self.state.waiting_jobs.discard(job)
-        for ready in demand.ready:
+        for waiting in demand.ready:
+            ready = self._isolation.startable(job, waiting)
+            if not ready.tasks:
+                self._log_trial_wait(job, waiting)
+                continue
             step = job.steps[ready.number]
             if not usable or any(full.fits(step.reservation) for full in self._full_for):
                 unplaced += ordering.step_work(step, len(ready.tasks))
@@ -189,7 +206,13 @@
             self.state.team_limited_pools.add(queue.pool)
 
     def _log_plan(
-        self, job: Job, ready: ReadyStep, chosen: list[str], left: int, reason: str
+        self,
+        job: Job,
+        ready: ReadyStep,
+        chosen: list[str],
+        left: int,
+        reason: str,
+        **fields: object,
     ) -> None:
         """Log the runs planned for a step, or a change of the reason why it waits."""
         key = (job.id, ready.occurrence, ready.number)
@@ -206,8 +229,16 @@
             reason=reason,
             epoch=self.state.leader.epoch,
             config=self.state.config.version,
+            **fields,
         )
 
+    def _log_trial_wait(self, job: Job, ready: ReadyStep) -> None:
+        """Log that a step waits for a trial, with what speaks against its kind."""
+        kind = self._isolation.kinds.of_step(job.queue, job.steps[ready.number])
+        record = kind.record if kind is not None else None
+        fields = attrs.asdict(record) if record is not None else {}
+        self._log_plan(job, ready, [], len(ready.tasks), "kind_suspected", suspected=fields)
+
     def _place_gang(self, job: Job, ready: ReadyStep, workers: list[Worker], now: Now) -> float:
         step, team = job.steps[ready.number], self.state.config.teams.get(job.team)
         if len(ready.tasks) < step.count:
--- a/packages/scheduler/src/fescuecrank_scheduler/job_table.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/job_table.py
@@ -7,9 +7,11 @@
 from fescuecrank_scheduler.records import (
     HomePools,
     JobTombstone,
+    KindRecord,
     Leadership,
     Progress,
     StoredRecord,
+    SuspectedKinds,
     WaveRecord,
 )
 
@@ -30,6 +32,8 @@
     wave_machines_down: dict[int, tuple[str, ...]] = attrs.field(factory=dict)
     # Home pool of each machine.
     home_pools: dict[str, str] = attrs.field(factory=dict)
+    # Kinds of tasks that are suspected of crashing their workers, as last stored.
+    kinds: dict[str, KindRecord] = attrs.field(factory=dict)
     # Progress and cancellations read before the record of their job.
     _unmatched_progress: dict[str, Progress] = attrs.field(factory=dict)
     _unmatched_cancels: set[str] = attrs.field(factory=set)
@@ -53,6 +57,8 @@
                 self.wave_machines_down[wave.wave] = wave.machines
             case HomePools() as home_pools:
                 self.home_pools = home_pools.pools
+            case SuspectedKinds() as suspected:
+                self.kinds = suspected.kinds
             case JobTombstone() as tombstone:
                 self.jobs.pop(tombstone.job, None)
                 self._progress_offsets.pop(tombstone.job, None)
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -26,7 +26,7 @@
     # Pause before a failed hold is repeated.
     hold_retry_ms: int = 250
     # The same on workers with an isolated run, beside which nothing is placed until it is reported.
-    hold_wait_isolated_ms: int = 100
+    hold_wait_isolated_ms: int = 60
     # A worker that has not answered for this long gets no new runs.
     worker_silence_ms: int = 2_600
     # Answers usually take a few milliseconds, but longer on slow links and from frozen workers.
@@ -69,11 +69,25 @@
     # Consecutive failures after which a worker is quarantined.
     failure_streak: int = 3
     quarantine_ms: int = 4_000
-    # For how long a worker has to report an isolated run before others are placed beside it. A task
-    # that crashes its worker as it starts does so within some ten milliseconds.
-    isolation_ms: int = 200
+    # For how long a worker has to report an isolated run before others are placed beside it: the
+    # run has proven well. A task that crashes its worker as it starts does so within some ten
+    # milliseconds; a crash later than `suspicion.PROMPT_MS` is not taken for one at the start.
+    isolation_ms: int = 60
     # How long a task waits for a worker without other runs to be isolated there.
     isolation_wait_ms: int = 1_000
+    # Largest share of a pool's workers on which tasks are tried at a time, with those that crashed
+    # under one and are not back. With less, jobs without fault wait longer for their trial than
+    # they would lose by the crashes (docs/crashing-kinds.md).
+    trial_share: float = 0.7
+    # The same while work that needs no trial finds no room.
+    trial_share_full: float = 0.4
+    # A worker that crashed is back within about this time.
+    crash_repair_ms: int = 4_000
+    # A task that has crashed a worker on which it was alone is tried again when no other trial
+    # waits, or after this time.
+    retrial_wait_ms: int = 10_000
+    # A tried run with less work left than this ends sooner than it is stopped and started again.
+    min_moved_work_ms: int = 400
     # A worker that accepts any start gets none if its entry, which states its capacity, was read
     # longer ago; derived from the interval of its reports and from a bound of the deployment.
     max_entry_age_ms: int = 3_000
--- a/packages/scheduler/src/fescuecrank_scheduler/ordering.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/ordering.py
@@ -178,6 +178,15 @@
     )
 
 
+def still_waiting(demand: Demand) -> Demand:
+    """Return the demand without the tasks that were placed since it was computed."""
+    ready = (
+        attrs.evolve(step, tasks=tuple(task for task in step.tasks if task.phase is Phase.WAITING))
+        for step in demand.ready
+    )
+    return attrs.evolve(demand, ready=tuple(step for step in ready if step.tasks))
+
+
 def on_time_jobs(demands: Iterable[Demand], speed: PoolSpeed, now_ms: float) -> set[str]:
     """Return the ids of the jobs worth most that can all end on time at this speed."""
     feasible = [demand for demand in demands if now_ms + demand.critical_path_ms <= demand.due_ms]
--- a/packages/scheduler/src/fescuecrank_scheduler/records.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/records.py
@@ -28,6 +28,7 @@
 LEADER_KEY = "leader"
 WAVE_PREFIX = "w/"
 HOME_POOLS_KEY = "homes"
+KINDS_KEY = "kinds"
 
 # Fields of a step in the order of its encoded row; the three numbers of `need` precede them.
 STEP_FIELDS = (
@@ -122,6 +123,35 @@
     pools: dict[str, str]
 
 
+@attrs.frozen
+class KindRecord:
+    """One kind of tasks that is suspected of crashing its workers; see `crashing_kinds`."""
+
+    name: str
+    queue: str
+    # Wall-clock times of the first and the latest crash.
+    since_ms: int
+    last_crash_ms: int = 0
+    # Crashes within a short time of the start of such a task, and those of workers on which one was
+    # tried.
+    crashes: int = 0
+    confirmed: int = 0
+    # What is tried, see `crashing_kinds.Scope`.
+    scope: int = 0
+
+
+@attrs.frozen
+class SuspectedKinds:
+    """All suspected kinds by name."""
+
+    kinds: dict[str, KindRecord]
+
+
+def encode_kinds(kinds: dict[str, KindRecord]) -> Record:
+    """Return the record of the suspected kinds."""
+    return Record(KINDS_KEY, orjson.dumps([attrs.astuple(kind) for kind in kinds.values()]))
+
+
 def encode_home_pools(pools: dict[str, str]) -> Record:
     """Return the record of the machines' home pools."""
     return Record(HOME_POOLS_KEY, orjson.dumps(pools))
@@ -202,7 +232,17 @@
 
 def decode(
     record: Record,
-) -> Job | Progress | Leadership | WaveRecord | HomePools | JobTombstone | str | None:
+) -> (
+    Job
+    | Progress
+    | Leadership
+    | WaveRecord
+    | HomePools
+    | SuspectedKinds
+    | JobTombstone
+    | str
+    | None
+):
     """Decode a record; a string is the id of a cancelled job.
 
     Returns None for an unknown key and for tombstones other than that of a job. Raises `ValueError`
@@ -220,6 +260,9 @@
             return Leadership(*orjson.loads(record.value))
         if record.key == HOME_POOLS_KEY:
             return HomePools(dict(orjson.loads(record.value)))
+        if record.key == KINDS_KEY:
+            rows = [KindRecord(*row) for row in orjson.loads(record.value)]
+            return SuspectedKinds({row.name: row for row in rows})
         if record.key.startswith(WAVE_PREFIX):
             machines = tuple(orjson.loads(record.value))
             return WaveRecord(int(record.key[len(WAVE_PREFIX) :]), machines)
--- a/packages/scheduler/src/fescuecrank_scheduler/suspicion.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/suspicion.py
@@ -40,8 +40,9 @@
 # Points from which a task is isolated for its whole run, since a shorter time did not clear it.
 FULL_ISOLATION_POINTS = 4
 
-# A worker that crashes as it starts a task goes away some ten milliseconds after the start is sent.
-PROMPT_MS = 50
+# A worker that crashes as it starts a task goes away some ten milliseconds after the start is sent;
+# without an open hold it is missed when the next one is sent, after `hold_pause_ms`.
+PROMPT_MS = 65
 
 # A long-running task is isolated for at most this many times the usual time.
 LONG_RUNNING_FACTOR = 5
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -145,6 +145,11 @@
         "Runs of suspected tasks beside which nothing is placed.",
         [({}, sum(len(worker.isolated_runs) for worker in state.workers.values()))],
     )
+    kinds = reducer.scheduler.runs.crashes.kinds.kinds
+    gauges_by_name["suspected_kinds"] = (
+        "Crashes for which a kind of tasks is suspected, by kind.",
+        [({"kind": name}, kind.record.crashes) for name, kind in kinds.items()],
+    )
     gauges_by_name["crashes"] = (
         "Crashes of workers with runs under this leadership.",
         [({}, state.crash_count)],
