--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -126,7 +126,7 @@
                 # Another incarnation may answer next, which must not run it beside other runs.
                 if worker.contact_lost_ms is not None or not worker.verified:
                     continue
-                if not self._has_room(worker, run, now):
+                if not worker.ready or not self._has_room(worker, run, now):
                     self.runs.stop(worker, run, now)
                     continue
                 if self.state.still_needed(run):
--- a/packages/scheduler/tests/test_repeated_starts.py
+++ b/packages/scheduler/tests/test_repeated_starts.py
@@ -4,10 +4,12 @@
 acknowledged end `done`.
 """
 
+import attrs
 import pytest
 from faulty_fleet import FaultySimulation
 from fescuecrank_scheduler.events import EndRow, RunRow
 from fescuecrank_scheduler.jobs import TaskId
+from fleet_simulation import Simulation
 from leader_builders import make_driver
 from run_history import RunHistory
 from scheduler_builders import job, step
@@ -179,3 +181,20 @@
     driver.answer_hold("worker-1", ended=(EndRow(1, task, 1, "stopped", ""),))
     driver.advance(500)
     assert len(driver.starts(task)) == 1
+
+
+def test_unanswered_start_is_not_repeated_on_a_worker_that_drains():
+    """A worker that was cut off may have said meanwhile that it leaves."""
+    sim = Simulation(nodes=2, workers=1)
+    sim.run(2_000)
+    worker = sim.workers["worker-1"]
+    sim.submit(job("a" * 16, step(1)))
+    while not sim.calls["StartRun", "worker-1"]:
+        worker.reachable = not sim.leader().reducer.table.jobs
+        sim.run(1)
+    assert not worker.started
+    sim.worker_entries["worker-1"] = attrs.evolve(sim.worker_entries["worker-1"], ready=False)
+    sim.run(1_000)
+    worker.reachable = True
+    sim.run(4_000)
+    assert not worker.started
