Simulate a fleet that is split between a leader and its successor

A leader that has lost the store reaches some workers, and its successor the rest, so that no token tells either of the other.

--- a/packages/scheduler/tests/faulty_fleet.py
+++ b/packages/scheduler/tests/faulty_fleet.py
@@ -267,6 +267,17 @@
             node.frozen = True
             self.at(pause_ms, lambda: setattr(node, "frozen", False))
 
+    def split(self, alone: Node, workers: set[str]) -> set[tuple[str, str]]:
+        """Let one process reach only some workers and the others the rest; return the cuts."""
+        links = {
+            (node, worker)
+            for node in self.nodes
+            for worker in self.workers
+            if (node == alone.name) != (worker in workers)
+        }
+        self.cut_links |= links
+        return links
+
     def post(self, node: Node, event: events.Event) -> None:
         if node.alive and node.frozen:
             self._held_events.append((node, event))
--- a/packages/scheduler/tests/test_repeated_starts.py
+++ b/packages/scheduler/tests/test_repeated_starts.py
@@ -164,6 +164,30 @@
     assert sim.state(JOB, sim.leader().name) == "completed"
 
 
+@pytest.mark.parametrize("frozen", (False, True), ids=("running", "frozen"))
+@pytest.mark.parametrize("seed", range(6))
+def test_leader_without_the_store_lets_the_leases_end_for_which_its_successor_waits(seed, frozen):
+    """The old leader reaches one worker only, and the successor all others, so that no token tells.
+
+    A frozen leader wakes up with the answer of an append that was stored seconds before.
+    """
+    sim = FaultySimulation(workers=3, seed=seed)
+    sim.run(2_000)
+    sim.submit(job(JOB, step(2, cpu=500, anti_affinity=1, long_running=True)))
+    sim.run(1_500)
+    old, worker = sim.leader(), next(each for each in sim.workers.values() if each.runs)
+    (task,) = worker.runs
+    sim.split(old, {worker.id})
+    if frozen:
+        sim.on_append[old.name] = "freeze"
+        sim.run(400)
+        assert sim.fault_counts["freeze_at_append"] == 1
+    old.store_reachable = False
+    sim.run(20_000)
+    assert sim.leader() is not old
+    assert len(sim.starts()[task]) == 2
+
+
 def test_task_is_not_started_while_a_worker_lists_a_run_of_it():
     """A stop takes time; a start elsewhere meanwhile makes two runs."""
     driver, task = make_driver(), TaskId(JOB, 0, 0, 0)
--- a/packages/scheduler/tests/test_soak_late_calls.py
+++ b/packages/scheduler/tests/test_soak_late_calls.py
@@ -8,12 +8,15 @@
 import pytest
 from faulty_fleet import FaultySimulation
 from scheduler_builders import job, step
-from test_soak import Soak, seeds
+from test_soak import LONG_RUNNING_JOB, Soak, seeds
 
 ROUNDS = 10
 MAX_PAIRED = 3
 RECOVERY_MS = 30_000
 
+# Longer than a successor waits for the leases of workers that it does not reach.
+SPLIT_MS = 14_000
+
 
 class LateCallSoak(Soak):
     """Two or three faults at a time, which repair themselves."""
@@ -23,6 +26,7 @@
 
     def prepare(self) -> None:
         self.sim.late_calls_outlive_restarts = self.late_calls_outlive_restarts
+        self.sim.submit(job(LONG_RUNNING_JOB, step(3, cpu=500, long_running=True)))
         for worker in self.sim.workers.values():
             worker.work_ms = self.rng.randrange(200, 2_000)
 
@@ -98,6 +102,22 @@
         self.sim.cut_links |= links
         self.after_random_delay(lambda: self.sim.cut_links.difference_update(links))
 
+    def split_fleet(self) -> None:
+        """Cut the leader off from the store and most workers, and the others off from the rest.
+
+        The leader may be frozen before, with the answer of an append that it has not read yet.
+        """
+        leader = self.sim.leader()
+        if leader is None:
+            return
+        links = self.sim.split(leader, {self.random_worker().id for _ in range(2)})
+        if self.rng.random() < 0.5:
+            self.freeze_at_append()
+        cut_ms = self.rng.randrange(50, 400)
+        self.sim.at(cut_ms, lambda: setattr(leader, "store_reachable", False))
+        self.sim.at(SPLIT_MS, lambda: setattr(leader, "store_reachable", True))
+        self.sim.at(SPLIT_MS, lambda: self.sim.cut_links.difference_update(links))
+
     def age_list(self) -> None:
         self.sim.list_age_ms = self.rng.randrange(300, 4_000)
         self.restore("list_age_ms", 0)
@@ -166,7 +186,7 @@
     def faults(self) -> tuple:
         interrupted = (self.kill_leader, self.kill_giver, self.freeze_node, self.freeze_at_append)
         store = (self.lose_store_answers, self.delay_appends, self.partition_from_store)
-        return (*interrupted, *store, self.cut_links, self.delay_calls)
+        return (*interrupted, *store, self.cut_links, self.delay_calls, self.split_fleet)
 
 
 def failing_seeds(soak: type[LateCallSoak]) -> list[str]:
