--- a/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
@@ -48,7 +48,9 @@
         kept = self._runs_of_new_incarnation(worker, reply)
         given_up = self.runs.crashes.on_crash(worker, now, kept)
         for task, run in list(worker.runs.items()):
-            if run.starts_in_flight > 0 and task not in kept:
+            # How many starts of an adopted run the previous leader sent is unknown.
+            in_flight = run.starts_in_flight > 0 or (run.adopted and run.state is RunState.SENT)
+            if in_flight and task not in kept:
                 self.runs.stop(worker, run, now)
             if run.state is RunState.STOPPING:
                 kept.add(task)
@@ -57,9 +59,7 @@
         worker.started_ms, worker.epoch_accepted, worker.retired = started_ms, False, False
         worker.last_seen_end = worker.last_acked_end = 0
         worker.clock_ms = worker.sent_deadline_ms = None
-        worker.lease_expires_ms = now.mono_ms + int(
-            self.state.limits.lease_max_ms / (1 - self.state.limits.clock_drift)
-        )
+        worker.lease_expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
 
     def _runs_of_new_incarnation(self, worker: Worker, reply: HoldReply | None) -> set[TaskId]:
         """Return the tasks of runs that a worker may have been given since it restarted.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -27,8 +27,9 @@
 # Results of a hold that the worker did not answer; it may be cut off, slow or gone.
 NO_CONTACT = {CallResult.NO_ANSWER, CallResult.REFUSED}
 
-# Longest time between an answer and the hold that acknowledges ends; no worker restarts as fast.
-MAX_ACK_GAP_MS = 250
+# Longest time between an answer and the hold that acknowledges ends. Workers take longer to
+# restart; holds follow each other after `hold_pause_ms`.
+MAX_ACK_GAP_MS = 100
 
 # A hold that fails later than this after its wait has timed out; clients wait longer.
 ANSWER_SLACK_MS = 300
@@ -98,16 +99,17 @@
             # Runs that end shortly after each other are reported in one answer.
             pause_ms = self.state.limits.hold_pause_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
-            worker.hold_answer_ms = now.mono_ms
             self._reconcile(worker, event.reply, now)
+            ended = event.reply.ended
+            if ended and ended[-1].number <= worker.last_acked_end:
+                # The hold that was to acknowledge them came too late after the answer before it.
+                self.state.hold_times.set(worker.id, now.mono_ms)
         else:
             worker.hold_answer_ms = None
             pause_ms = self.state.limits.hold_retry_ms
             self.state.hold_times.set(worker.id, now.mono_ms + pause_ms)
             if event.result in NO_CONTACT:
                 self._on_contact_lost(worker, event.result, now)
-            if worker.end_expected and event.result in {*NO_CONTACT, CallResult.OTHER_INCARNATION}:
-                self.runs.retire_worker(worker.id, now)
             self.runs.on_call_rejected(worker, event.result, worker.hold_token, now)
 
     def _on_contact_lost(self, worker: Worker, result: CallResult, now: Now) -> None:
@@ -159,7 +161,9 @@
             worker.started_ms = reply.started_ms
         worker.accepted_token = worker.hold_token
         worker.end_expected = worker.end_expected and not worker.verified
-        worker.record_clock(reply, now.mono_ms)
+        worker.hold_answer_ms = now.mono_ms - worker.record_clock(
+            reply, now.mono_ms, self.state.limits
+        )
         worker.last_answer_ms = now.mono_ms
         self._on_contact(worker, now)
         if not worker.epoch_accepted:
@@ -222,13 +226,16 @@
                     last_seen_end=worker.last_seen_end,
                 )
                 # Its worker has restarted, if the run was started at all.
-                given_up = self.runs.crashes.on_run_missing(run)
+                given_up = self.runs.crashes.on_run_missing(worker, run)
                 self.runs.give_up_run(worker, run, now)
                 self.runs.give_up(given_up, worker, now)
         for row in reply.running:
             run = worker.runs.get(row.task)
             if run is not None and run.number == row.run:
                 continue
+            unsent = run is None or run.state is RunState.PLANNED
+            if unsent and self.runs.take_back(worker, row, now):
+                continue
             if self.state.accepts_any_start(worker):
                 # The run's resources are in use and not counted.
                 worker.blocked_until_ms = now.mono_ms + self.state.limits.stop_retry_ms
@@ -318,7 +325,7 @@
         """Return the number of the last end that a worker may forget with the next hold.
 
         A worker that has restarted numbers its ends anew. Only one that has just answered is known
-        to be the incarnation that reported the ends.
+        to be the incarnation that reported the ends; the answer may have been on the way for long.
         """
         answered_ms = worker.hold_answer_ms
         recent = answered_ms is not None and now.mono_ms - answered_ms <= MAX_ACK_GAP_MS
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -8,7 +8,7 @@
 from fescuecrank_scheduler.clocks import Now
 from fescuecrank_scheduler.crashes import Crashes
 from fescuecrank_scheduler.effects import StopRun
-from fescuecrank_scheduler.events import CallResult, EndRow, StopDone
+from fescuecrank_scheduler.events import CallResult, EndRow, RunRow, StopDone
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Step, Task, TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.workers import Run, RunState, Worker
@@ -167,14 +167,44 @@
             worker.epoch_accepted = False
             self.state.hold_times.set(worker.id, now.mono_ms)
 
+    def take_back(self, worker: Worker, row: RunRow, now: Now) -> bool:
+        """Adopt a run that was given up but goes on; return whether it did.
+
+        It does not if a later run of the task may have been started.
+        """
+        job = self.state.table.jobs.get(row.task.job)
+        task = job.task(row.task) if job is not None else None
+        if job is None or task is None or not job.open or job.id in self.state.outcomes:
+            return False
+        if job.steps[task.id.step].gang or row.run > task.run:
+            return False
+        found = self.state.find_run(task.id)
+        if found is not None and found[1].state is RunState.PLANNED and row.run < task.run:
+            self.run_ended(*found, "withdrawn", "", now)
+            # The number of a run that was never sent is used again.
+            task.run = row.run
+        if task.phase is not Phase.WAITING or task.run != row.run:
+            return False
+        self.state.log("run_taken_back", task=row.task.label, run=row.run, worker=worker.id)
+        self.state.given_up_runs.get(row.task, set()).discard(row.run)
+        task.worker, task.phase = worker.id, Phase.ASSIGNED
+        self.state.mark_changed(job)
+        self.register(worker, job, task, RunState.RUNNING, now)
+        # Who granted the lease, and until when, is unknown here.
+        worker.lease_expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
+        run = worker.runs[row.task]
+        run.confirmed_ms = run.running_since_ms = now.mono_ms
+        run.listed, run.checkpoint = True, row.checkpoint or run.checkpoint
+        return True
+
     def give_up_run(self, worker: Worker, run: Run, now: Now) -> None:
         """End a run that its worker does not have any more, as far as this leader can know."""
-        if run.state is not RunState.PLANNED:
+        if run.state is not RunState.PLANNED and self.state.still_needed(run):
             self.state.given_up_runs.setdefault(run.task, set()).add(run.number)
         self.run_ended(worker, run, "lapsed", "", now)
 
     def expect_end(self, worker_id: str, now: Now) -> None:
-        """Ask a worker whose machine was taken down for an answer, and retire it if it gives none.
+        """Use a worker whose machine was taken down again only if it answers from now on.
 
         The platform also confirms an order that was carried out before; the worker that is on the
         machine now answers.
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -60,6 +60,8 @@
     reported_ms: int = 0
     # Whether the loss of the run counts as a point against its task.
     suspected: bool = False
+    # Whether its loss has been counted and confirmed; it may stay on record until it has stopped.
+    loss_counted: bool = False
     # For how long it has to be reported before other runs may be placed beside it.
     isolation_ms: int = 0
     # Throttle in percent of full speed: wanted, confirmed by the worker; time of the last order.
@@ -126,7 +128,7 @@
     # Token of the latest hold, and the highest that this incarnation has answered.
     hold_token: int = 0
     accepted_token: int = 0
-    # When the last hold was answered that no failed one followed.
+    # When the last hold was answered that no failed one followed; None if another one failed since.
     hold_answer_ms: int | None = None
     # Number of the last ended run that was applied, and of the last that the worker may forget.
     last_seen_end: int = 0
@@ -177,9 +179,18 @@
         self.entry_started_ms = entry.started_ms
         self._set_used(self.used)
 
-    def record_clock(self, reply: HoldReply, now_ms: int) -> None:
-        """Record a reading of the worker's clock."""
+    def record_clock(self, reply: HoldReply, now_ms: int, limits: Limits) -> int:
+        """Record a reading of the worker's clock; return by how much it is late, in ms.
+
+        A reading that came late is not recorded, as the clock is known better from before.
+        """
+        if self.clock_ms is not None:
+            passed = (now_ms - self.clock_read_ms) * (1 - limits.clock_drift)
+            delay_ms = int(self.clock_ms + passed) - reply.clock_ms
+            if delay_ms > 0:
+                return delay_ms
         self.clock_ms, self.clock_read_ms = reply.clock_ms, now_ms
+        return 0
 
     @property
     def verified(self) -> bool:
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -56,12 +56,12 @@
         await asyncio.sleep(0.002)
         return AppendOutcome(self.next_result(self.appends), 7)
 
-    async def read(self, from_offset, wait_ms):
+    async def read(self, from_offset, wait_ms, max_kb, on_progress):
         self.calls.append(("read", from_offset))
         await asyncio.sleep(0.002)
         return self.next_result(self.reads)
 
-    async def read_newest(self, after_key):
+    async def read_newest(self, after_key, on_progress):
         self.calls.append(("newest", after_key))
         await asyncio.sleep(0.002)
         return self.next_result(self.pages)
@@ -286,13 +286,13 @@
         clock = ManualClock(mono_ms=1_000)
 
         class SlowStream(ScriptedStream):
-            async def read_newest(self, after_key):
+            async def read_newest(self, after_key, on_progress):
                 clock.advance(2_000)
-                return await super().read_newest(after_key)
+                return await super().read_newest(after_key, on_progress)
 
-            async def read(self, from_offset, wait_ms):
+            async def read(self, from_offset, wait_ms, max_kb, on_progress):
                 clock.advance(400)
-                return await super().read(from_offset, wait_ms)
+                return await super().read(from_offset, wait_ms, max_kb, on_progress)
 
         pages = [
             Ok(NewestPage((self.stored(3, "a"),), 9, True)),
@@ -369,6 +369,34 @@
 class TestHttpFrontend:
     """HTTP server and client over real sockets."""
 
+    def test_requests_are_answered_until_the_process_ends(self):
+        """A caller on a connection that is kept open saw it end without an answer."""
+
+        async def scenario():
+            posted = []
+            frontend = HttpFrontend(
+                MinimalRequestFormat(), ManualClock(), posted.append, lambda: True, lambda: 100
+            )
+            address = f"127.0.0.1:{free_port()}"
+            frontend.listen(address, f"127.0.0.1:{free_port()}")
+            client = HttpClient(8)
+
+            async def get(path):
+                return (await client.call("test", address, "GET", path, 2_000)).ok_value
+
+            open_request = asyncio.ensure_future(get("/checks/1"))
+            await until(lambda: posted)
+            frontend.stopping = True
+            frontend.close()
+            assert (await open_request).code == 504
+            late = await get("/checks/2")
+            assert (late.code, late.headers["retry-after"]) == (503, "1")
+            assert len(posted) == 1
+            frontend.stop_listening()
+            client.close()
+
+        asyncio.run(scenario())
+
     def test_request_becomes_an_event_and_its_reply_a_response(self):
         async def scenario():
             posted = []
