--- a/packages/service/src/fescuecrank_service/patient_reads.py
+++ b/packages/service/src/fescuecrank_service/patient_reads.py
@@ -25,7 +25,10 @@
 
 @attrs.define(eq=False)
 class PatientReads:
-    """The reads of one stream, of which the reader makes one at a time."""
+    """The reads of one stream.
+
+    The reader makes one at a time; a read of a loop that it has replaced may overlap with the next.
+    """
 
     client: HttpClient
     _unanswered: int = 0
@@ -77,7 +80,8 @@
             await asyncio.wait({quick, patient}, return_when=asyncio.FIRST_COMPLETED)
             if patient.done():
                 self._waiting = None
-                if patient.result().is_ok():
+                # A read loop that has been replaced may still be here, and cancel it.
+                if not patient.cancelled() and patient.result().is_ok():
                     return patient.result(), True
             outcome = await quick
             if outcome.is_ok():
--- a/packages/service/tests/test_reads.py
+++ b/packages/service/tests/test_reads.py
@@ -18,7 +18,7 @@
 from fescuecrank_scheduler.records import Record, StoredRecord
 from fescuecrank_service.http_client import HttpClient
 from fescuecrank_service.interfaces import NewestPage, Page
-from fescuecrank_service.patient_reads import PatientReads
+from fescuecrank_service.patient_reads import PATIENT_AFTER, PatientReads
 from fescuecrank_service.read_pace import (
     FIRST_PAGE_KB,
     MAX_CONFIG_RETRY_MS,
@@ -182,6 +182,31 @@
     asyncio.run(scenario())
 
 
+def test_waiting_read_that_another_read_gives_up_does_not_end_the_reader():
+    # A reader replaces its loop when the leader changes; both then wait for the same answer, and a
+    # cancelled one ended the loop that remained, so that the process was blind from then on.
+    async def scenario():
+        server = await LateServer(0.35).start()
+        reads = PatientReads(HttpClient(1))
+
+        def read(wanted, timeout_ms):
+            return reads.fetch(
+                wanted, "read", server.address, "/", timeout_ms, STALL_MS, ignore_progress
+            )
+
+        for _ in range(PATIENT_AFTER):
+            assert (await read(1, 50)).is_err()
+        remaining = asyncio.ensure_future(read(1, 300))
+        await asyncio.sleep(0.05)
+        other = await read(2, 50)
+        assert other.is_err()
+        outcome = await remaining
+        assert outcome.is_err()
+        reads.close()
+
+    asyncio.run(scenario())
+
+
 class TestPageSize:
     """Sizes of pages."""
 
