--- a/packages/service/tests/test_reads.py
+++ b/packages/service/tests/test_reads.py
@@ -200,8 +200,9 @@
         await asyncio.sleep(0.05)
         other = await read(2, 50)
         assert other.is_err()
-        outcome = await remaining
-        assert outcome.is_err()
+        await asyncio.wait({remaining})
+        assert not remaining.cancelled()
+        assert remaining.result().is_err()
         reads.close()
 
     asyncio.run(scenario())
