--- a/packages/daemon/tests/soak_callers.py
+++ b/packages/daemon/tests/soak_callers.py
@@ -49,12 +49,14 @@
 
 
 class Connection:
-    """One connection to an entry; a request is never repeated on another one."""
+    """A connection to an entry, opened again once it is closed; a request is never repeated."""
 
     def __init__(self, entry: EntryProcess) -> None:
-        self.entry, self.lives = entry, entry.lives
-        self.usable = True
-        self.requests = 0
+        self.entry = entry
+        self._reset()
+
+    def _reset(self) -> None:
+        self.lives, self.usable, self.requests = self.entry.lives, True, 0
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -65,6 +67,9 @@
 
     async def request(self, method: str, path: str, key: str, body: bytes = b"") -> Answer:
         """Send a request and wait for its response."""
+        if not self.usable:
+            # What it has read and not used answers an earlier request.
+            self._reset()
         answer, sent_ms = Answer(first=self.requests == 0), now_ms()
         try:
             async with asyncio.timeout(CALL_TIMEOUT_MS / 1_000):
--- a/packages/daemon/tests/test_soak_checks.py
+++ b/packages/daemon/tests/test_soak_checks.py
@@ -189,6 +189,25 @@
     assert not ask_server(answer, scenario)
 
 
+def test_late_answer_is_not_taken_for_that_of_the_next_request():
+    """After a delay of the soak, an answer may be there just when its request is given up."""
+
+    async def answer(writer, number):
+        state = "completed" if number == 1 else "running"
+        writer.write(response(200, b'{"state":"%s"}' % state.encode()))
+
+    async def scenario(soak):
+        conn = Connection(soak.entries[0])
+        await soak.callers.call(conn, "GET", soak.ledger.job)
+        soak.ledger.violations.clear()
+        conn._reader.feed_data(response(200, b'{"state":"failed"}'))
+        conn.close()
+        await soak.callers.call(conn, "GET", soak.ledger.job)
+        soak.ledger.violations[:] = [text for text in soak.ledger.violations if "failed" in text]
+
+    assert not ask_server(answer, scenario)
+
+
 def test_accepted_job_that_an_entry_does_not_know_is_reported():
     async def answer(writer, number):
         writer.write(response(410))
