Keep the seed of a restart between two holds

RebornWorkerSoak, seed 3034, fails over: the hold after a restart that no failed call has shown acknowledges with the numbers of the earlier incarnation.

--- a/packages/scheduler/tests/test_soak_late_calls.py
+++ b/packages/scheduler/tests/test_soak_late_calls.py
@@ -214,3 +214,8 @@
 def test_random_pairs_of_faults(soak):
     failures = failing_seeds(soak)
     assert not failures, "\n".join(failures)
+
+
+def test_restart_between_two_holds_acknowledges_no_end_of_the_next_incarnation():
+    """The worker restarts in the pause before a hold, after which it is given a short run."""
+    RebornWorkerSoak(3034).run()
