--- a/packages/scheduler/src/fescuecrank_scheduler/crashes.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/crashes.py
@@ -103,7 +103,8 @@
             return False
         job, task = found
         known = task.suspicion
-        task.suspicion = Suspicion(known.points, alone=known.alone)
+        # The number stays, so that the next leader does not count the loss of this run again.
+        task.suspicion = Suspicion(known.points, run.number, 0, known.alone)
         run.loss_counted = True
         self.state.mark_changed(job)
         return known.alone and known.points >= needed_points
--- a/packages/scheduler/tests/test_crash_evidence.py
+++ b/packages/scheduler/tests/test_crash_evidence.py
@@ -3,6 +3,7 @@
 import pytest
 from fescuecrank_scheduler.events import CallResult
 from fescuecrank_scheduler.jobs import Phase
+from fescuecrank_scheduler.records import decode, encode_progress
 from leader_builders import BORN_MS, JOB, TASK, make_driver, start_task
 from scheduler_builders import job, step
 
@@ -40,3 +41,24 @@
         driver.advance(100)
         driver.answer_hold("worker-1", born_ms=sample.accepted_ms - age_ms)
         assert task.suspicion.points == points
+
+    def test_next_leader_does_not_count_the_loss_again(self):
+        """It adopts the run, which stays on record until it is stopped, and loses contact anew."""
+        driver = make_driver(workers=1)
+        start = start_task(driver)
+        driver.answer_start(start, CallResult.NO_ANSWER)
+        driver.answer_hold("worker-1", result=CallResult.NO_ANSWER)
+        driver.advance(300)
+        driver.answer_hold("worker-1", born_ms=BORN_MS + 1_000)
+        sample = driver.state.table.jobs[JOB]
+        counted = sample.task(TASK).suspicion.points
+        progress = decode(encode_progress(sample, None, 1))
+        successor = make_driver(workers=1)
+        adopted = job(JOB, step(1))
+        adopted.create_occurrence(0)
+        adopted.tasks[0, 0] = list(progress.tasks)
+        successor.submit(adopted)
+        successor.advance(20)
+        successor.answer_hold("worker-1", result=CallResult.NO_ANSWER)
+        successor.advance(300)
+        assert adopted.task(TASK).suspicion.points == counted > 0
