Start each entry of the soak once and leave none running

Two restarts that were due at a time started two processes at one address, the second of which ended and the first of which stayed unknown; a start that was cancelled at the end stayed too. 11 of about 110 runs left a process. The start is now serialised and completed before the soak ends.

--- a/packages/daemon/tests/soak_entries.py
+++ b/packages/daemon/tests/soak_entries.py
@@ -40,6 +40,9 @@
         self.proxies = [Proxy(front.address, lambda name: count(f"store {name}")) for _ in range(2)]
         self.process: asyncio.subprocess.Process | None = None
         self.lives = 0
+        self.closed = False
+        # Two restarts may be due at a time; the first one counts.
+        self._start_lock = asyncio.Lock()
         self._faults: set[int] = set()
         self._fault_numbers = itertools.count()
         self._repaired_ms: int | None = None
@@ -76,6 +79,15 @@
     # Life cycle.
 
     async def start(self) -> None:
+        """Start the process if it does not run; a start is completed even if this is cancelled."""
+        await asyncio.shield(self._start())
+
+    async def _start(self) -> None:
+        async with self._start_lock:
+            if not self.running and not self.closed:
+                await self._create_process()
+
+    async def _create_process(self) -> None:
         for proxy in self.proxies:
             await proxy.open()
         path = self.write_settings()
@@ -137,7 +149,10 @@
         return self.process.pid if self.process is not None else 0
 
     async def end(self) -> None:
-        """Kill the process and wait for its end."""
+        """Kill the process, also one that is being started, and wait for its end."""
+        self.closed = True
+        async with self._start_lock:
+            pass
         if self.running:
             with contextlib.suppress(ProcessLookupError):
                 self.process.kill()
