--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -70,7 +70,7 @@
                 self._refuse_later(worker, event.token, now)
             return
         if event.token < worker.token and event.result not in CARRIED_OUT:
-            # It was sent to the earlier address of the worker.
+            # It was sent to an earlier address of the worker, or overtaken by a later call.
             self._mark_unanswered(worker, run, now)
             return
         match event.result:
