--- a/packages/service/tests/test_metrics.py
+++ b/packages/service/tests/test_metrics.py
@@ -12,6 +12,6 @@
     sim.run(2_000)
     reducer = sim.leader().reducer
     kinds = reducer.scheduler.runs.crashes.kinds.kinds
-    assert gauges(reducer, sim.now_ms)["suspected_kinds"][1] == []
+    assert gauges(reducer, sim.now)["suspected_kinds"][1] == []
     kinds["checks"] = Kind(KindRecord("checks", "checks", 1, 1, 3))
-    assert gauges(reducer, sim.now_ms)["suspected_kinds"][1] == [({"kind": "checks"}, 3)]
+    assert gauges(reducer, sim.now)["suspected_kinds"][1] == [({"kind": "checks"}, 3)]
