--- a/packages/service/src/fescuecrank_service/stream_health.py
+++ b/packages/service/src/fescuecrank_service/stream_health.py
@@ -1,7 +1,7 @@
 """Log lines about the streams of the store: lost, failing in another way, read slowly, regained.
 
-The first failure alone did not tell why a stream stayed away for 17 s: the store refused the reads
-at first, and later they exceeded their time-out again and again.
+The first failure alone does not tell why a stream stays away: the store may refuse the reads at
+first, and later they exceed their time-out.
 """
 
 from collections import Counter
--- a/packages/service/src/fescuecrank_service/topic_reader.py
+++ b/packages/service/src/fescuecrank_service/topic_reader.py
@@ -4,10 +4,9 @@
 machine, while others accept jobs already. What was read is therefore as old as the request of its
 first page, not as its arrival.
 
-A read that was repeated whole after each failure never got ahead where a link carried less within
-the time-out than had been missed: entries served an old configuration for 17 s after an outage.
-What has arrived is therefore kept, pages are as small as the link needs, and a read lasts for as
-long as more of it arrives.
+A read that is repeated whole after each failure never gets ahead where a link carries less within
+the time-out than has been missed. What has arrived is therefore kept, pages are as small as the link
+needs, and a read lasts for as long as more of it arrives.
 """
 
 import asyncio
