--- a/packages/service/src/fescuecrank_service/topic_reader.py
+++ b/packages/service/src/fescuecrank_service/topic_reader.py
@@ -5,8 +5,8 @@
 first page, not as its arrival.
 
 A read that is repeated whole after each failure never gets ahead where a link carries less within
-the time-out than has been missed. What has arrived is therefore kept, pages are as small as the link
-needs, and a read lasts for as long as more of it arrives.
+the time-out than has been missed. What has arrived is therefore kept, pages are as small as the
+link needs, and a read lasts for as long as more of it arrives.
 """
 
 import asyncio
