--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,14 +13,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
+from failing_store import FailingStore  # noqa: E402
 from fleet import BROKEN, HELD, CouldNotRun, Fleet, main  # noqa: E402
-from store import Store  # noqa: E402
-from web import DropConnection  # noqa: E402
 
-# Length of the outage; the sheets of the sites name outages of the store of 4 s and more.
-OUTAGE_S = 3.0
-# For how long it carries out appends without answering before that.
-STALL_S = 0.1
 # Jobs that are submitted at each entry before and after the outage.
 JOBS = 3
 STEPS = [{"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 500, "work_ms": 500}]
@@ -31,34 +26,6 @@
 FINISH_S = 14.0
 
 
-class FailingStore(Store):
-    """A store that goes away: what it carries out at the end has no answer."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.down: asyncio.Event | None = None
-        self.unanswered = 0
-
-    async def append(self, topic, partition, query, body):
-        answer = await super().append(topic, partition, query, body)
-        if self.down is not None:
-            self.unanswered += 1
-            await self.down.wait()
-            raise DropConnection
-        return answer
-
-    async def outage(self) -> None:
-        """Stop answering, then reset all channels, and answer with 503 until the end."""
-        self.down = asyncio.Event()
-        await asyncio.sleep(STALL_S)
-        self.busy = True
-        self.down.set()
-        self.down = None
-        self.reset_all()
-        await asyncio.sleep(OUTAGE_S)
-        self.busy = False
-
-
 async def scenario(fleet: Fleet) -> int:
     store = fleet.store
     # Channels to the store are in use, as at any time of a day.
@@ -71,7 +38,7 @@
     waiting: list[asyncio.Future] = []
     if fleet.trouble:
         fleet.note("the store goes down: answers are lost, channels are reset, then 503")
-        outage = asyncio.ensure_future(store.outage())
+        outage = asyncio.ensure_future(store.go_down())
         await asyncio.sleep(0)
         for entry in fleet.entries:
             during = fleet.submit(entry, fleet.new_id(), STEPS)
