Show that jobs which no worker has begun are not given as pending

A job counts as started as soon as a run of it is planned, so jobs that wait for workers which have gone dark are missing from the count of the queue.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -303,6 +303,9 @@
         status, document = await self._call(entry, "GET", job, None, 3.0)
         return status, document.get("state", "")
 
+    async def count_pending(self, entry: EntryProcess) -> tuple[int | None, dict]:
+        return await self._call(entry, "GET", "", None, 3.0)
+
     async def cancel(self, entry: EntryProcess, job: str) -> int | None:
         status, _ = await self._call(entry, "DELETE", job, None, 3.0)
         return status
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from web import WebServer
+from web import NoAnswer, WebServer
 
 HOLD_MAX_S, HEARTBEAT_S = 10.0, 1.5
 MAX_LISTED_ENDS = 500
@@ -52,6 +52,7 @@
         self.ends = 0
         self.ended = asyncio.Event()
         self.sequence = 0
+        self.dark_until_s = 0.0
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -83,7 +84,8 @@
 
         async def report() -> None:
             while True:
-                store.put("keyed.servers", self.name, self.entry())
+                if not self.dark:
+                    store.put("keyed.servers", self.name, self.entry())
                 await asyncio.sleep(HEARTBEAT_S)
 
         async def watch_lease() -> None:
@@ -103,7 +105,23 @@
                 run.timer.cancel()
         super().close()
 
+    def go_dark(self, length_s: float) -> None:
+        """Answer nothing and report nothing for some time, as a machine without power would."""
+        self.dark_until_s = time.monotonic() + length_s
+
+    @property
+    def dark(self) -> bool:
+        return time.monotonic() < self.dark_until_s
+
     async def handle(self, method, target, headers, body):
+        if self.dark:
+            raise NoAnswer
+        answer = await self._handle(target, headers, body)
+        if self.dark:
+            raise NoAnswer
+        return answer
+
+    async def _handle(self, target, headers, body):
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, b""
         fields = json.loads(body)
