Show that tasks start on a worker that has come back without their label

After a restart under the same id the leader uses the labels of the life before until it has read the list of workers again.

--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -37,11 +37,19 @@
         on_event: Callable[..., None],
         cpu: int = 16_000,
         mem_mb: int = 32_768,
+        kind: str = "a",
     ) -> None:
         super().__init__()
+        self.kind = kind
         self.name, self.machine, self.pool = name, machine, pool
         self.step_of, self.on_event = step_of, on_event
         self.capacity = (cpu, mem_mb)
+        self._begin_life()
+        self.dark_until_s = 0.0
+        self._tasks: list[asyncio.Task] = []
+
+    def _begin_life(self) -> None:
+        """Hold and know nothing of before; the counts start anew."""
         self.born_s = time.monotonic()
         self.born_ms = int(time.time() * 1_000)
         self.token = 0
@@ -52,8 +60,6 @@
         self.ends = 0
         self.ended = asyncio.Event()
         self.sequence = 0
-        self.dark_until_s = 0.0
-        self._tasks: list[asyncio.Task] = []
 
     @property
     def clock_ms(self) -> int:
@@ -72,7 +78,7 @@
             "state": "ready",
             "cold_ms": 0,
             "capacity": {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0},
-            "labels": ["a", "r1-1"],
+            "labels": [self.kind, "r1-1"],
             "machine": self.machine,
             "born": self.born_ms,
             "clock_ms": self.clock_ms,
@@ -97,6 +103,18 @@
 
         self._tasks = [asyncio.ensure_future(each()) for each in (report, watch_lease)]
 
+    async def crash(self, away_s: float, kind: str, store) -> None:
+        """Lose everything, and start again under the same id and address, as another kind."""
+        host, port = self.address.rsplit(":", 1)
+        self.close()
+        for run in self.runs.values():
+            self.on_event("lost", run.task, run.number, self.name)
+        await asyncio.sleep(away_s)
+        self._begin_life()
+        self.kind = kind
+        await self.listen(host, int(port))
+        self.begin(store)
+
     def close(self) -> None:
         for task in self._tasks:
             task.cancel()
