Show that a task that is done is started again by a late start

A start that its worker left unanswered is carried out after the worker has restarted under its id, before the leader has called it; its task is done by then and its end was taken note of.

--- a/review/standins/failing_store.py
+++ b/review/standins/failing_store.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from store import Store
-from web import DropConnection
+from web import ConnectionDroppedError
 
 # Length of the outage; the sheets of the sites play outages of the store of up to 4.5 s.
 OUTAGE_S = 3.0
@@ -25,7 +25,7 @@
         if self._down is not None:
             self.unanswered += answer[0] == 200 and method == "POST" and bool(body)
             await self._down.wait()
-            raise DropConnection
+            raise ConnectionDroppedError
         return answer
 
     async def go_down(self) -> None:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -89,7 +89,7 @@
 }
 
 
-class CouldNotRun(Exception):
+class CouldNotRunError(Exception):
     """The case says nothing: something that it needs did not come about."""
 
 
@@ -254,7 +254,7 @@
         end_s = time.monotonic() + timeout_s
         while not await condition():
             if time.monotonic() > end_s:
-                raise CouldNotRun(problem)
+                raise CouldNotRunError(problem)
             await asyncio.sleep(0.1)
 
     async def close(self) -> None:
@@ -332,7 +332,7 @@
             async with asyncio.timeout(LIMIT_S):
                 await fleet.start()
                 result = await scenario(fleet)
-        except (CouldNotRun, TimeoutError, OSError) as exc:
+        except (CouldNotRunError, TimeoutError, OSError) as exc:
             fleet.note(f"the case could not run: {exc!r}")
         except Exception:  # noqa: BLE001 - a mistake in the case is not a broken rule
             fleet.note(f"the case could not run: {traceback.format_exc()}")
--- a/review/standins/web.py
+++ b/review/standins/web.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 server and client for the stand-ins, on asyncio and the standard library only."""
+"""A small HTTP/1.1 server and client for the stand-ins, on the standard library only."""
 
 import asyncio
 import json
@@ -11,11 +11,11 @@
 CALL_TIMEOUT_S = 3.0
 
 
-class DropConnection(Exception):
+class ConnectionDroppedError(Exception):
     """Raised by a handler that ends the connection with a reset instead of an answer."""
 
 
-class NoAnswer(Exception):
+class NoAnswerError(Exception):
     """Raised by a handler that leaves the call, and all later ones on its channel, unanswered."""
 
 
@@ -49,11 +49,14 @@
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Number of the present life; a call on a channel of an earlier one is answered by a reset.
+        self.life = 1
 
     async def listen(self, host: str, port: int = 0) -> None:
         """Listen on a port; 0 is any free one."""
         self._server = await asyncio.start_server(self._serve, host, port, limit=2**24)
-        self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
+        found = self._server.sockets[0].getsockname()
+        self.address = f"{found[0]}:{found[1]}"
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
@@ -74,16 +77,20 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        life = self.life
         try:
             while (message := await read_message(reader)) is not None:
+                if life != self.life:
+                    reset(writer)
+                    return
                 first, headers, body = message
                 method, target, _ = first.split(" ", 2)
                 try:
                     status, answer = await self.handle(method, target, headers, body)
-                except DropConnection:
+                except ConnectionDroppedError:
                     reset(writer)
                     return
-                except NoAnswer:
+                except NoAnswerError:
                     await reader.read()
                     return
                 head = f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}\r\n"
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -1,14 +1,18 @@
 """A stand-in of a worker and of the list of machines, as PROTOCOL.md describes them."""
 
 import asyncio
+import contextlib
 import json
+import random
 import time
 from collections.abc import Callable
 
-from web import NoAnswer, WebServer
+from web import NoAnswerError, WebServer
 
 HOLD_MAX_S, HEARTBEAT_S = 10.0, 1.5
 MAX_LISTED_ENDS = 500
+# An order that gets no answer is carried out this much later.
+LATE_S = (2.0, 12.0)
 # A stop takes at most `stop_ms` (200).
 STOP_S = 0.05
 
@@ -46,7 +50,11 @@
         self.capacity = (cpu, mem_mb)
         self._begin_life()
         self.dark_until_s = 0.0
+        # Share of the starts that get no answer and are carried out late.
+        self.late_share = 0.0
+        self.up = True
         self._tasks: list[asyncio.Task] = []
+        self._late: set[asyncio.Task] = set()
 
     def _begin_life(self) -> None:
         """Hold and know nothing of before; the counts start anew."""
@@ -87,6 +95,7 @@
 
     def begin(self, store) -> None:
         """Report to the store and watch the lease from now on."""
+        self._store = store
 
         async def report() -> None:
             while True:
@@ -106,22 +115,47 @@
     async def crash(self, away_s: float, kind: str, store) -> None:
         """Lose everything, and start again under the same id and address, as another kind."""
         host, port = self.address.rsplit(":", 1)
-        self.close()
+        self.up = False
+        self._stop()
         for run in self.runs.values():
             self.on_event("lost", run.task, run.number, self.name)
         await asyncio.sleep(away_s)
         self._begin_life()
-        self.kind = kind
+        self.kind, self.up = kind, True
+        self.on_event("is back", "-", 0, self.name)
         await self.listen(host, int(port))
         self.begin(store)
 
+    async def lose_power(self, away_s: float) -> None:
+        """Go dark, lose everything, and start again under the same id and address."""
+        self.up = False
+        self.go_dark(away_s)
+        self._stop_work()
+        for run in self.runs.values():
+            self.on_event("lost", run.task, run.number, self.name)
+        self.runs = {}
+        await asyncio.sleep(away_s)
+        self.life += 1
+        self._begin_life()
+        self.dark_until_s, self.up = 0.0, True
+        self.on_event("is back", "-", 0, self.name)
+        self.begin(self._store)
+
     def close(self) -> None:
+        for task in self._late:
+            task.cancel()
+        self._stop()
+
+    def _stop(self) -> None:
+        self._stop_work()
+        super().close()
+
+    def _stop_work(self) -> None:
         for task in self._tasks:
             task.cancel()
         for run in self.runs.values():
             if run.timer is not None:
                 run.timer.cancel()
-        super().close()
 
     def go_dark(self, length_s: float) -> None:
         """Answer nothing and report nothing for some time, as a machine without power would."""
@@ -133,12 +167,24 @@
 
     async def handle(self, method, target, headers, body):
         if self.dark:
-            raise NoAnswer
+            raise NoAnswerError
+        if target == "/api/run-start" and random.random() < self.late_share:
+            self._late.add(asyncio.ensure_future(self._carry_out_late(target, headers, body)))
+            raise NoAnswerError
         answer = await self._handle(target, headers, body)
         if self.dark:
-            raise NoAnswer
+            raise NoAnswerError
         return answer
 
+    async def _carry_out_late(self, target, headers, body) -> None:
+        """Carry an order out seconds later, if there is a life of the worker that takes it."""
+        await asyncio.sleep(random.uniform(*LATE_S))
+        if self.up and not self.dark:
+            status, answer = await self._handle(target, headers, body)
+            fields = json.loads(body)
+            outcome = json.loads(answer).get("reason", "carried out") if answer else status
+            self.on_event(f"late start ({outcome})", fields["task"], fields["run"], self.name)
+
     async def _handle(self, target, headers, body):
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, b""
@@ -151,7 +197,7 @@
             case "/api/run-start":
                 return self._start(fields)
             case "/api/run-stop":
-                return self._stop(fields)
+                return self._stop_run(fields)
             case "/api/hold":
                 return await self._hold(fields)
             case "/api/pace":
@@ -207,7 +253,7 @@
         self.ended.set()
         self.ended = asyncio.Event()
 
-    def _stop(self, fields: dict) -> tuple[int, bytes]:
+    def _stop_run(self, fields: dict) -> tuple[int, bytes]:
         task, number = fields["task"], fields["run"]
         self.highest_ended[task] = max(self.highest_ended.get(task, 0), number)
         run = self.runs.get(task)
@@ -219,13 +265,14 @@
 
     async def _hold(self, fields: dict) -> tuple[int, bytes]:
         self._grant(fields)
+        for row in self.finished:
+            if row[0] <= fields["last_seen"]:
+                self.on_event(f"end {row[3]} noted", row[1], row[2], self.name)
         self.finished = [row for row in self.finished if row[0] > fields["last_seen"]]
         wait_s = min(fields.get("wait_ms", 0), 2_000) / 1_000
         if not self.finished and wait_s:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.ended.wait(), wait_s)
-            except TimeoutError:
-                pass
         now_s = time.monotonic()
         running = [
             [run.task, run.number, "", self._percent(run, now_s), run.need[0]]
