--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
 from failing_store import FailingStore  # noqa: E402
-from fleet import BROKEN, HELD, CouldNotRun, Fleet, main  # noqa: E402
+from fleet import BROKEN, HELD, CouldNotRunError, Fleet, main  # noqa: E402
 
 # Jobs that are submitted at each entry before and after the outage.
 JOBS = 3
@@ -33,7 +33,7 @@
         for entry in fleet.entries:
             status = await fleet.submit(entry, fleet.new_id(), STEPS)
             if status != 200:
-                raise CouldNotRun("a job before the outage was not accepted")
+                raise CouldNotRunError("a job before the outage was not accepted")
     await asyncio.sleep(2)
     waiting: list[asyncio.Future] = []
     if fleet.trouble:
@@ -55,7 +55,7 @@
             if await fleet.submit(entry, job, STEPS) == 200:
                 accepted.append(job)
     if len(accepted) < JOBS * len(fleet.entries) // 2:
-        raise CouldNotRun("few jobs were accepted after the outage")
+        raise CouldNotRunError("few jobs were accepted after the outage")
     await asyncio.sleep(VISIBLE_S)
     lost = set()
     for job in accepted:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
 from failing_store import FailingStore  # noqa: E402
-from fleet import BROKEN, HELD, CouldNotRun, Fleet, main  # noqa: E402
+from fleet import BROKEN, HELD, CouldNotRunError, Fleet, main  # noqa: E402
 
 STEPS = [{"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 500, "work_ms": 500}]
 
@@ -45,7 +45,7 @@
     for _ in range(3):
         for entry in fleet.entries:
             if await fleet.submit(entry, fleet.new_id(), STEPS) != 200:
-                raise CouldNotRun("a job before the outage was not accepted")
+                raise CouldNotRunError("a job before the outage was not accepted")
     await asyncio.sleep(2)
     outage = None
     if fleet.trouble:
