--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -44,7 +44,7 @@
         kind: str = "a",
     ) -> None:
         super().__init__()
-        self.kind = kind
+        self.kind, self.rack = kind, "r1-1"
         self.name, self.machine, self.pool = name, machine, pool
         self.step_of, self.on_event = step_of, on_event
         self.capacity = (cpu, mem_mb)
@@ -86,7 +86,7 @@
             "state": "ready",
             "cold_ms": 0,
             "capacity": {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0},
-            "labels": [self.kind, "r1-1"],
+            "labels": [self.kind, self.rack],
             "machine": self.machine,
             "born": self.born_ms,
             "clock_ms": self.clock_ms,
@@ -301,7 +301,7 @@
                 "pool": worker.pool,
                 "state": "up",
                 "zone": "zone-a",
-                "labels": ["a", "r1-1"],
+                "labels": [worker.kind, worker.rack],
                 "capacity": {
                     "cpu": worker.capacity[0],
                     "mem_mb": worker.capacity[1],
