Log the attempts of appends and count calls that are sent a second time

`append_settled` now names the attempts, epoch, sequence number and offset of each append that was not simply stored, and of the first one after it; `resent_calls_total` counts second copies by operation.

Ruled out: a record that the entries read and drop (no record_skipped), and a lost answer of a stored append (its outcome would be unknown, not refused).

--- a/packages/daemon/src/fescuecrank_daemon/platform_entry.py
+++ b/packages/daemon/src/fescuecrank_daemon/platform_entry.py
@@ -124,16 +124,16 @@
     """Create the components of one entry."""
     rng = random.Random()
     endpoints = Endpoints.from_settings(cfg)
-    client = HttpClient(MAX_STORE_CALLS)
-    peer_client = HttpClient(MAX_PEER_CALLS)
+    metrics = Metrics(clock)
+    client = HttpClient(MAX_STORE_CALLS, metrics.resent_counts)
+    peer_client = HttpClient(MAX_PEER_CALLS, metrics.resent_counts)
     clients = [client, peer_client]
 
     def make_worker_client() -> HttpWorkerClient:
         # Created on demand, as only the leader calls workers.
-        clients.append(HttpClient(MAX_WORKER_CALLS))
+        clients.append(HttpClient(MAX_WORKER_CALLS, metrics.resent_counts))
         return HttpWorkerClient(clients[-1])
 
-    metrics = Metrics(clock)
     engine = Engine(
         Reducer(cfg.node, cfg.limits(), rng, cfg.front_address),
         clock,
--- a/packages/platform/src/fescuecrank_platform/store.py
+++ b/packages/platform/src/fescuecrank_platform/store.py
@@ -48,8 +48,13 @@
 
 BINARY_HEADERS = {"Content-Type": "application/octet-stream"}
 
-# Statuses with which the store states that it appended nothing.
-REFUSED_STATUSES = {400, 403, 429, 503, 507}
+# Results of an append by the status of its response; any other one leaves the outcome open.
+RESULT_BY_STATUS = {
+    200: StoreResult.STORED,
+    409: StoreResult.FENCED,
+    412: StoreResult.CONFLICT,
+    **dict.fromkeys((400, 403, 429, 503, 507), StoreResult.REFUSED),
+}
 
 
 def encode_records(records: tuple[Record, ...]) -> bytes:
@@ -236,16 +241,13 @@
         )
         if outcome.is_err():
             unsent = outcome.err_value.kind is FailureKind.UNAVAILABLE
-            return AppendOutcome(StoreResult.REFUSED if unsent else StoreResult.UNKNOWN)
+            result = StoreResult.REFUSED if unsent else StoreResult.UNKNOWN
+            return AppendOutcome(result, reason=outcome.err_value.detail)
         response = outcome.ok_value
-        if response.code == 200:
-            return AppendOutcome(StoreResult.STORED, _int_field(response.body, "offset"))
-        if response.code == 409:
-            return AppendOutcome(StoreResult.FENCED)
-        if response.code == 412:
-            return AppendOutcome(StoreResult.CONFLICT)
-        refused = response.code in REFUSED_STATUSES
-        return AppendOutcome(StoreResult.REFUSED if refused else StoreResult.UNKNOWN)
+        result = RESULT_BY_STATUS.get(response.code, StoreResult.UNKNOWN)
+        stored = result is StoreResult.STORED
+        offset = _int_field(response.body, "offset") if stored else -1
+        return AppendOutcome(result, offset, response.code)
 
     async def put(self, record: Record, timeout_ms: int) -> bool:
         """Append one record without a producer; a retry that appends it twice does no harm."""
--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 from fescuecrank_core.clock import Clock
@@ -15,7 +16,8 @@
 )
 from fescuecrank_scheduler.records import Record
 
-from fescuecrank_service.interfaces import Stream
+from fescuecrank_service.interfaces import AppendOutcome, Stream
+from fescuecrank_service.log_lines import JsonLineLogger
 
 # Least time-outs of successive attempts. A healthy store responds in a few milliseconds, a slow one
 # in some hundreds. A timed-out connection is closed, so the next attempt uses another one.
@@ -45,6 +47,9 @@
 # While appends fail, empty appends are sent with this pause to detect that the store has recovered.
 PROBE_PAUSE_MS = 300
 
+# Attempts in the log line of one append; one of the leader is repeated for as long as it takes.
+MAX_LOGGED_ATTEMPTS = 12
+
 # The store limits the size of an append in bytes.
 MAX_BATCH_RECORDS = 200
 
@@ -74,6 +79,34 @@
             self.recent_ms = (self.recent_ms + duration_ms) / 2
 
 
+@attrs.define
+class AttemptLog:
+    """Writes the attempts of each append that the store did not simply store.
+
+    The first plain append after such a one is written too: its offset and sequence number show
+    whether the store has taken it for a repetition of an earlier one.
+    """
+
+    log: JsonLineLogger
+    stream: str
+    _attempts: list[tuple[str, int | str, int]] = attrs.field(factory=list)
+    _unsettled: bool = False
+
+    def record(self, outcome: AppendOutcome, duration_ms: int) -> None:
+        """Record the outcome of one attempt."""
+        if len(self._attempts) < MAX_LOGGED_ATTEMPTS:
+            self._attempts.append((outcome.result.value, outcome.reason, duration_ms))
+
+    def settle(self, result: StoreResult, **fields: Any) -> None:
+        """Write the attempts since the last call unless there is nothing to tell."""
+        attempts, self._attempts = self._attempts, []
+        plain = result is StoreResult.STORED and len(attempts) == 1
+        if not plain or self._unsettled:
+            fields = {"stream": self.stream, "result": result.value, "attempts": attempts} | fields
+            self.log.write("append_settled", fields)
+        self._unsettled = not plain
+
+
 @attrs.frozen
 class PendingRecord:
     """A record that waits for an append, and the token of its request."""
@@ -86,16 +119,24 @@
     """Appends the records of callers' requests, in batches of those that arrive together."""
 
     def __init__(
-        self, stream: Stream, producer: str, clock: Clock, post: Callable[[Event], None]
+        self,
+        stream: Stream,
+        producer: str,
+        clock: Clock,
+        post: Callable[[Event], None],
+        log: JsonLineLogger,
     ) -> None:
         self._stream = stream
         self._producer = producer
         self._clock = clock
         self._post = post
+        self._attempt_log = AttemptLog(log, "intake")
         self._pending: list[PendingRecord] = []
         self._task: asyncio.Task[None] | None = None
         self._epoch = 1
         self._sequence = 0
+        # Offset of the latest append that the store has reported as stored.
+        self._offset = -1
         self._failing = False
         self._timeouts = AttemptTimeouts()
 
@@ -117,7 +158,11 @@
                 self._pending[MAX_BATCH_RECORDS:],
             )
             if batch:
+                epoch, sequence = self._epoch, self._sequence
                 result = await self._append(tuple(pending.record for pending in batch))
+                self._attempt_log.settle(
+                    result, records=len(batch), epoch=epoch, sequence=sequence, offset=self._offset
+                )
                 for pending in batch:
                     self._post(IntakeStored(pending.token, result))
                 if result is not StoreResult.STORED:
@@ -144,9 +189,10 @@
             sent_after_ms, elapsed_ms = elapsed_ms, self._clock.now().mono_ms - started_ms
             timed_out = outcome.result is StoreResult.UNKNOWN
             self._timeouts.record(elapsed_ms - sent_after_ms, timed_out)
+            self._attempt_log.record(outcome, elapsed_ms - sent_after_ms)
             match outcome.result:
                 case StoreResult.STORED:
-                    self._sequence += 1
+                    self._sequence, self._offset = self._sequence + 1, outcome.offset
                     self._set_failing(failing=False)
                     return StoreResult.STORED
                 case StoreResult.REFUSED if (
@@ -202,12 +248,18 @@
     """Appends the leader's records; retries an append until the store states its outcome."""
 
     def __init__(
-        self, stream: Stream, producer: str, clock: Clock, post: Callable[[Event], None]
+        self,
+        stream: Stream,
+        producer: str,
+        clock: Clock,
+        post: Callable[[Event], None],
+        log: JsonLineLogger,
     ) -> None:
         self._stream = stream
         self._producer = producer
         self._clock = clock
         self._post = post
+        self._attempt_log = AttemptLog(log, "progress")
         self._generation = 0
         self._timeouts = AttemptTimeouts()
         self._task: asyncio.Task[None] | None = None
@@ -241,6 +293,7 @@
             attempt += 1
             duration_ms = self._clock.now().mono_ms - sent_ms
             self._timeouts.record(duration_ms, outcome.result is StoreResult.UNKNOWN)
+            self._attempt_log.record(outcome, duration_ms)
             if generation != self._generation:
                 return
             if outcome.result is StoreResult.REFUSED:
@@ -248,4 +301,11 @@
                 backoff_ms = min(2 * backoff_ms, MAX_REFUSED_BACKOFF_MS)
             elif outcome.result is not StoreResult.UNKNOWN:
                 break
+        self._attempt_log.settle(
+            outcome.result,
+            records=len(effect.records),
+            epoch=effect.epoch,
+            sequence=effect.sequence,
+            offset=outcome.offset,
+        )
         self._post(ProgressStored(effect.epoch, effect.sequence, outcome.result, outcome.offset))
--- a/packages/service/src/fescuecrank_service/engine.py
+++ b/packages/service/src/fescuecrank_service/engine.py
@@ -110,9 +110,11 @@
         self._peer_client = peer_client
         self._log = log
         self._metrics = metrics
-        self._intake = IntakeAppender(store.shared_stream(Topic.INTAKE), producer, clock, self.post)
+        self._intake = IntakeAppender(
+            store.shared_stream(Topic.INTAKE), producer, clock, self.post, log
+        )
         self._progress = ProgressAppender(
-            store.shared_stream(Topic.PROGRESS), "leader", clock, self.post
+            store.shared_stream(Topic.PROGRESS), "leader", clock, self.post, log
         )
         self._rejections = RejectionLog("workers", log, metrics.rejected_counts)
         self._newest_operator_values: dict[str, bytes] = {}
--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import re
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 
 import attrs
@@ -194,11 +194,15 @@
     A connection on which a call times out is closed, so that a dead connection is not reused.
     """
 
-    def __init__(self, max_concurrent_calls: int) -> None:
+    def __init__(
+        self, max_concurrent_calls: int, resent_counts: Counter[str] | None = None
+    ) -> None:
         self._slots = asyncio.Semaphore(max_concurrent_calls)
         self._idle_by_address: dict[str, list[_Connection]] = {}
         # The same connections, the one idle for longest first.
         self._idle: OrderedDict[_Connection, None] = OrderedDict()
+        # Calls that were sent a second time, by operation.
+        self._resent_counts = resent_counts if resent_counts is not None else Counter()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -240,6 +244,7 @@
                     except ConnectionLostError as exc:
                         if exc.answering or not resend:
                             raise
+                        self._resent_counts[operation] += 1
                 conn = await self._connect(address)
                 sent = True
                 return Ok(await conn.exchange(request))
--- a/packages/service/src/fescuecrank_service/interfaces.py
+++ b/packages/service/src/fescuecrank_service/interfaces.py
@@ -44,10 +44,14 @@
 
 @attrs.frozen
 class AppendOutcome:
-    """Outcome of an append; if it was stored, `offset` is that of its first record."""
+    """Outcome of an append; if it was stored, `offset` is that of its first record.
+
+    `reason` is the status of the response, or why there is none.
+    """
 
     result: events.StoreResult
     offset: int = -1
+    reason: int | str = ""
 
 
 # Called while a response arrives, with the number of bytes that have arrived.
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -31,6 +31,8 @@
     call_counts: Counter = attrs.field(factory=Counter)
     # Entries that decoders rejected, by source.
     rejected_counts: Counter = attrs.field(factory=Counter)
+    # Calls that a client sent a second time by itself, by operation.
+    resent_counts: Counter = attrs.field(factory=Counter)
     _library: Any = None
     _registry: Any = None
     _latency: Any = None
@@ -62,6 +64,13 @@
             "source",
             self.rejected_counts,
         )
+        self._add_counter(
+            registry,
+            "resent_calls_total",
+            "Calls that were sent a second time, as a reused connection had been closed.",
+            "operation",
+            self.resent_counts,
+        )
         self._add_counter(
             registry, "answers_total", "Answers by status.", "status", self.response_counts
         )
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -69,7 +69,7 @@
 
 def make_intake_appender(stream):
     posted = []
-    return IntakeAppender(stream, "entry-1", ManualClock(), posted.append), posted
+    return IntakeAppender(stream, "entry-1", ManualClock(), posted.append, ListLogger()), posted
 
 
 class TestIntakeAppender:
@@ -79,7 +79,7 @@
         async def scenario():
             clock = ManualClock()
             posted = []
-            appender = IntakeAppender(stream, "entry-1", clock, posted.append)
+            appender = IntakeAppender(stream, "entry-1", clock, posted.append, ListLogger())
             for token in range(count):
                 appender.add(StoreIntake(token, RECORD))
             stored = [event for event in posted if isinstance(event, IntakeStored)]
@@ -120,7 +120,7 @@
         async def scenario():
             stream = ScriptedStream([StoreResult.UNKNOWN])
             clock, posted = ManualClock(), []
-            appender = IntakeAppender(stream, "entry-1", clock, posted.append)
+            appender = IntakeAppender(stream, "entry-1", clock, posted.append, ListLogger())
             appender.add(StoreIntake(1, RECORD))
             await until(lambda: stream.calls)
             appender.add(StoreIntake(2, RECORD))
@@ -139,7 +139,7 @@
         async def scenario():
             stream = ScriptedStream([StoreResult.REFUSED])
             clock, posted = ManualClock(), []
-            appender = IntakeAppender(stream, "entry-1", clock, posted.append)
+            appender = IntakeAppender(stream, "entry-1", clock, posted.append, ListLogger())
             appender.add(StoreIntake(1, RECORD))
             while StoreHealth(True) not in posted:
                 clock.advance(50)
@@ -157,7 +157,9 @@
         async def scenario():
             posted = []
             stream = ScriptedStream(answers)
-            appender = ProgressAppender(stream, "leader", ManualClock(), posted.append)
+            appender = ProgressAppender(
+                stream, "leader", ManualClock(), posted.append, ListLogger()
+            )
             appender.append(StoreProgress(3, 11, (RECORD,)))
             await until(lambda: posted)
             return stream.calls, posted
