Do not take the refusal of a second copy for the outcome of an append

Cause: the HTTP client sends a request once more when a reused connection is closed without a response, and this was the default. An append of which the first copy had been carried out, and the second got 503 in the outage that had closed the connection, counted as refused. The appender then answered 503, and used the sequence number, which the store had taken, for the next job: a repetition to the store, which answered with the first response and stored nothing. Ruled out: records that the readers skip, a lost 200.

Change: a call is sent again by itself only where it says so, which are the two that change nothing, the list of machines and advice. As the client used a fresh connection for its copy, it now closes the idle ones to an address of which one was lost.

--- a/packages/platform/src/fescuecrank_platform/fleet_client.py
+++ b/packages/platform/src/fescuecrank_platform/fleet_client.py
@@ -60,7 +60,12 @@
                 f"?page_token={quote(page_token, safe='')}" if page_token else ""
             )
             outcome = await self._client.call(
-                "machines.list", self._endpoints.machines, "GET", path, LIST_TIMEOUT_MS
+                "machines.list",
+                self._endpoints.machines,
+                "GET",
+                path,
+                LIST_TIMEOUT_MS,
+                resend=True,
             )
             if outcome.is_err() or outcome.ok_value.code != 200:
                 return None
@@ -103,8 +108,6 @@
             ORDER_TIMEOUT_MS,
             orjson.dumps(body),
             headers,
-            # The refusal of a second copy would say nothing about the first.
-            resend=False,
         )
         if outcome.is_err():
             return OrderResult.NO_ANSWER
@@ -130,6 +133,7 @@
             ADVICE_TIMEOUT_MS,
             orjson.dumps(body),
             {"Content-Type": "application/json"},
+            resend=True,
         )
         tickets, validity_ms = None, 0
         if outcome.is_ok() and outcome.ok_value.code == 200:
--- a/packages/platform/src/fescuecrank_platform/worker_client.py
+++ b/packages/platform/src/fescuecrank_platform/worker_client.py
@@ -90,7 +90,7 @@
         # A connection that is closed may mean that the worker has restarted. A second copy would
         # reach the next incarnation, and the first may still be carried out after its refusal.
         return await self._client.call(
-            operation, effect.address, "POST", path, timeout_ms, body_bytes, headers, resend=False
+            operation, effect.address, "POST", path, timeout_ms, body_bytes, headers
         )
 
     async def hold_worker(self, effect: HoldWorker) -> HoldDone:
--- a/packages/platform/tests/platform_builders.py
+++ b/packages/platform/tests/platform_builders.py
@@ -32,7 +32,7 @@
         self.resent = []
 
     async def call(
-        self, operation, address, method, path, timeout_ms, body=None, headers=None, resend=True
+        self, operation, address, method, path, timeout_ms, body=None, headers=None, resend=False
     ):
         self.calls.append((address, method, path, body, headers or {}))
         self.resent.append(resend)
--- a/packages/platform/tests/test_platform.py
+++ b/packages/platform/tests/test_platform.py
@@ -278,6 +278,12 @@
         assert "at=7" in query
         assert "producer=p%20q&epoch=3&sequence=9" in query
 
+    def test_append_is_not_sent_again_by_the_client(self):
+        """The refusal of a second copy would hide that the first one may have been carried out."""
+        http_client, stream = self.stream(Response(200, b'{"offset": 4, "end": 5}'))
+        asyncio.run(stream.append((Record("k", b"v"),), "p", 3, 9, None, 100))
+        assert http_client.resent == [False]
+
     def test_read_returns_page_expiry_or_failure(self):
         body = struct.pack(">QQ", 9, 3) + store.encode_records((Record("k", b"v"),))
         _, stream = self.stream(Response(200, body))
--- a/packages/service/src/fescuecrank_service/forwarding.py
+++ b/packages/service/src/fescuecrank_service/forwarding.py
@@ -35,8 +35,6 @@
         FORWARD_TIMEOUT_MS,
         req.body or None,
         headers | {FORWARDED_HEADER: "1"},
-        # The refusal of a second copy would say that a job has not run that the first one stored.
-        resend=False,
     )
     if outcome.is_err():
         sent = outcome.err_value.kind is not FailureKind.UNAVAILABLE
--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -220,7 +220,7 @@
         timeout_ms: int,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
-        resend: bool = True,
+        resend: bool = False,
     ) -> Result[HttpResponse, Failure]:
         """Return the response, whatever its status.
 
@@ -228,8 +228,8 @@
         `TIMEOUT` if the server may have executed the call. With `resend`, a request on a reused
         connection that the server closed without a response is sent once more, as the connection
         usually was closed before the request arrived. The response then says nothing about the
-        first copy, which may still be executed, so the call has to be idempotent whatever the
-        server did meanwhile.
+        first copy, which may have been executed or may still be, so this is for calls that change
+        nothing.
         """
         conn: _Connection | None = None
         sent = False
@@ -242,6 +242,7 @@
                     try:
                         return Ok(await conn.exchange(request))
                     except ConnectionLostError as exc:
+                        self._drop_idle(address)
                         if exc.answering or not resend:
                             raise
                         self._resent_counts[operation] += 1
@@ -335,6 +336,12 @@
             self._forget(oldest)
             oldest.abort()
 
+    def _drop_idle(self, address: str) -> None:
+        """Close the idle connections to an address, which the server has probably closed too."""
+        for conn in self._idle_by_address.pop(address, []):
+            self._idle.pop(conn, None)
+            conn.abort()
+
     def _forget(self, conn: _Connection) -> None:
         conns = self._idle_by_address.get(conn.address, [])
         if conn in conns:
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -529,13 +529,13 @@
 
     def test_request_on_an_idle_connection_that_was_closed_is_sent_once_more(self):
         server = RawServer(http(b"a"), None, http(b"b"))
-        results = self.call_in_turn(server, 500, 500)
+        results = self.call_in_turn(server, 500, 500, resend=True)
         assert results[1].ok_value.body == b"b"
         assert (server.connections, len(server.requests)) == (2, 3)
 
     def test_order_on_an_idle_connection_that_was_closed_may_have_been_executed(self):
         server = RawServer(http(b"a"), None, http(b"b"))
-        results = self.call_in_turn(server, 500, 500, resend=False)
+        results = self.call_in_turn(server, 500, 500)
         assert results[1].err_value.kind is FailureKind.TIMEOUT
         assert len(server.requests) == 2
 
