Settle an append also after an unexpected error, and pace attempts that fail fast

An unexpected error of the client ended the appender's task. Callers of the batch waited for ever, a candidate waited for its claim for ever, and the next append used the number of one that may be stored. The error is logged and the outcome is unknown; the attempt is repeated under the same number.

A first attempt without an answer was reported as 'store regained' (StoreHealth false) while the store was away. Only an answer shows that now.

Attempts of which the connection is closed at once are repeated by the appender and no longer by the client, so from the second on they get the pause of refused ones.

--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, ClassVar
 
 import attrs
 from fescuecrank_core.clock import Clock
@@ -17,7 +17,7 @@
 from fescuecrank_scheduler.records import Record
 
 from fescuecrank_service.interfaces import AppendOutcome, Stream
-from fescuecrank_service.log_lines import JsonLineLogger
+from fescuecrank_service.log_lines import JsonLineLogger, describe_failure
 
 # Least time-outs of successive attempts. A healthy store responds in a few milliseconds, a slow one
 # in some hundreds. A timed-out connection is closed, so the next attempt uses another one.
@@ -28,9 +28,9 @@
 # its load, until nothing is stored in time.
 DURATION_FACTOR = 3
 
-# Exponential backoff after an attempt that the store refused.
-REFUSED_BACKOFF_MS = 60
-MAX_REFUSED_BACKOFF_MS = 500
+# Exponential backoff after an attempt that the store refused, or whose connection it closed.
+MIN_BACKOFF_MS = 60
+MAX_BACKOFF_MS = 500
 
 # Requests are answered before the usual deadline of callers, 3 s. If the store has been fast and
 # now does not respond, this process is probably cut off from it, and the caller does better to try
@@ -79,6 +79,23 @@
             self.recent_ms = (self.recent_ms + duration_ms) / 2
 
 
+@attrs.define
+class Backoff:
+    """Pauses between the attempts at one append, each twice as long as the one before."""
+
+    pause_ms: int = MIN_BACKOFF_MS
+
+    async def wait(self) -> None:
+        """Wait before the next attempt."""
+        await self.wait_rest(0)
+
+    async def wait_rest(self, passed_ms: int) -> None:
+        """Wait for the part of the pause that the attempt has not taken itself."""
+        if passed_ms < self.pause_ms:
+            await asyncio.sleep((self.pause_ms - passed_ms) / 1_000)
+        self.pause_ms = min(2 * self.pause_ms, MAX_BACKOFF_MS)
+
+
 @attrs.define
 class AttemptLog:
     """Writes the attempts of each append that the store did not simply store.
@@ -115,8 +132,11 @@
     record: Record
 
 
-class IntakeAppender:
-    """Appends the records of callers' requests, in batches of those that arrive together."""
+class Appender:
+    """What both appenders share: single attempts, their time-outs and their log lines."""
+
+    # Name of the stream in log lines.
+    stream_name: ClassVar[str]
 
     def __init__(
         self,
@@ -130,15 +150,70 @@
         self._producer = producer
         self._clock = clock
         self._post = post
-        self._attempt_log = AttemptLog(log, "intake")
-        self._pending: list[PendingRecord] = []
+        self._log = log
+        self._attempt_log = AttemptLog(log, self.stream_name)
+        self._timeouts = AttemptTimeouts()
         self._task: asyncio.Task[None] | None = None
+
+    def close(self) -> None:
+        """Stop without waiting for the append in progress."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _send(
+        self,
+        records: tuple[Record, ...],
+        epoch: int,
+        sequence: int,
+        expected_end_offset: int | None,
+        timeout_ms: int,
+    ) -> AppendOutcome:
+        """Send an append; after an unexpected error it may be stored, so its outcome is unknown."""
+        try:
+            return await self._stream.append(
+                records, self._producer, epoch, sequence, expected_end_offset, timeout_ms
+            )
+        except Exception as exc:  # noqa: BLE001 - callers wait for an outcome
+            self._log.write("append_failed", describe_failure("append", self.stream_name, exc))
+            return AppendOutcome(StoreResult.UNKNOWN, reason=type(exc).__name__)
+
+    async def _attempt(
+        self,
+        records: tuple[Record, ...],
+        epoch: int,
+        sequence: int,
+        expected_end_offset: int | None,
+        timeout_ms: int,
+    ) -> tuple[AppendOutcome, int]:
+        """Make one attempt at an append; return its outcome and how long it took, in ms."""
+        sent_ms = self._clock.now().mono_ms
+        outcome = await self._send(records, epoch, sequence, expected_end_offset, timeout_ms)
+        duration_ms = self._clock.now().mono_ms - sent_ms
+        self._timeouts.record(duration_ms, outcome.result is StoreResult.UNKNOWN)
+        self._attempt_log.record(outcome, duration_ms)
+        return outcome, duration_ms
+
+
+class IntakeAppender(Appender):
+    """Appends the records of callers' requests, in batches of those that arrive together."""
+
+    stream_name = "intake"
+
+    def __init__(
+        self,
+        stream: Stream,
+        producer: str,
+        clock: Clock,
+        post: Callable[[Event], None],
+        log: JsonLineLogger,
+    ) -> None:
+        super().__init__(stream, producer, clock, post, log)
+        self._pending: list[PendingRecord] = []
         self._epoch = 1
         self._sequence = 0
         # Offset of the latest append that the store has reported as stored.
         self._offset = -1
         self._failing = False
-        self._timeouts = AttemptTimeouts()
 
     def add(self, effect: StoreIntake) -> None:
         """Queue one record."""
@@ -146,11 +221,6 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
-    def close(self) -> None:
-        """Stop without waiting for the append in progress."""
-        if self._task is not None:
-            self._task.cancel()
-
     async def _run(self) -> None:
         while self._pending or self._failing:
             batch, self._pending = (
@@ -173,23 +243,19 @@
     async def _append(self, records: tuple[Record, ...]) -> StoreResult:
         started_ms = self._clock.now().mono_ms
         deadline_ms = self._timeouts.deadline_ms()
-        may_be_stored, attempt, backoff_ms = False, 0, REFUSED_BACKOFF_MS
+        may_be_stored, attempt, backoff = False, 0, Backoff()
         while True:
             elapsed_ms = self._clock.now().mono_ms - started_ms
             timeout_ms = min(self._timeouts.timeout_ms(attempt), deadline_ms - elapsed_ms)
-            outcome = await self._stream.append(
+            outcome, duration_ms = await self._attempt(
                 records,
-                self._producer,
                 self._epoch,
                 self._sequence,
                 None,
                 max(timeout_ms, MIN_ATTEMPT_TIMEOUT_MS),
             )
             attempt += 1
-            sent_after_ms, elapsed_ms = elapsed_ms, self._clock.now().mono_ms - started_ms
-            timed_out = outcome.result is StoreResult.UNKNOWN
-            self._timeouts.record(elapsed_ms - sent_after_ms, timed_out)
-            self._attempt_log.record(outcome, elapsed_ms - sent_after_ms)
+            elapsed_ms = self._clock.now().mono_ms - started_ms
             match outcome.result:
                 case StoreResult.STORED:
                     self._sequence, self._offset = self._sequence + 1, outcome.offset
@@ -201,11 +267,12 @@
                     self._set_failing(failing=True)
                     return StoreResult.REFUSED
                 case StoreResult.REFUSED:
-                    await asyncio.sleep(backoff_ms / 1_000)
-                    backoff_ms = min(2 * backoff_ms, MAX_REFUSED_BACKOFF_MS)
+                    await backoff.wait()
                 case StoreResult.UNKNOWN:
                     may_be_stored = True
-                    self._set_failing(failing=attempt > 1)
+                    if attempt > 1:
+                        self._set_failing(failing=True)
+                        await backoff.wait_rest(duration_ms)
                 case _:
                     # Another incarnation of this process has used the sequence numbers.
                     self._start_epoch()
@@ -219,9 +286,8 @@
         self._epoch, self._sequence = self._epoch + 1, 0
 
     async def _probe(self) -> None:
-        outcome = await self._stream.append(
-            (), self._producer, self._epoch, self._sequence, None, self._timeouts.timeout_ms(0)
-        )
+        timeout_ms = self._timeouts.timeout_ms(0)
+        outcome = await self._send((), self._epoch, self._sequence, None, timeout_ms)
         if outcome.result is StoreResult.STORED:
             self._set_failing(failing=False)
         else:
@@ -244,9 +310,11 @@
             self._post(IntakeStored(pending.token, StoreResult.REFUSED))
 
 
-class ProgressAppender:
+class ProgressAppender(Appender):
     """Appends the leader's records; retries an append until the store states its outcome."""
 
+    stream_name = "progress"
+
     def __init__(
         self,
         stream: Stream,
@@ -255,14 +323,8 @@
         post: Callable[[Event], None],
         log: JsonLineLogger,
     ) -> None:
-        self._stream = stream
-        self._producer = producer
-        self._clock = clock
-        self._post = post
-        self._attempt_log = AttemptLog(log, "progress")
+        super().__init__(stream, producer, clock, post, log)
         self._generation = 0
-        self._timeouts = AttemptTimeouts()
-        self._task: asyncio.Task[None] | None = None
 
     def append(self, effect: StoreProgress) -> None:
         """Start an append; one of an earlier leadership that is still in progress is abandoned."""
@@ -273,34 +335,25 @@
         """Abandon the append in progress: it is neither retried nor reported."""
         self._generation += 1
 
-    def close(self) -> None:
-        """Stop without waiting for the append in progress."""
-        if self._task is not None:
-            self._task.cancel()
-
     async def _run(self, generation: int, effect: StoreProgress) -> None:
-        attempt, backoff_ms = 0, REFUSED_BACKOFF_MS
+        attempt, backoff = 0, Backoff()
         while True:
-            sent_ms = self._clock.now().mono_ms
-            outcome = await self._stream.append(
+            outcome, duration_ms = await self._attempt(
                 effect.records,
-                self._producer,
                 effect.epoch,
                 effect.sequence,
                 effect.expected_end,
                 self._timeouts.timeout_ms(attempt),
             )
             attempt += 1
-            duration_ms = self._clock.now().mono_ms - sent_ms
-            self._timeouts.record(duration_ms, outcome.result is StoreResult.UNKNOWN)
-            self._attempt_log.record(outcome, duration_ms)
             if generation != self._generation:
                 return
             if outcome.result is StoreResult.REFUSED:
-                await asyncio.sleep(backoff_ms / 1_000)
-                backoff_ms = min(2 * backoff_ms, MAX_REFUSED_BACKOFF_MS)
+                await backoff.wait()
             elif outcome.result is not StoreResult.UNKNOWN:
                 break
+            elif attempt > 1:
+                await backoff.wait_rest(duration_ms)
         self._attempt_log.settle(
             outcome.result,
             records=len(effect.records),
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -54,7 +54,10 @@
     async def append(self, records, producer, epoch, sequence, expected_end_offset, timeout_ms):
         self.calls.append((len(records), epoch, sequence))
         await asyncio.sleep(0.002)
-        return AppendOutcome(self.next_result(self.appends), 7)
+        result = self.next_result(self.appends)
+        if isinstance(result, Exception):
+            raise result
+        return AppendOutcome(result, 7)
 
     async def read(self, from_offset, wait_ms, max_kb, on_progress):
         self.calls.append(("read", from_offset))
@@ -135,6 +138,44 @@
 
         asyncio.run(scenario())
 
+    def test_failed_attempt_leaves_no_caller_without_an_answer(self):
+        # Guards against LOST: an unexpected error ended the appender, the callers waited for ever,
+        # and the next append reused the number of one that may have been stored.
+        stream = ScriptedStream([ValueError("odd"), StoreResult.STORED])
+        _, results = self.run(stream)
+        assert results == [StoreResult.STORED]
+        assert stream.calls == [(1, 1, 0), (1, 1, 0)]
+        stream = ScriptedStream([ValueError("odd"), StoreResult.REFUSED])
+        _, results = self.run(stream, clock_step_ms=100)
+        assert results == [StoreResult.UNKNOWN]
+
+    def test_unanswered_append_does_not_show_that_the_store_is_back(self):
+        # Guards against requests that wait for a store that is still away.
+        async def scenario():
+            stream = ScriptedStream([StoreResult.REFUSED])
+            clock, posted = ManualClock(), []
+            appender = IntakeAppender(stream, "entry-1", clock, posted.append, ListLogger())
+            appender.add(StoreIntake(1, RECORD))
+            while StoreHealth(True) not in posted:
+                clock.advance(50)
+                await asyncio.sleep(0.002)
+            stream.appends = [StoreResult.UNKNOWN]
+            appender.add(StoreIntake(2, RECORD))
+            while IntakeStored(2, StoreResult.UNKNOWN) not in posted:
+                clock.advance(50)
+                await asyncio.sleep(0.002)
+            assert StoreHealth(False) not in posted
+            appender.close()
+
+        asyncio.run(scenario())
+
+    def test_attempts_whose_connections_are_closed_at_once_are_paced(self):
+        # Guards against a thousand calls a second to a store that resets every connection.
+        stream = ScriptedStream([StoreResult.UNKNOWN])
+        _, results = self.run(stream, clock_step_ms=5)
+        assert results == [StoreResult.UNKNOWN]
+        assert len(stream.calls) <= 8
+
     def test_probe_detects_that_appends_succeed_again(self):
         async def scenario():
             stream = ScriptedStream([StoreResult.REFUSED])
@@ -171,6 +212,12 @@
         assert calls == [(1, 3, 11)] * 3
         assert posted == [ProgressStored(3, 11, StoreResult.STORED, 7)]
 
+    def test_failed_attempt_is_repeated(self):
+        # Guards against a process that waits for ever for the outcome of its claim.
+        calls, posted = self.run([ValueError("odd"), StoreResult.STORED])
+        assert calls == [(1, 3, 11)] * 2
+        assert posted == [ProgressStored(3, 11, StoreResult.STORED, 7)]
+
     def test_fenced_append_is_not_retried(self):
         calls, posted = self.run([StoreResult.FENCED])
         assert len(calls) == 1
