Use the number of an append for one set of records only

A new epoch begins now after each append that was not reported as stored; it costs no call.

test_number_of_an_append_is_never_used_for_other_records[refused] failed before and passes; [unknown] passed before.

--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -265,6 +265,7 @@
                     not may_be_stored and elapsed_ms >= INTAKE_REFUSAL_DEADLINE_MS
                 ):
                     self._set_failing(failing=True)
+                    self._start_epoch()
                     return StoreResult.REFUSED
                 case StoreResult.REFUSED:
                     await backoff.wait()
@@ -282,7 +283,10 @@
                 return StoreResult.UNKNOWN if may_be_stored else StoreResult.REFUSED
 
     def _start_epoch(self) -> None:
-        """Use a new epoch, which fences off attempts that the store may still execute."""
+        """Use a new epoch, so that a number belongs to one set of records only.
+
+        It fences off attempts that the store may still execute.
+        """
         self._epoch, self._sequence = self._epoch + 1, 0
 
     async def _probe(self) -> None:
--- a/packages/service/tests/test_service.py
+++ b/packages/service/tests/test_service.py
@@ -176,6 +176,28 @@
         assert results == [StoreResult.UNKNOWN]
         assert len(stream.calls) <= 8
 
+    @pytest.mark.parametrize("outcome", [StoreResult.REFUSED, StoreResult.UNKNOWN])
+    def test_number_of_an_append_is_never_used_for_other_records(self, outcome):
+        # Guards against LOST: to the store the next job is a repetition of the append that had the
+        # number before it, if that was carried out after all.
+        async def scenario():
+            stream = ScriptedStream([outcome])
+            clock, posted = ManualClock(), []
+            appender = IntakeAppender(stream, "entry-1", clock, posted.append, ListLogger())
+            appender.add(StoreIntake(1, RECORD))
+            while IntakeStored(1, outcome) not in posted:
+                clock.advance(50)
+                await asyncio.sleep(0.002)
+            used = {call[1:] for call in stream.calls if call[0]}
+            stream.appends = [StoreResult.STORED]
+            stream.calls.clear()
+            appender.add(StoreIntake(2, RECORD))
+            await until(lambda: IntakeStored(2, StoreResult.STORED) in posted)
+            assert not used & {call[1:] for call in stream.calls if call[0]}
+            appender.close()
+
+        asyncio.run(scenario())
+
     def test_probe_detects_that_appends_succeed_again(self):
         async def scenario():
             stream = ScriptedStream([StoreResult.REFUSED])
