Do not refuse a job of which an earlier attempt may have been carried out

A caller that had got 504, or no answer, and sent its job again to the same entry was told 503 or 429, 'not accepted and never runs', while the first append could still be carried out, had been, or had even been answered 200 but not been read yet. Ways: the store is away, the pool is full, the configuration is old, the copy waited behind the first one and was released, a leader refused a second copy of a forwarded request whose first copy got no answer.

Cause: each request was judged by the outcome of its own append only. OpenSubmissions now knows, by host and path, the attempts of this process that were not refused for certain. Such a job is never refused: it is answered 504 while the store is away, stored again under the same id otherwise, and answered 200 if this process has accepted it.

Open: another entry cannot know of an attempt that left no record.

--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -1,7 +1,9 @@
 """Callers' requests, which every process answers from its local copy of the store.
 
 A job is accepted once its record is stored. An append with an unknown outcome is neither accepted
-nor refused: the caller retries the request and is answered from the record.
+nor refused: the caller retries the request and is answered from the record. As long as an attempt
+to store a job may have succeeded, no repetition of it is refused either, since that would say that
+the job never runs.
 
 Often the store turns away or loses a part of the processes, a third of them for many seconds,
 while it serves the others. A caller that is refused comes back a second later, which makes most
@@ -25,14 +27,15 @@
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Job
 from fescuecrank_scheduler.limits import Limits
+from fescuecrank_scheduler.open_submissions import OpenSubmissions
 from fescuecrank_scheduler.ordering import LATE_LIMIT_FACTOR
 from fescuecrank_scheduler.records import encode_cancel, encode_job
 
 ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
-# Statuses that say that a request was not accepted.
-REFUSALS = frozenset({429, 503})
+# Statuses with which another process says that it has not stored a request.
+REJECTIONS = frozenset({400, 401, 404, 405, 413, 429, 503})
 
 # Values of `Retry-After` while the store is unavailable and during startup.
 RETRY_STORE_MS = 1_000
@@ -74,6 +77,7 @@
     # Whether the latest read of the intake stream failed.
     unreadable: bool = False
     draining: bool = False
+    submissions: OpenSubmissions = attrs.field(factory=OpenSubmissions)
     _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     _forwarded: dict[int, ForwardedRequest] = attrs.field(factory=dict)
 
@@ -111,6 +115,8 @@
         team = self.config.team_for_key(req.key) if req.key else None
         if team is None and not queue.is_open:
             return self._reject(req, 401, now)
+        if isinstance(req, Submit) and self.submissions.accepted(req.host, req.path):
+            return [Reply(req.token, 200)]
         unsure = self.without_store or self.config_age.too_old(now)
         if unsure and self._may_forward(req):
             return self._forward(req, may_be_stored=False)
@@ -134,7 +140,7 @@
         if self.config_age.too_old(now):
             if self._may_forward(req):
                 return self._forward(req, may_be_stored=False)
-            status = 503
+            status = 504 if self._may_be_accepted(req) else 503
         line = LogLine("request_rejected", {"host": req.host, "path": req.path, "status": status})
         retry_ms = RETRY_STORE_MS if status == 503 else None
         return [line, Reply(req.token, status, retry_after_ms=retry_ms)]
@@ -145,18 +151,27 @@
         if req.job is None:
             return [Reply(req.token, 400, {"error": req.problem})]
         if job_id in self.table.jobs:
+            self.submissions.settle(req.host, req.path)
             return [Reply(req.token, 200)]
+        may_be_accepted = self._may_be_accepted(req)
+        if self.store_failing and may_be_accepted:
+            return [self._without_answer(req.token, may_be_stored=True)]
         if self.store_failing:
             return self._refuse(req.token, 503, job_id, "store_unavailable", RETRY_STORE_MS)
         late_ms = self._lateness_ms(queue, req.job, now)
-        if late_ms > 0:
+        if late_ms > 0 and not may_be_accepted:
             return self._refuse(req.token, 429, job_id, "pool_full", late_ms)
         job = attrs.evolve(
             req.job, id=job_id, queue=queue.name, team=team, accepted_ms=now.wall_ms, tasks={}
         )
         self._pending[req.token] = PendingRequest(req, job_id, "submit", now.mono_ms)
+        self.submissions.begin(req.host, req.path)
         return [StoreIntake(req.token, encode_job(job))]
 
+    def _may_be_accepted(self, req: Request) -> bool:
+        """Return whether an earlier attempt to submit a job may have been carried out."""
+        return isinstance(req, Submit) and self.submissions.may_be_accepted(req.host, req.path)
+
     def _lateness_ms(self, queue: Queue, job: Job, now: Now) -> int:
         """Return by how many ms a job submitted now would exceed the latest useful end.
 
@@ -229,12 +244,18 @@
                 "took_ms": now.mono_ms - pending.since_ms,
             },
         )
+        req = pending.request
         if result is StoreResult.STORED:
+            if isinstance(req, Submit):
+                self.submissions.accept(req.host, req.path)
             return [line, Reply(token, 200)]
-        refused = result is StoreResult.REFUSED
-        if self._may_forward(pending.request):
-            return [line, *self._forward(pending.request, may_be_stored=not refused)]
-        return [line, self._without_answer(token, may_be_stored=not refused)]
+        may_be_stored = result is not StoreResult.REFUSED
+        if not may_be_stored and isinstance(req, Submit):
+            self.submissions.refused(req.host, req.path)
+            may_be_stored = self._may_be_accepted(req)
+        if self._may_forward(req):
+            return [line, *self._forward(req, may_be_stored)]
+        return [line, self._without_answer(token, may_be_stored)]
 
     # Requests that are passed on.
 
@@ -250,6 +271,8 @@
 
     def _forward(self, req: Request, may_be_stored: bool) -> list[Effect]:
         self._forwarded[req.token] = ForwardedRequest(req, may_be_stored)
+        if isinstance(req, Submit):
+            self.submissions.begin(req.host, req.path)
         address = self._peer()
         line = LogLine("request_forwarded", {"path": req.path, "peer": address})
         return [line, ForwardRequest(req.token, address)]
@@ -263,22 +286,33 @@
         pending = self._forwarded.pop(event.token, None)
         if pending is None:
             return []
-        changes = not isinstance(pending.request, Lookup)
-        may_be_stored = pending.may_be_stored or (changes and event.answer is None and event.sent)
-        answer = event.answer
+        req, answer = pending.request, event.answer
+        changes = not isinstance(req, Lookup)
+        may_be_stored = pending.may_be_stored or (changes and answer is None and event.sent)
+        if isinstance(req, Submit):
+            may_be_stored = self._settle_forwarded(req, event)
         line = LogLine(
             "forward_answered",
             {
-                "path": pending.request.path,
+                "path": req.path,
                 "status": answer.status if answer is not None else None,
                 "sent": event.sent,
                 "may_be_stored": may_be_stored,
             },
         )
-        if answer is None or (answer.status in REFUSALS and may_be_stored):
+        if answer is None or (answer.status in REJECTIONS and may_be_stored):
             return [line, self._without_answer(event.token, may_be_stored)]
         return [line, Reply(event.token, answer.status, answer.body, answer.retry_after_ms)]
 
+    def _settle_forwarded(self, req: Submit, event: Forwarded) -> bool:
+        """Apply the answer to a job that was passed on; return whether it may be accepted."""
+        status = event.answer.status if event.answer is not None else None
+        if status in REJECTIONS or not event.sent:
+            self.submissions.refused(req.host, req.path)
+        elif status == 200:
+            self.submissions.accept(req.host, req.path)
+        return self._may_be_accepted(req)
+
     @staticmethod
     def _without_answer(token: int, may_be_stored: bool) -> Reply:
         if may_be_stored:
