Keep a machine out of use while an order to move it may be carried out

Cause: the refusal of one copy was taken for the fate of all. A move now counts the orders that were sent and not refused, and stays, with its machine cordoned, until one is confirmed, all are refused, or the platform says that it can never be done (400). Maintenance did so already.

test_refused_repetition_of_a_move_does_not_free_the_machine (throttled, busy) failed before: a worker with 4 runs was shut down.

--- a/packages/scheduler/src/fescuecrank_scheduler/balancer.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/balancer.py
@@ -56,6 +56,8 @@
     worker: str
     # When the platform confirmed the move.
     confirmed_ms: int | None = None
+    # Orders that were sent and not refused; each may have been carried out or still be.
+    open_orders: int = 0
 
 
 @attrs.define
@@ -81,7 +83,12 @@
         move = self.moves.get(machine)
         if move is None or move.confirmed_ms is not None:
             return
-        fields = {"machine": machine, "pool": move.pool, "result": result.value}
+        fields = {
+            "machine": machine,
+            "pool": move.pool,
+            "result": result.value,
+            "open_orders": move.open_orders,
+        }
         self._effects.append(LogLine("machine_moved", fields))
         if result is OrderResult.OK:
             move.confirmed_ms = now.mono_ms
@@ -91,10 +98,14 @@
                 self.maintenance.runs.retire_worker(move.worker, now)
         elif result is OrderResult.FENCED:
             self.state.fenced = True
+        elif result is OrderResult.REJECTED:
+            # No copy of such an order can be carried out.
+            del self.moves[machine]
+            self._rejected.add((machine, move.pool))
         elif result is not OrderResult.NO_ANSWER:
-            self.moves.pop(machine)
-            if result is OrderResult.REJECTED:
-                self._rejected.add((machine, move.pool))
+            move.open_orders -= 1
+            if move.open_orders <= 0:
+                del self.moves[machine]
 
     def target_pools(self) -> dict[str, str]:
         """Return the target pool of each machine that is being moved."""
@@ -165,6 +176,7 @@
 
     def _send_order(self, move: Move) -> None:
         epoch = self.state.leader.epoch
+        move.open_orders += 1
         self._effects.append(MoveMachine(move.machine, move.pool, epoch))
 
     def _usable_on(self, machine: str, pool: str, now: Now) -> bool:
--- a/packages/scheduler/tests/test_machines.py
+++ b/packages/scheduler/tests/test_machines.py
@@ -2,7 +2,7 @@
 
 import attrs
 import pytest
-from fescuecrank_scheduler.events import WorkersRead
+from fescuecrank_scheduler.events import OrderResult, WorkersRead
 from fescuecrank_scheduler.fleet import Pool, Wave
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.leader_state import LeaderState
@@ -388,3 +388,37 @@
     leases.on_workers_read(WorkersRead(tuple(entries), whole=True), instant(20_000))
     state.index_machines({})
     assert state.worker_by_machine["m-1"].id == "successor"
+
+
+def run_until_ordered(sim: Simulation, orders: list, count: int) -> None:
+    """Run until `count` orders have been sent; fail after 10 s."""
+    for _ in range(200):
+        if len(orders) >= count:
+            return
+        sim.run(50)
+    raise AssertionError(f"{len(orders)} orders instead of {count}")
+
+
+@pytest.mark.parametrize("refusal", [OrderResult.THROTTLED, OrderResult.BUSY])
+def test_refused_repetition_of_a_move_does_not_free_the_machine(refusal):
+    # Guards against lost runs: the first order got no answer and was carried out seconds later,
+    # when the machine had work again, as its repetition had been refused.
+    sim = simulation_with_pools()
+    carry_out, orders = sim.machines.order, []
+
+    def order(effect):
+        orders.append(effect)
+        if len(orders) == 1:
+            sim.at(4_000, lambda: carry_out(effect))
+            return OrderResult.NO_ANSWER
+        return refusal if sim.now_ms < late_ms else carry_out(effect)
+
+    sim.machines.order = order
+    late_ms = 10**9
+    run_until_ordered(sim, orders, 1)
+    late_ms = sim.now_ms + 4_000
+    run_until_ordered(sim, orders, 2)
+    for number in range(40):
+        sim.submit(job(f"{number:016x}", step(6), accepted_ms=sim.now.wall_ms))
+        sim.run(200)
+    assert sim.machines.runs_ended_by_order == []
