Keep a pace without an answer from being carried out after the next one

A worker may carry out an order seconds later, after newer ones. A late pace replaced the one that had been confirmed since, and nothing noticed. As for starts and holds, the token rises when an order gets no answer, so that the worker refuses the first copy once it has answered a later call.

test_pace_without_an_answer_is_not_carried_out_after_the_next_one failed before and passes.

--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -121,12 +121,18 @@
         self.state.request_placement(worker.pool)
 
     def on_pace_done(self, event: PaceDone, now: Now) -> None:
-        """Record that a worker confirmed a run's pace; an unanswered order is sent again."""
+        """Record that a worker confirmed a run's pace; an unanswered order is sent again.
+
+        It is sent with a higher token, so that the first copy is not carried out after it.
+        """
         worker = self.state.workers.get(event.worker)
         run = worker.runs.get(event.task) if worker else None
         if run is not None and event.result is CallResult.OK:
             run.pace_confirmed = event.percent
         elif worker is not None:
+            if event.result is CallResult.NO_ANSWER and event.token == worker.token:
+                worker.token = self.state.next_token()
+                self.state.hold_times.set(worker.id, now.mono_ms)
             self.runs.on_call_rejected(worker, event.result, event.token, now)
 
     def _reconcile(self, worker: Worker, reply: HoldReply, now: Now) -> None:
--- a/packages/scheduler/tests/test_misleading_answers.py
+++ b/packages/scheduler/tests/test_misleading_answers.py
@@ -5,7 +5,7 @@
 
 import attrs
 from fescuecrank_scheduler.effects import HoldWorker
-from fescuecrank_scheduler.events import CallResult, RunRow
+from fescuecrank_scheduler.events import CallResult, PaceDone, RunRow
 from leader_builders import TASK, make_driver, other_worker, start_task
 from scheduler_builders import entry
 
@@ -103,3 +103,16 @@
     driver.answer_hold("worker-1", (RunRow(TASK, 1, "", 60),))
     driver.advance(100)
     assert driver.hold("worker-1").deadline_ms is not None
+
+
+def test_pace_without_an_answer_is_not_carried_out_after_the_next_one():
+    """A worker that carries it out late would keep a pace that nobody wants any more."""
+    driver = make_driver(workers=1)
+    driver.answer_start(start_task(driver), CallResult.OK)
+    driver.answer_hold("worker-1", (RunRow(TASK, 1, "", 50),))
+    driver.advance(100)
+    token = driver.state.workers["worker-1"].token
+    driver.handle(PaceDone("worker-1", TASK, 50, CallResult.NO_ANSWER, token))
+    driver.advance(20)
+    assert driver.hold("worker-1").token > token
+    assert driver.state.workers["worker-1"].token > token
