Keep a late state of a wave from replacing the next one

Operators could see a wave as running for ever though it was completed. The state was written without a producer, so a copy without an answer could be carried out, or its repetition arrive, after 'completed' had been stored; also that of an earlier leader.

The states are numbered now under the epoch of the leader: the store refuses an older one, which then counts as superseded. No call is added.

--- a/packages/platform/src/fescuecrank_platform/store.py
+++ b/packages/platform/src/fescuecrank_platform/store.py
@@ -249,19 +249,6 @@
         offset = _int_field(response.body, "offset") if stored else -1
         return AppendOutcome(result, offset, response.code)
 
-    async def put(self, record: Record, timeout_ms: int) -> bool:
-        """Append one record without a producer; a retry that appends it twice does no harm."""
-        outcome = await self._client.call(
-            "store.put",
-            self._address,
-            "POST",
-            f"/api/log-append?{self._query}",
-            timeout_ms,
-            encode_records((record,)),
-            BINARY_HEADERS,
-        )
-        return outcome.is_ok() and outcome.ok_value.code == 200
-
     def _status_failure(self, operation: str, status: int) -> Err[Failure]:
         kind = FailureKind.OVERLOADED if status == 429 else FailureKind.UNAVAILABLE
         detail = f"answered with status {status}"
@@ -302,10 +289,23 @@
         return self._worker_stream
 
     async def put_wave_state(self, effect: StoreWaveState) -> bool:
-        """Store the state of a wave for operators; return whether it was stored."""
+        """Store the state of a wave for operators; return whether it, or a later one, is stored.
+
+        A copy that got no answer may be carried out after the next state was stored. The number of
+        a state keeps it from replacing a later one, and the epoch from replacing that of a later
+        leader.
+        """
         value = {"wave": effect.wave, "state": WAVE_STATES[effect.completed]}
         record = Record(f"wave/{effect.wave}", orjson.dumps(value))
-        return await self._status_stream.put(record, STATUS_TIMEOUT_MS)
+        outcome = await self._status_stream.append(
+            (record,),
+            f"wave-{effect.wave}",
+            effect.epoch,
+            int(effect.completed),
+            None,
+            STATUS_TIMEOUT_MS,
+        )
+        return outcome.result in (StoreResult.STORED, StoreResult.FENCED)
 
     def decode_configuration(self, values: dict[str, bytes]) -> Result[Configuration, Failure]:
         """Decode the configuration and the waves."""
--- a/packages/platform/tests/test_lost_answers.py
+++ b/packages/platform/tests/test_lost_answers.py
@@ -6,8 +6,8 @@
 import pytest
 from fescuecrank_core.clock import ManualClock
 from fescuecrank_platform.settings import Endpoints
-from fescuecrank_platform.store import TOPIC_NAMES, LogStore
-from fescuecrank_scheduler.effects import StoreIntake
+from fescuecrank_platform.store import STATUS_TOPIC, TOPIC_NAMES, LogStore
+from fescuecrank_scheduler.effects import StoreIntake, StoreWaveState
 from fescuecrank_scheduler.events import IntakeStored, StoreHealth, StoreResult, Topic
 from fescuecrank_scheduler.records import Record
 from fescuecrank_service.appenders import IntakeAppender
@@ -148,3 +148,35 @@
         store.close()
 
     run(scenario)
+
+
+@pytest.mark.parametrize("lost", [Mode.LOSE, Mode.DELAY])
+def test_late_state_of_a_wave_does_not_replace_the_next_one(lost):
+    # Guards against a wave that is shown as running for ever, though it is completed.
+    async def scenario():
+        store = await LossyStore(lost).start()
+        log_store = LogStore(HttpClient(4), Endpoints(store.address, "", ""))
+        running, completed = (StoreWaveState(7, done, epoch=5) for done in (False, True))
+        assert not await log_store.put_wave_state(running)
+        assert await log_store.put_wave_state(completed)
+        store.carry_out_delayed()
+        assert await log_store.put_wave_state(running)
+        newest = store.partition(STATUS_TOPIC).records[-1]
+        assert (newest.key, b"completed" in newest.value) == ("wave/7", True)
+        store.close()
+
+    run(scenario)
+
+
+def test_state_of_a_wave_by_an_earlier_leader_does_not_replace_that_of_a_later_one():
+    # Guards against a wave that is shown as running for ever after a change of leader.
+    async def scenario():
+        store = await LossyStore().start()
+        log_store = LogStore(HttpClient(4), Endpoints(store.address, "", ""))
+        for completed in (False, True):
+            assert await log_store.put_wave_state(StoreWaveState(7, completed, epoch=6))
+        assert await log_store.put_wave_state(StoreWaveState(7, completed=False, epoch=5))
+        assert b"completed" in store.partition(STATUS_TOPIC).records[-1].value
+        store.close()
+
+    run(scenario)
--- a/packages/scheduler/src/fescuecrank_scheduler/effects.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/effects.py
@@ -58,10 +58,11 @@
 
 @attrs.frozen
 class StoreWaveState(Effect):
-    """Publish the state of a maintenance wave to operators; not answered."""
+    """Publish the state of a maintenance wave to operators, under an epoch; not answered."""
 
     wave: int
     completed: bool
+    epoch: int
 
 
 class FollowMode(enum.StrEnum):
--- a/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/maintenance.py
@@ -212,15 +212,18 @@
     def _advance(self, progress: WaveProgress, now: Now, moving: Mapping[str, str]) -> None:
         if not progress.reported:
             progress.reported = True
-            self._effects.append(StoreWaveState(progress.wave.number, completed=False))
+            self._effects.append(self._wave_state(progress, completed=False))
         for name, status in progress.machines.items():
             self._advance_machine(progress, name, status, now)
         self._select_machines(progress, now, moving)
         if not progress.unstarted() and not progress.in_progress():
             progress.completed = True
-            self._effects.append(StoreWaveState(progress.wave.number, completed=True))
+            self._effects.append(self._wave_state(progress, completed=True))
             self._effects.append(LogLine("wave_completed", {"wave": progress.wave.number}))
 
+    def _wave_state(self, progress: WaveProgress, completed: bool) -> StoreWaveState:
+        return StoreWaveState(progress.wave.number, completed, self.state.leader.epoch)
+
     def _advance_machine(
         self, progress: WaveProgress, name: str, status: MachineStatus, now: Now
     ) -> None:
--- a/packages/service/src/fescuecrank_service/interfaces.py
+++ b/packages/service/src/fescuecrank_service/interfaces.py
@@ -127,7 +127,7 @@
 
     @abstractmethod
     async def put_wave_state(self, effect: effects.StoreWaveState) -> bool:
-        """Store the state of a wave for operators; return whether it was stored."""
+        """Store the state of a wave for operators; return whether it, or a later one, is stored."""
 
     @abstractmethod
     def decode_configuration(self, values: dict[str, bytes]) -> Result[Configuration, Failure]:
