Let the soak over processes lose answers of the store and refuse the copies

The store carries out appends without answering, the connections are reset, and the copies get 503, for some entries or all, while faults of other kinds overlap.

--- a/packages/daemon/tests/soak_faults.py
+++ b/packages/daemon/tests/soak_faults.py
@@ -2,6 +2,7 @@
 
 import random
 
+from soak_store import StoreFront
 from soak_worker_faults import WorkerFaults
 
 
@@ -19,6 +20,23 @@
         self.restart_worker(rng)
         self.soak.later(rng.randrange(100, 1_000), lambda: self._remove_leader(rng))
 
+    def lose_answers_and_turn_away(self, rng: random.Random) -> None:
+        """Carry out appends without an answer, reset their connections and refuse the copies."""
+        entries = rng.choice((self.soak.entries, self._some_entries(rng)))
+        stall_ms, away_ms = rng.randrange(50, 300), rng.randrange(500, 3_000)
+
+        def stall(front: StoreFront) -> None:
+            front.lost_share = 1.0
+            self.soak.later(stall_ms, lambda: setattr(front, "turned_away", 503))
+
+        def reset() -> None:
+            for entry in entries:
+                for proxy in entry.proxies:
+                    proxy.reset()
+
+        self._disturb_store(entries, stall_ms + away_ms, stall)
+        self.soak.later(stall_ms, reset)
+
     def delay_orders_and_lose_leader(self, rng: random.Random) -> None:
         self._delay_orders(self.soak.workers, rng, rng.randrange(1_500, 4_000))
         self.soak.later(rng.randrange(100, 1_000), lambda: self._remove_leader(rng))
--- a/packages/daemon/tests/soak_plan.py
+++ b/packages/daemon/tests/soak_plan.py
@@ -52,6 +52,7 @@
         Faults.turn_starts_away,
         Faults.leave_odd_entry,
         Faults.lose_writes_and_leader,
+        Faults.lose_answers_and_turn_away,
         Faults.delay_orders_and_lose_leader,
         Faults.delay_orders_and_restart_workers,
         Faults.lose_power_late_orders_and_writes,
