Forget an accepted job once the local copy of the store tells of it

OpenSubmissions answered 200 to a repeated submission for as long as it remembered the job. An id that was used again after the job's records had been deleted would have been answered 200 and never stored (LOST). It answers only while the copy of the store is not complete as of a moment after the acceptance; from then on the copy decides.

Found on reading the change; test_id_of_a_deleted_job_can_be_used_again failed before and passes.

--- a/packages/scheduler/src/fescuecrank_scheduler/intake.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/intake.py
@@ -115,7 +115,7 @@
         team = self.config.team_for_key(req.key) if req.key else None
         if team is None and not queue.is_open:
             return self._reject(req, 401, now)
-        if isinstance(req, Submit) and self.submissions.accepted(req.host, req.path):
+        if isinstance(req, Submit) and self._accepted_unread(req):
             return [Reply(req.token, 200)]
         unsure = self.without_store or self.config_age.too_old(now)
         if unsure and self._may_forward(req):
@@ -172,6 +172,17 @@
         """Return whether an earlier attempt to submit a job may have been carried out."""
         return isinstance(req, Submit) and self.submissions.may_be_accepted(req.host, req.path)
 
+    def _accepted_unread(self, req: Submit) -> bool:
+        """Return whether a job was accepted through this process and cannot have been read yet."""
+        accepted_ms = self.submissions.accepted_ms(req.host, req.path)
+        if accepted_ms is None:
+            return False
+        if self.synced_ms is None or self.synced_ms <= accepted_ms:
+            return True
+        # The local copy has it, or it has been deleted since.
+        self.submissions.settle(req.host, req.path)
+        return False
+
     def _lateness_ms(self, queue: Queue, job: Job, now: Now) -> int:
         """Return by how many ms a job submitted now would exceed the latest useful end.
 
@@ -247,7 +258,7 @@
         req = pending.request
         if result is StoreResult.STORED:
             if isinstance(req, Submit):
-                self.submissions.accept(req.host, req.path)
+                self.submissions.accept(req.host, req.path, now.mono_ms)
             return [line, Reply(token, 200)]
         may_be_stored = result is not StoreResult.REFUSED
         if not may_be_stored and isinstance(req, Submit):
@@ -290,7 +301,7 @@
         changes = not isinstance(req, Lookup)
         may_be_stored = pending.may_be_stored or (changes and answer is None and event.sent)
         if isinstance(req, Submit):
-            may_be_stored = self._settle_forwarded(req, event)
+            may_be_stored = self._settle_forwarded(req, event, now)
         line = LogLine(
             "forward_answered",
             {
@@ -304,13 +315,13 @@
             return [line, self._without_answer(event.token, may_be_stored)]
         return [line, Reply(event.token, answer.status, answer.body, answer.retry_after_ms)]
 
-    def _settle_forwarded(self, req: Submit, event: Forwarded) -> bool:
+    def _settle_forwarded(self, req: Submit, event: Forwarded, now: Now) -> bool:
         """Apply the answer to a job that was passed on; return whether it may be accepted."""
         status = event.answer.status if event.answer is not None else None
         if status in REJECTIONS or not event.sent:
             self.submissions.refused(req.host, req.path)
         elif status == 200:
-            self.submissions.accept(req.host, req.path)
+            self.submissions.accept(req.host, req.path, now.mono_ms)
         return self._may_be_accepted(req)
 
     @staticmethod
--- a/packages/scheduler/src/fescuecrank_scheduler/open_submissions.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/open_submissions.py
@@ -7,50 +7,56 @@
 
 import attrs
 
-# Jobs that are remembered; the oldest are forgotten first. A job leaves when its record is read,
-# so what stays are jobs that were never stored and whose callers gave up.
+# Jobs that are remembered; the oldest are forgotten first. What stays are jobs that were accepted
+# and not submitted again, and jobs that were never stored and whose callers gave up.
 MAX_OPEN_SUBMISSIONS = 10_000
 
-# Stands for the attempts of a job that was accepted.
-ACCEPTED = 0
+
+@attrs.define
+class Attempts:
+    """Attempts to store one job through this process."""
+
+    # Attempts that were not refused for certain.
+    open_count: int = 0
+    # When the job was accepted, on the steady clock; None if it is not known to be.
+    accepted_ms: int | None = None
 
 
 @attrs.define
 class OpenSubmissions:
-    """Jobs that may have been accepted through this process, by their host and path.
-
-    Each attempt to store a job counts until it was refused for certain. Of a job that was accepted
-    it is known that it will be read, whatever becomes of further attempts.
-    """
+    """Jobs that may have been accepted through this process, by their host and path."""
 
-    _attempts: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    _attempts: dict[tuple[str, str], Attempts] = attrs.field(factory=dict)
 
     def begin(self, host: str, path: str) -> None:
         """Count an attempt that is about to be made."""
-        key = (host, path)
-        attempts = self._attempts.pop(key, None)
-        self._attempts[key] = ACCEPTED if attempts == ACCEPTED else (attempts or 0) + 1
+        attempts = self._attempts.pop((host, path), None) or Attempts()
+        attempts.open_count += 1
+        self._attempts[host, path] = attempts
         if len(self._attempts) > MAX_OPEN_SUBMISSIONS:
             del self._attempts[next(iter(self._attempts))]
 
     def refused(self, host: str, path: str) -> None:
         """Take back an attempt that was refused for certain."""
-        attempts = self._attempts.get((host, path), ACCEPTED)
-        if attempts > 1:
-            self._attempts[host, path] = attempts - 1
-        elif attempts == 1:
+        attempts = self._attempts.get((host, path))
+        if attempts is None:
+            return
+        attempts.open_count -= 1
+        if attempts.open_count <= 0 and attempts.accepted_ms is None:
             self.settle(host, path)
 
-    def accept(self, host: str, path: str) -> None:
+    def accept(self, host: str, path: str, now_ms: int) -> None:
         """Note that the job was accepted."""
-        self._attempts[host, path] = ACCEPTED
+        attempts = self._attempts.setdefault((host, path), Attempts())
+        attempts.accepted_ms = now_ms
 
-    def accepted(self, host: str, path: str) -> bool:
-        """Return whether the job was accepted through this process, as far as is remembered."""
-        return self._attempts.get((host, path)) == ACCEPTED
+    def accepted_ms(self, host: str, path: str) -> int | None:
+        """Return when the job was accepted; None if it is not known to be."""
+        attempts = self._attempts.get((host, path))
+        return attempts.accepted_ms if attempts is not None else None
 
     def settle(self, host: str, path: str) -> None:
-        """Forget a job whose record has been read."""
+        """Forget a job of which the local copy of the store tells what became."""
         self._attempts.pop((host, path), None)
 
     def may_be_accepted(self, host: str, path: str) -> bool:
--- a/packages/scheduler/tests/test_open_submissions.py
+++ b/packages/scheduler/tests/test_open_submissions.py
@@ -89,6 +89,16 @@
     assert send(intake, 2).status == 200
 
 
+def test_id_of_a_deleted_job_can_be_used_again():
+    # Guards against LOST: the caller would be told 200 for a job that nobody has stored.
+    intake = make_intake()
+    send(intake, 1)
+    assert status_of(intake.on_stored(1, StoreResult.STORED, instant(200))) == 200
+    assert send(intake, 2).status == 200
+    intake.synced_ms = 300
+    assert isinstance(send(intake, 3), StoreIntake)
+
+
 def test_job_that_was_refused_for_certain_is_refused_again():
     intake = make_intake()
     send(intake, 1)
