--- a/packages/platform/src/fescuecrank_platform/fleet_client.py
+++ b/packages/platform/src/fescuecrank_platform/fleet_client.py
@@ -100,6 +100,7 @@
             "X-Lease-Holder": self._lease_holder,
             "X-Fencing-Token": str(epoch),
         }
+        # The client sends it once: the refusal of a second copy would say nothing about the first.
         outcome = await self._client.call(
             "machines.order",
             self._endpoints.machines,
--- a/packages/platform/src/fescuecrank_platform/store.py
+++ b/packages/platform/src/fescuecrank_platform/store.py
@@ -230,6 +230,7 @@
             f"/api/log-append?{self._query}{condition}"
             f"&producer={quote(producer)}&epoch={epoch}&sequence={sequence}"
         )
+        # The client sends it once: the refusal of a second copy would say nothing about the first.
         outcome = await self._client.call(
             "store.append",
             self._address,
--- a/packages/platform/tests/lossy_store.py
+++ b/packages/platform/tests/lossy_store.py
@@ -3,15 +3,10 @@
 import asyncio
 import enum
 import re
-import struct
 from urllib.parse import parse_qs, urlsplit
 
-import orjson
 from fake_store import FakePartition
-from fescuecrank_scheduler.events import StoreResult
-from fescuecrank_scheduler.records import Record
-
-STATUS_BY_RESULT = {StoreResult.STORED: 200, StoreResult.FENCED: 409, StoreResult.CONFLICT: 412}
+from platform_servers import carry_out_append
 
 CONTENT_LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
 
@@ -26,18 +21,6 @@
     REFUSE = "answers with status 503"
 
 
-def decode_body(body: bytes) -> tuple[Record, ...]:
-    """Return the records in the body of an append."""
-    records, position = [], 0
-    while position < len(body):
-        (length,) = struct.unpack_from(">I", body, position)
-        content = body[position + 4 : position + 4 + length]
-        key_end = 1 + content[0]
-        records.append(Record(content[1:key_end].decode(), content[key_end:]))
-        position += 4 + length
-    return tuple(records)
-
-
 class LossyStore:
     """Treats appends by `modes`, one after the other, and serves all others.
 
@@ -72,7 +55,7 @@
         """Carry out the appends that were delayed, in the order of their arrival."""
         delayed, self.delayed = self.delayed, []
         for query, body in delayed:
-            self._carry_out(query, body)
+            carry_out_append(self.partition(query["topic"]), query, body)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -99,21 +82,9 @@
             self.delayed.append((query, body))
         status, answer = self.refusal_status, b""
         if mode in (Mode.SERVE, Mode.LOSE):
-            status, answer = self._carry_out(query, body)
+            status, answer = carry_out_append(self.partition(query["topic"]), query, body)
         if mode in (Mode.LOSE, Mode.DROP, Mode.DELAY):
             return False
         writer.write(b"HTTP/1.1 %d -\r\nContent-Length: %d\r\n\r\n" % (status, len(answer)))
         writer.write(answer)
         return True
-
-    def _carry_out(self, query: dict[str, str], body: bytes) -> tuple[int, bytes]:
-        partition = self.partition(query["topic"])
-        result, offset = partition.append(
-            decode_body(body),
-            query.get("producer", ""),
-            int(query.get("epoch", 0)),
-            int(query.get("sequence", 0)),
-            int(query["at"]) if "at" in query else None,
-        )
-        fields = {"offset": offset, "end": partition.end}
-        return STATUS_BY_RESULT[result], orjson.dumps(fields)
--- a/packages/platform/tests/platform_servers.py
+++ b/packages/platform/tests/platform_servers.py
@@ -39,6 +39,27 @@
     return UNIX_OFFSET_MS + mono_ms
 
 
+def carry_out_append(
+    partition: FakePartition, query: dict[str, str], body: bytes
+) -> tuple[int, bytes]:
+    """Carry out an append and return the status and the body of its response."""
+    records, position = [], 0
+    while position < len(body):
+        (length,) = struct.unpack_from(">I", body, position)
+        content = body[position + 4 : position + 4 + length]
+        key_end = 1 + content[0]
+        records.append(Record(content[1:key_end].decode(), content[key_end:]))
+        position += 4 + length
+    result, offset = partition.append(
+        tuple(records),
+        query.get("producer", ""),
+        int(query.get("epoch", 0)),
+        int(query.get("sequence", 0)),
+        int(query["at"]) if "at" in query else None,
+    )
+    return STATUS_BY_RESULT[result], orjson.dumps({"offset": offset, "end": partition.end})
+
+
 class Server:
     """An HTTP server on a free port; it answers with status 503 while `down` is set."""
 
@@ -104,22 +125,7 @@
         return 404, b""
 
     def _append(self, partition, query, body) -> tuple[int, bytes]:
-        records, position = [], 0
-        while position < len(body):
-            (length,) = struct.unpack_from(">I", body, position)
-            content = body[position + 4 : position + 4 + length]
-            key_end = 1 + content[0]
-            records.append(Record(content[1:key_end].decode(), content[key_end:]))
-            position += 4 + length
-        expected_end = int(query["at"]) if "at" in query else None
-        result, offset = partition.append(
-            tuple(records),
-            query.get("producer", ""),
-            int(query.get("epoch", 0)),
-            int(query.get("sequence", 0)),
-            expected_end,
-        )
-        return STATUS_BY_RESULT[result], orjson.dumps({"offset": offset, "end": partition.end})
+        return carry_out_append(partition, query, body)
 
     async def _read(self, partition, first_offset, wait_ms) -> tuple[int, bytes]:
         wait_end_ms = now_ms() + wait_ms
--- a/packages/service/src/fescuecrank_service/appenders.py
+++ b/packages/service/src/fescuecrank_service/appenders.py
@@ -132,28 +132,25 @@
     record: Record
 
 
+@attrs.define(eq=False, slots=False)
 class Appender:
     """What both appenders share: single attempts, their time-outs and their log lines."""
 
     # Name of the stream in log lines.
     stream_name: ClassVar[str]
 
-    def __init__(
-        self,
-        stream: Stream,
-        producer: str,
-        clock: Clock,
-        post: Callable[[Event], None],
-        log: JsonLineLogger,
-    ) -> None:
-        self._stream = stream
-        self._producer = producer
-        self._clock = clock
-        self._post = post
-        self._log = log
-        self._attempt_log = AttemptLog(log, self.stream_name)
-        self._timeouts = AttemptTimeouts()
-        self._task: asyncio.Task[None] | None = None
+    _stream: Stream
+    _producer: str
+    _clock: Clock
+    _post: Callable[[Event], None]
+    _log: JsonLineLogger
+    _attempt_log: AttemptLog = attrs.field(init=False)
+    _timeouts: AttemptTimeouts = attrs.field(factory=AttemptTimeouts, init=False)
+    _task: asyncio.Task[None] | None = attrs.field(default=None, init=False)
+
+    @_attempt_log.default
+    def _make_attempt_log(self) -> AttemptLog:
+        return AttemptLog(self._log, self.stream_name)
 
     def close(self) -> None:
         """Stop without waiting for the append in progress."""
@@ -194,26 +191,18 @@
         return outcome, duration_ms
 
 
+@attrs.define(eq=False, slots=False)
 class IntakeAppender(Appender):
     """Appends the records of callers' requests, in batches of those that arrive together."""
 
     stream_name = "intake"
 
-    def __init__(
-        self,
-        stream: Stream,
-        producer: str,
-        clock: Clock,
-        post: Callable[[Event], None],
-        log: JsonLineLogger,
-    ) -> None:
-        super().__init__(stream, producer, clock, post, log)
-        self._pending: list[PendingRecord] = []
-        self._epoch = 1
-        self._sequence = 0
-        # Offset of the latest append that the store has reported as stored.
-        self._offset = -1
-        self._failing = False
+    _pending: list[PendingRecord] = attrs.field(factory=list, init=False)
+    _epoch: int = attrs.field(default=1, init=False)
+    _sequence: int = attrs.field(default=0, init=False)
+    # Offset of the latest append that the store has reported as stored.
+    _offset: int = attrs.field(default=-1, init=False)
+    _failing: bool = attrs.field(default=False, init=False)
 
     def add(self, effect: StoreIntake) -> None:
         """Queue one record."""
@@ -314,21 +303,13 @@
             self._post(IntakeStored(pending.token, StoreResult.REFUSED))
 
 
+@attrs.define(eq=False, slots=False)
 class ProgressAppender(Appender):
     """Appends the leader's records; retries an append until the store states its outcome."""
 
     stream_name = "progress"
 
-    def __init__(
-        self,
-        stream: Stream,
-        producer: str,
-        clock: Clock,
-        post: Callable[[Event], None],
-        log: JsonLineLogger,
-    ) -> None:
-        super().__init__(stream, producer, clock, post, log)
-        self._generation = 0
+    _generation: int = attrs.field(default=0, init=False)
 
     def append(self, effect: StoreProgress) -> None:
         """Start an append; one of an earlier leadership that is still in progress is abandoned."""
--- a/packages/service/src/fescuecrank_service/forwarding.py
+++ b/packages/service/src/fescuecrank_service/forwarding.py
@@ -27,6 +27,8 @@
     if req is None:
         return Forwarded(effect.token, None, sent=False)
     headers = {name: req.headers[name] for name in PASSED_HEADERS if name in req.headers}
+    # The client sends it once: the refusal of a second copy would say that a job has not run that
+    # the first one stored.
     outcome = await client.call(
         "entry.forward",
         effect.address,
