--- a/review/standins_2/stand_ins.py
+++ b/review/standins_2/stand_ins.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from urllib.parse import parse_qsl, urlsplit
@@ -550,6 +551,12 @@
         )
 
 
+def command() -> list[str]:
+    """Return the program and the arguments that the deploy file names for an entry."""
+    deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    return deploy["roles"]["entry"]["run"].split(" ")
+
+
 class Entry:
     """One entry of the system: a process that the deploy file's command starts."""
 
@@ -584,7 +591,7 @@
         }
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *("python3", "-m", "fescuecrank_daemon.platform_main"),
+                *command(),
                 cwd=ROOT,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
