--- a/review/standins_2/stand_ins.py
+++ b/review/standins_2/stand_ins.py
@@ -863,10 +863,14 @@
 
     async def body() -> int:
         bed = Bed(case)
+        # A script that is told to end ends what it has started.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110):
                 breaks = await scenario(bed)
-        except Exception as exc:  # noqa: BLE001 - whatever it is, the case has not run
+        except (Exception, asyncio.CancelledError) as exc:
+            # Whatever it is, the case has not run.
             bed.record.write(f"could not run: {exc!r}")
             print(f"could not run: {exc!r}", file=sys.stderr)
             return 2
