--- a/review/7/play.py
+++ b/review/7/play.py
@@ -19,6 +19,9 @@
 FULL_CPU, SMALL_CPU, SMALL_MS = 16_000, 4_000, 500.0
 LASTING_ID, SMALL_ID = "00000000f0000001", "00000000f0000002"
 
+# Holds that a worker has answered when the leader has heard of it.
+KNOWN_HOLDS = 2
+
 DECIDE_MS, EACH_MS, VALIDITY_MS = 20, 1, 3_000
 
 # A job with capacity for it has something running within 3 s; the 4 s before them count as well.
@@ -83,6 +86,10 @@
 
     await bed.begin(ENTRIES, 0, duration_ms, need)
     await add_workers(WORKERS if bed.trouble else WORKERS + ADDED)
+    # The leader knows all workers, so that it asks about all of them for the first job.
+    async with asyncio.timeout(20):
+        while any(worker.holds < KNOWN_HOLDS for worker in bed.workers):
+            await asyncio.sleep(0.05)
     step = {"count": WORKERS, "cpu": FULL_CPU, "mem_mb": 64, "estimate_ms": 1_000}
     steps = [step | {"long_running": True}]
     answer = await bed.call(0, "POST", LASTING_ID, {"spec": "s", "steps": steps})
--- a/review/standins_2/stand_ins.py
+++ b/review/standins_2/stand_ins.py
@@ -396,6 +396,8 @@
         self._sequence = 0
         self.changed = asyncio.Event()
         self.server = HttpServer(self._handle)
+        # How many holds it has answered.
+        self.holds = 0
         # Address in the list of workers, if it is not the server's own.
         self.listed_address = ""
         # Returns whether a start carries the ticket that its queue asks for.
@@ -536,6 +538,7 @@
             with contextlib.suppress(asyncio.TimeoutError):
                 async with asyncio.timeout(max(0.0, until_ms - now_ms()) / 1_000):
                     await self.changed.wait()
+        self.holds += 1
         rows = [
             [task, run.number, "", run.percent, self._need(task)]
             for task, run in self.running.items()
