--- a/review/standins_2/stand_ins.py
+++ b/review/standins_2/stand_ins.py
@@ -128,8 +128,8 @@
                     f"Content-Length: {len(content)}\r\n\r\n".encode() + content
                 )
                 await writer.drain()
-        except (asyncio.IncompleteReadError, OSError):
-            # The client has closed the connection.
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            # The client has closed the connection, or the case has ended.
             return
         finally:
             self._writers.discard(writer)
@@ -400,6 +400,10 @@
         self.holds = 0
         # Address in the list of workers, if it is not the server's own.
         self.listed_address = ""
+        # Returns whether the sender of a call, which its fencing token tells, has a path to here.
+        self.has_path: Callable[[int], bool] = lambda token: True
+        # Whether it has a path to the store.
+        self.reaches_store = True
         # Returns whether a start carries the ticket that its queue asks for.
         self.accepts_ticket: Callable[[str, str], bool] = lambda task, ticket: True
         # Called with (worker, task, run, what) for each start and each end.
@@ -415,7 +419,8 @@
         while True:
             if now_ms() >= beat_ms:
                 beat_ms = now_ms() + HEARTBEAT_MS
-                await self._report()
+                if self.reaches_store:
+                    await self._report()
             self.advance()
             await asyncio.sleep(0.01)
 
@@ -475,6 +480,12 @@
             return as_json(421, {"clock_ms": self.clock()})
         body = json.loads(req.body)
         token = body.get("fencing_token", 0)
+        if not self.has_path(token):
+            return None
+        answer = await self._answer(req, body, token)
+        return answer if self.has_path(token) else None
+
+    async def _answer(self, req: Request, body: dict, token: int) -> Answer:
         if token < self._token:
             return self._refuse("fence")
         self._token = token
