--- a/review/standins_2/stand_ins.py
+++ b/review/standins_2/stand_ins.py
@@ -37,7 +37,7 @@
 ENTRY_TTL_MS = 3 * HEARTBEAT_MS
 
 JOBS_HOST = "jobs.example"
-PREFIX = "/work/"
+PREFIX = "/queue-a/"
 POOL = "pool-a"
 KEY = "key-of-team-a"
 
