Log on which grounds a lease counts as over, and starts without an answer

runs_lost states what the expected end of the lease was derived from, for how long the worker was silent, which incarnation was known and which runs are unconfirmed. start_unanswered names each start whose outcome is open. foreign_run_stopped names the run on record, and the gauge parallel_runs counts reports of runs whose task is on another worker. worker_restarted states the age of the last call with a deadline and the lease expected until then. No decision changes; expect_lease replaces four copies of a maximum.

--- a/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
@@ -11,7 +11,7 @@
 from fescuecrank_scheduler.jobs import TaskId
 from fescuecrank_scheduler.leader_state import LeaderState
 from fescuecrank_scheduler.runs import Runs
-from fescuecrank_scheduler.workers import RunState, Worker
+from fescuecrank_scheduler.workers import LeaseBasis, RunState, Worker
 
 
 @attrs.define
@@ -43,6 +43,8 @@
             last_seen_end=worker.last_seen_end,
             last_acked_end=worker.last_acked_end,
             hold_open=worker.hold_open,
+            deadline_call_age_ms=now.mono_ms - worker.deadline_call_ms,
+            lease_ms=worker.lease_expires_ms - now.mono_ms,
         )
         self.begin_calls(worker, now)
         kept = self._runs_of_new_incarnation(worker, reply)
@@ -63,6 +65,7 @@
             # Its capacity is known when it has written an entry.
             worker.entry_ms = now.mono_ms - self.state.limits.max_entry_age_ms - 1
         worker.lease_expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
+        worker.lease_basis = LeaseBasis.RESTARTED
 
     def check_clock(self, worker_id: str, clock: ClockReading | None, now: Now) -> None:
         """Call a worker anew whose clock, in an answer other than to a hold, has started anew.
@@ -85,8 +88,8 @@
         self.begin_calls(worker, now)
         worker.epoch_accepted = False
         worker.clock_ms = worker.sent_deadline_ms = None
-        longest_ms = self.state.limits.longest_lease_ms
-        worker.lease_expires_ms = max(worker.lease_expires_ms, now.mono_ms + longest_ms)
+        expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
+        worker.expect_lease(expires_ms, LeaseBasis.CLOCK_BEHIND)
 
     def _runs_of_new_incarnation(self, worker: Worker, reply: HoldReply | None) -> set[TaskId]:
         """Return the tasks of runs that a worker may have been given since it restarted.
--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -92,6 +92,8 @@
     # though their task is open, under this leadership.
     restart_count: int = 0
     unmatched_end_count: int = 0
+    # Runs that a worker reported while their task was assigned to another one.
+    parallel_run_count: int = 0
     # Since when each task has waited for a worker without other runs.
     isolation_since: dict[TaskId, int] = attrs.field(factory=dict)
     # Runs of open jobs that were given up, by task: ends of them may still be reported.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -22,7 +22,7 @@
 from fescuecrank_scheduler.pacing import Pacer
 from fescuecrank_scheduler.runs import DONE, Runs
 from fescuecrank_scheduler.worker_entries import WorkerEntries
-from fescuecrank_scheduler.workers import RunState, Worker
+from fescuecrank_scheduler.workers import LeaseBasis, RunState, Worker
 
 # Results of a hold that the worker did not answer; it may be cut off, slow or gone.
 NO_CONTACT = {CallResult.NO_ANSWER, CallResult.REFUSED}
@@ -180,8 +180,7 @@
         limits = self.state.limits
         if self.state.previous_leader is None or reply.clock_ms >= limits.uncertain_age_ms:
             return
-        expires_ms = now.mono_ms + limits.longest_lease_ms
-        worker.lease_expires_ms = max(worker.lease_expires_ms, expires_ms)
+        worker.expect_lease(now.mono_ms + limits.longest_lease_ms, LeaseBasis.YOUNG)
 
     def _job_unread(self, task: TaskId) -> bool:
         """Return whether the record of a task's job may not have been read yet."""
@@ -250,7 +249,18 @@
         if now.mono_ms - self._foreign_stop_ms.get(key, -(10**9)) < self.state.limits.stop_retry_ms:
             return
         self._foreign_stop_ms[key] = now.mono_ms
-        self.state.log("foreign_run_stopped", task=task.label, run=run, worker=worker.id)
+        found = self.state.find_run(task)
+        if found is not None and found[0] is not worker:
+            self.state.parallel_run_count += 1
+        self.state.log(
+            "foreign_run_stopped",
+            task=task.label,
+            run=run,
+            worker=worker.id,
+            started_ms=worker.started_ms,
+            recorded_run=found[1].number if found is not None else None,
+            recorded_worker=found[0].id if found is not None else None,
+        )
         self.runs.send_stop(worker, task, run, now)
 
     def _apply_end(self, worker: Worker, row: EndRow, now: Now) -> None:
--- a/packages/scheduler/src/fescuecrank_scheduler/runs.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/runs.py
@@ -10,7 +10,7 @@
 from fescuecrank_scheduler.events import CallResult, EndRow, RunRow, StopDone
 from fescuecrank_scheduler.jobs import Job, Outcome, Phase, Step, Task, TaskId, all_tasks
 from fescuecrank_scheduler.leader_state import LeaderState
-from fescuecrank_scheduler.workers import Run, RunState, Worker
+from fescuecrank_scheduler.workers import LeaseBasis, Run, RunState, Worker
 
 # End reasons of a run; only `failed` counts as an attempt of the task.
 DONE, FAILED = "done", "failed"
@@ -124,6 +124,10 @@
                 runs=len(lost),
                 reason=reason,
                 away_ms=now.mono_ms - lost_ms if lost_ms is not None else 0,
+                silent_ms=now.mono_ms - worker.last_answer_ms if worker.last_answer_ms else None,
+                lease=worker.lease_basis.value,
+                started_ms=worker.started_ms,
+                unconfirmed=[run.label for run in lost if run.unconfirmed],
                 # Age at the loss of contact, and for how long the worker had reported the run.
                 ages_ms={
                     run.label: [(lost_ms or now.mono_ms) - run.sent_ms, run.reported_ms]
@@ -174,6 +178,7 @@
         self.register(worker, job, task, RunState.RUNNING, now, number=row.run)
         # Who granted the lease, and until when, is unknown here.
         worker.lease_expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
+        worker.lease_basis = LeaseBasis.TAKEN_BACK
         run = worker.runs[row.task]
         run.confirmed_ms = run.running_since_ms = now.mono_ms
         run.confirmed = True
--- a/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/scheduler.py
@@ -20,7 +20,7 @@
 from fescuecrank_scheduler.stalled_runs import stop_stalled
 from fescuecrank_scheduler.starts import Starts
 from fescuecrank_scheduler.suspicion import isolation_ms
-from fescuecrank_scheduler.workers import RunState, Worker
+from fescuecrank_scheduler.workers import LeaseBasis, RunState, Worker
 
 # Intervals of checks that look at every worker or run; the times that they compare are several
 # times as long.
@@ -60,7 +60,8 @@
         )
         for worker_id, remaining_ms in state.table.long_leases.items():
             remaining_ms = min(remaining_ms, state.limits.longest_inherited_ms)
-            state.worker(worker_id).lease_expires_ms = state.started_ms + remaining_ms
+            expires_ms = state.started_ms + remaining_ms
+            state.worker(worker_id).expect_lease(expires_ms, LeaseBasis.STATED)
         adopted = 0
         for job in state.table.jobs.values():
             state.waiting_jobs.add(job)
@@ -89,7 +90,7 @@
                 continue
             worker = state.worker(task.worker)
             expires_ms = state.started_ms + self._inherited_lease_ms(worker, job)
-            worker.lease_expires_ms = max(worker.lease_expires_ms, expires_ms)
+            worker.expect_lease(expires_ms, LeaseBasis.INHERITED)
             long_running = job.steps[task.id.step].long_running
             isolated_ms = isolation_ms(task, long_running, state.limits.isolation_ms)
             self.runs.register(worker, job, task, RunState.SENT, now, isolated_ms)
--- a/packages/scheduler/src/fescuecrank_scheduler/starts.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/starts.py
@@ -100,6 +100,16 @@
         Before that, the answer to a hold with a higher token tells whether the worker has the run
         or has restarted, and keeps it from carrying out the start later.
         """
+        self.state.log(
+            "start_unanswered",
+            task=run.label,
+            run=run.number,
+            worker=worker.id,
+            age_ms=now.mono_ms - run.sent_ms,
+            starts_in_flight=run.starts_in_flight,
+            never_sent=run.never_sent,
+            started_ms=worker.started_ms,
+        )
         if worker.token in run.start_tokens:
             worker.token = self.state.next_token()
         self.state.hold_times.set(worker.id, now.mono_ms)
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -24,6 +24,23 @@
     STOPPING = "stopping"
 
 
+class LeaseBasis(enum.StrEnum):
+    """What the time until which a worker may hold a lease was derived from."""
+
+    NONE = "none"
+    # A deadline by the clock of the incarnation that has answered.
+    GRANTED = "granted"
+    # The longest lease: a later incarnation has answered, or the worker was young when it first
+    # answered this leader, or its lease was granted by another leader.
+    RESTARTED = "restarted"
+    CLOCK_BEHIND = "clock_behind"
+    YOUNG = "young"
+    TAKEN_BACK = "taken_back"
+    # What the previous leader stated, or may have granted.
+    STATED = "stated"
+    INHERITED = "inherited"
+
+
 @attrs.define
 class Run:
     """One run of a task on a worker."""
@@ -135,8 +152,9 @@
     sent_deadline_ms: int | None = None
     # When the latest call with a deadline was sent.
     deadline_call_ms: int = 0
-    # When every lease granted so far has expired.
+    # When every lease granted so far has expired, and what that time was derived from.
     lease_expires_ms: int = 0
+    lease_basis: LeaseBasis = LeaseBasis.NONE
     last_answer_ms: int = 0
     # When a hold failed that the last successful one preceded; None while the worker answers.
     contact_lost_ms: int | None = None
@@ -255,11 +273,16 @@
         if not self.lease_unrenewed and (answering or self.sent_deadline_ms is None):
             passed = (now_ms - self.clock_read_ms) * (1 - limits.clock_drift)
             self.sent_deadline_ms = int(self.clock_ms + passed + limits.lease_ms)
-            self.lease_expires_ms = max(self.lease_expires_ms, now_ms + limits.usual_lease_ms)
+            self.expect_lease(now_ms + limits.usual_lease_ms, LeaseBasis.GRANTED)
         if self.sent_deadline_ms is not None:
             self.deadline_call_ms = now_ms
         return self.sent_deadline_ms
 
+    def expect_lease(self, expires_ms: int, basis: LeaseBasis) -> None:
+        """Expect a lease until `expires_ms`, unless a later end is expected already."""
+        if expires_ms > self.lease_expires_ms:
+            self.lease_expires_ms, self.lease_basis = expires_ms, basis
+
     def last_lease_ms(self, limits: Limits) -> int:
         """Return when the last of the leases ends that its runs may have."""
         if not any(run.unconfirmed for run in self.runs.values()):
--- a/packages/scheduler/tests/test_leases_after_restarts.py
+++ b/packages/scheduler/tests/test_leases_after_restarts.py
@@ -276,3 +276,15 @@
     driver.leader.take_over(instant(1_000))
     worker = driver.state.workers["worker-1"]
     assert worker.lease_expires_ms - 1_000 == expected_ms
+
+
+def test_log_tells_on_which_grounds_a_lease_counted_as_over():
+    """Without it, a lease that was expected too short cannot be traced."""
+    sim = start_up(2)
+    worker_id = submit_one(sim, LONG_MS)
+    sim.run(1_000)
+    cut_off(sim, worker_id, sim.workers[worker_id].born_ms)
+    sim.run(16_000)
+    (lost,) = [fields for fields in sim.logged("runs_lost") if fields["worker"] == worker_id]
+    assert (lost["lease"], lost["unconfirmed"]) == ("granted", [])
+    assert LIMITS.usual_lease_ms < lost["silent_ms"] < LONGEST_LEASE_MS
--- a/packages/service/src/fescuecrank_service/metrics.py
+++ b/packages/service/src/fescuecrank_service/metrics.py
@@ -190,6 +190,10 @@
         "Ends `done` of runs that are not on record though their task is open.",
         [({}, state.unmatched_end_count)],
     )
+    gauges_by_name["parallel_runs"] = (
+        "Reports of a run by a worker while its task is assigned to another one.",
+        [({}, state.parallel_run_count)],
+    )
     gauges_by_name["running"] = ("Runs that count.", [({}, len(state.placements))])
     gauges_by_name["team_cpu"] = (
         "Thousandths of a core that teams have running.",
