State the lease of a refused start that the leader may repeat

Callers saw a task run twice at the same time: its worker refused the connection of its start, restarted under its id and was cut off, while the leader lost the store and ended.

A run whose start was refused counts as one that no worker has, so the renewal stated no long lease for it. Its start is repeated for as long as the leader may grant leases, 3.5 s after that renewal, and may be carried out by the next incarnation, to which the deadline lies far ahead. The record of the run is older than the renewal, so the next leader took it for confirmed and expected the usual lease.

The renewal now states the longest lease also for runs whose start is to be repeated, except when it releases the leadership: nothing is repeated then.

Ruled out: a start that nobody waits for (the caller received its answer), and runs that were planned in the same append (they count as unconfirmed).

--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -148,16 +148,15 @@
     def _long_leases(self, now: Now) -> dict[str, int]:
         """Return the remaining time of each lease that may be longer than the usual one.
 
-        Until the next renewal, a worker whose incarnation is uncertain may get further calls.
+        Until the next renewal, a worker whose incarnation is uncertain may get further calls, and
+        starts may be repeated, also those that were refused.
         """
         limits, long_leases = self.state.limits, {}
         for worker in self.state.workers.values():
-            remaining_ms = worker.lease_expires_ms - now.mono_ms
-            if any(run.unconfirmed for run in worker.runs.values()):
-                unconfirmed_ms = worker.last_lease_ms(limits) - now.mono_ms
-                if not self.state.resigning:
-                    unconfirmed_ms = limits.longest_inherited_ms
-                remaining_ms = max(remaining_ms, unconfirmed_ms)
+            remaining_ms = worker.last_lease_ms(limits) - now.mono_ms
+            uncertain = any(run.unconfirmed or run.to_be_repeated for run in worker.runs.values())
+            if uncertain and not self.state.resigning:
+                remaining_ms = max(remaining_ms, limits.longest_inherited_ms)
             if remaining_ms > limits.usual_lease_ms:
                 long_leases[worker.id] = remaining_ms
         return long_leases
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -103,6 +103,11 @@
         """Whether a start may have been carried out by an incarnation that is not known."""
         return not (self.confirmed or self.never_sent)
 
+    @property
+    def to_be_repeated(self) -> bool:
+        """Whether its start will be sent again."""
+        return self.unanswered and self.state is RunState.SENT
+
     @property
     def isolated(self) -> bool:
         """Whether nothing may be placed beside the run yet."""
--- a/packages/scheduler/tests/test_leases_after_restarts.py
+++ b/packages/scheduler/tests/test_leases_after_restarts.py
@@ -25,7 +25,7 @@
     encode_progress,
 )
 from fescuecrank_scheduler.scheduler import Scheduler
-from leader_builders import BORN_MS, STEP_MS, TASK, LeaderDriver, make_driver
+from leader_builders import BORN_MS, STEP_MS, TASK, LeaderDriver, make_driver, start_task
 from scheduler_builders import config, entry, instant, job, step
 from test_repeated_starts import JOB, start_up, submit_one
 
@@ -288,3 +288,28 @@
     (lost,) = [fields for fields in sim.logged("runs_lost") if fields["worker"] == worker_id]
     assert (lost["lease"], lost["unconfirmed"]) == ("granted", [])
     assert LIMITS.usual_lease_ms < lost["silent_ms"] < LONGEST_LEASE_MS
+
+
+def stated_leases(driver: LeaderDriver) -> dict[str, int]:
+    """Return the remaining times in the latest record of long leases."""
+    appended = [record for append in driver.calls(StoreProgress) for record in append.records]
+    return [decode(record) for record in appended if record.key == LEASES_KEY][-1].remaining_ms
+
+
+def test_renewal_allows_for_the_repetition_of_a_start_that_was_refused():
+    """The repetition may reach a later incarnation, and the leader end before its next renewal.
+
+    The record of the run is older than the renewal, so that its start does not count as unknown.
+    """
+    driver = make_driver()
+    start = start_task(driver)
+    driver.answer_start(start, CallResult.REFUSED)
+    driver.advance(LIMITS.renew_interval_ms + 20)
+    renewed_ms = driver.now_ms
+    assert stated_leases(driver).get(start.worker) == LIMITS.longest_inherited_ms
+    driver.answer_hold(start.worker)
+    # The store is cut off from now on; the leader may go on calling for `leader_validity_ms`.
+    driver.storing = False
+    driver.advance(LIMITS.start_timeout_ms + 200)
+    assert len(driver.starts()) == 2
+    assert driver.now_ms - renewed_ms < LIMITS.leader_validity_ms
