Expect leases that calls under way extend after a restart is noticed

Callers saw a task run twice at the same time under one leader, after its worker had restarted under its id and was cut off soon after.

The leader that noticed a restart counted the longest lease from that moment. Calls with deadlines by the earlier clock could still be under way to the same incarnation: starts for 0.5 s, a hold for its wait and 0.7 s. To its clock, which started anew, such a deadline is a lease of 10.2 s from the arrival of the call. The answer of such a start extended nothing, as the clock of the worker counts as unknown then. The same bound of 0.5 s stood behind starts without an answer, beside which a hold may be under way for 2.2 s.

The leader now keeps until when calls with deadlines can arrive, and expects the longest lease from then, until an answer to a call with a higher token shows that earlier calls are refused: from then on it counts from that answer, some milliseconds after the restart was noticed. Renewals state the same. Runs of workers that have not restarted wait as long as before; tasks of starts without an answer wait at least 0.2 s longer on silent workers, as the last call is a hold.

Ruled out: calls of an earlier leader, which a worker refuses that has answered this one, and calls that arrive after their caller gave up.

Failed before: test_no_task_runs_twice_when_a_start_is_under_way_as_a_ restart_is_noticed (two runs in virtual time), and the tests of a start and of a hold under way when a restart is noticed, and of a hold under way beside a start without an answer. A test of the client's time-out keeps it equal to the one that the scheduler assumes.

--- a/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
@@ -66,6 +66,7 @@
             worker.entry_ms = now.mono_ms - self.state.limits.max_entry_age_ms - 1
         worker.lease_expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
         worker.lease_basis = LeaseBasis.RESTARTED
+        worker.expect_earlier_calls()
 
     def check_clock(self, worker_id: str, clock: ClockReading | None, now: Now) -> None:
         """Call a worker anew whose clock, in an answer other than to a hold, has started anew.
@@ -90,6 +91,7 @@
         worker.clock_ms = worker.sent_deadline_ms = None
         expires_ms = now.mono_ms + self.state.limits.longest_lease_ms
         worker.expect_lease(expires_ms, LeaseBasis.CLOCK_BEHIND)
+        worker.expect_earlier_calls()
 
     def _runs_of_new_incarnation(self, worker: Worker, reply: HoldReply | None) -> set[TaskId]:
         """Return the tasks of runs that a worker may have been given since it restarted.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -145,6 +145,8 @@
             self._allow_for_earlier_calls(worker, reply, now)
         worker.answered_started_ms = reply.started_ms
         worker.accepted_token = worker.hold_token
+        if worker.verified:
+            worker.end_earlier_calls(now.mono_ms, self.state.limits)
         worker.end_expected = worker.end_expected and not worker.verified
         worker.hold_answer_ms = now.mono_ms - worker.record_clock(
             reply, now.mono_ms, self.state.limits
@@ -309,7 +311,7 @@
                 given_up = self.runs.crashes.on_lease_expired(worker, kept)
                 self.runs.abandon_runs(worker, "lease_over", now, kept)
                 self.runs.give_up(given_up, worker, now)
-            lease_over = now.mono_ms > worker.lease_expires_ms
+            lease_over = now.mono_ms > worker.last_lease_ms(self.state.limits)
             if not worker.listed and not worker.runs and lease_over:
                 self.state.workers.pop(worker.id, None)
 
@@ -351,16 +353,11 @@
         return worker.last_acked_end if recent else 0
 
     def _send_hold(self, worker: Worker, now: Now) -> None:
-        deadline = None
-        # The deadline is not moved while the worker is silent. The clock of a later incarnation
-        # starts anew, so that to it the same deadline is a new lease.
         silent = now.mono_ms - worker.last_answer_ms >= self.state.limits.worker_silence_ms
-        if worker.epoch_accepted and worker.runs and not silent:
-            deadline = worker.grant_lease(now.mono_ms, self.state.limits)
         responsive = (
             worker.epoch_accepted
             and worker.contact_lost_ms is None
-            and now.mono_ms - worker.last_answer_ms < self.state.limits.worker_silence_ms
+            and not silent
             and worker.verified
         )
         wait_ms = self.state.limits.hold_wait_ms
@@ -375,6 +372,12 @@
         worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
         worker.hold_token = worker.token
         worker.hold_wait_ms = wait_ms if responsive else 0
+        deadline = None
+        # The deadline is not moved while the worker is silent. The clock of a later incarnation
+        # starts anew, so that to it the same deadline is a new lease.
+        if worker.epoch_accepted and worker.runs and not silent:
+            timeout_ms = worker.hold_wait_ms + self.state.limits.hold_slack_ms
+            deadline = worker.grant_lease(now.mono_ms, self.state.limits, timeout_ms)
         self.state.effects.append(
             HoldWorker(
                 worker.id,
--- a/packages/scheduler/src/fescuecrank_scheduler/limits.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/limits.py
@@ -23,6 +23,8 @@
     hold_wait_moving_ms: int = 300
     # Pause between an answer and the next hold; runs that end meanwhile are reported together.
     hold_pause_ms: int = 40
+    # Time that a client waits for the answer to a hold beyond its wait.
+    hold_slack_ms: int = 700
     # Pause before a failed hold is repeated.
     hold_retry_ms: int = 250
     # The same on workers with an isolated run, beside which nothing is placed until it is reported.
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -155,8 +155,12 @@
     clock_read_ms: int = 0
     # End of the latest lease that was sent, on the worker's clock.
     sent_deadline_ms: int | None = None
-    # When the latest call with a deadline was sent.
+    # When the latest call with a deadline was sent, and when the last of them can arrive.
     deadline_call_ms: int = 0
+    deadline_calls_end_ms: int = 0
+    # When the last call with a deadline by an earlier clock can arrive that this incarnation may
+    # still accept; 0 if it accepts none.
+    earlier_calls_end_ms: int = 0
     # When every lease granted so far has expired, and what that time was derived from.
     lease_expires_ms: int = 0
     lease_basis: LeaseBasis = LeaseBasis.NONE
@@ -263,9 +267,11 @@
         """Return whether this incarnation may still carry out a start of a run."""
         return any(token >= self.accepted_token for token in run.start_tokens)
 
-    def grant_lease(self, now_ms: int, limits: Limits) -> int | None:
+    def grant_lease(self, now_ms: int, limits: Limits, timeout_ms: int | None = None) -> int | None:
         """Return the end of the lease on the worker's clock; None if none can be granted.
 
+        The call that carries it takes up to `timeout_ms`, that of a start if none is given.
+
         The worker's clock is unknown until it answers, and a lease that the leadership record calls
         not renewed is not granted anew to a later incarnation either.
 
@@ -281,6 +287,8 @@
             self.expect_lease(now_ms + limits.usual_lease_ms, LeaseBasis.GRANTED)
         if self.sent_deadline_ms is not None:
             self.deadline_call_ms = now_ms
+            arrival_ms = now_ms + (limits.start_timeout_ms if timeout_ms is None else timeout_ms)
+            self.deadline_calls_end_ms = max(self.deadline_calls_end_ms, arrival_ms)
         return self.sent_deadline_ms
 
     def expect_lease(self, expires_ms: int, basis: LeaseBasis) -> None:
@@ -288,18 +296,33 @@
         if expires_ms > self.lease_expires_ms:
             self.lease_expires_ms, self.lease_basis = expires_ms, basis
 
+    def expect_earlier_calls(self) -> None:
+        """Expect that a later incarnation, which has been noticed, accepts the calls under way.
+
+        To its clock, which started anew, their deadlines lie far ahead.
+        """
+        self.earlier_calls_end_ms = self.deadline_calls_end_ms
+
+    def end_earlier_calls(self, now_ms: int, limits: Limits) -> None:
+        """Expect no more of them: it has answered a call with a higher token."""
+        if self.earlier_calls_end_ms:
+            arrival_ms = min(now_ms, self.earlier_calls_end_ms)
+            self.expect_lease(arrival_ms + limits.longest_lease_ms, LeaseBasis.RESTARTED)
+            self.earlier_calls_end_ms = 0
+
+    def _lease_end_ms(self, unconfirmed: bool, limits: Limits) -> int:
+        arrival_ms = self.earlier_calls_end_ms
+        if unconfirmed:
+            arrival_ms = max(arrival_ms, self.deadline_calls_end_ms)
+        return max(self.lease_expires_ms, arrival_ms + limits.longest_lease_ms if arrival_ms else 0)
+
     def last_lease_ms(self, limits: Limits) -> int:
         """Return when the last of the leases ends that its runs may have."""
-        if not any(run.unconfirmed for run in self.runs.values()):
-            return self.lease_expires_ms
-        return max(self.lease_expires_ms, self.deadline_call_ms + limits.unconfirmed_lease_ms)
+        return self._lease_end_ms(any(run.unconfirmed for run in self.runs.values()), limits)
 
     def may_hold_run(self, run: Run, now_ms: int, limits: Limits) -> bool:
         """Return whether a run that was started here may go on although the worker is silent."""
-        expires_ms = self.lease_expires_ms
-        if run.unconfirmed:
-            expires_ms = max(expires_ms, self.deadline_call_ms + limits.unconfirmed_lease_ms)
-        return now_ms <= expires_ms
+        return now_ms <= self._lease_end_ms(run.unconfirmed, limits)
 
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
