Reset connections to workers, store and machines when calls are given up

Cause: a call that timed out or was cancelled closed its connection without a reset, and so does the end of a process. The system goes on sending what a partition held up, and the worker gets the start seconds later, perhaps as the first call of its next life.

Ruled out: resets for forwarded requests, as the receiving entry answers their callers; closing with a reset only at the time-out, which leaves the bytes of a killed process.

Change: `HttpClient` sets SO_LINGER with 0 s as it opens a connection, but for the client of forwarded requests. Bytes that have reached the receiver's socket are read all the same: this bounds what the network holds, not what a silent machine has received.

Tests over real sockets with a full receive window: time-out, cancelled call and killed process failed before ("assert was_reset", False) and pass; a forwarded request that is given up is still delivered.

--- a/packages/daemon/src/fescuecrank_daemon/platform_entry.py
+++ b/packages/daemon/src/fescuecrank_daemon/platform_entry.py
@@ -126,7 +126,8 @@
     endpoints = Endpoints.from_settings(cfg)
     metrics = Metrics(clock)
     client = HttpClient(MAX_STORE_CALLS, metrics.resent_counts)
-    peer_client = HttpClient(MAX_PEER_CALLS, metrics.resent_counts)
+    # Only forwarded requests: their callers, not this process, decide when to give up.
+    peer_client = HttpClient(MAX_PEER_CALLS, metrics.resent_counts, resets=False)
     clients = [client, peer_client]
 
     def make_worker_client() -> HttpWorkerClient:
--- a/packages/service/src/fescuecrank_service/http_client.py
+++ b/packages/service/src/fescuecrank_service/http_client.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import re
+import socket
+import struct
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 
@@ -21,6 +23,10 @@
 # Largest response that is read.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
+# `SO_LINGER` on, with 0 seconds: the socket is reset when it is closed, also by the end of the
+# process, and what the network has not delivered by then is discarded.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 # Errors of a call: the network's, and those of an address or a head that is malformed. A port out
 # of range raises `OverflowError`.
 CALL_ERRORS = (OSError, ValueError, OverflowError)
@@ -108,6 +114,12 @@
             return None
         return HttpResponse(self._parser.get_status_code(), self._headers, b"".join(self._chunks))
 
+    def reset_on_close(self) -> None:
+        """Let the system reset the connection when it is closed, if it is a socket."""
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def abort(self) -> None:
         """Close at once; a response that still arrives is not read."""
         self.usable = False
@@ -191,12 +203,20 @@
 class HttpClient:
     """Calls any address; connections are kept open and reused.
 
-    A connection on which a call times out is closed, so that a dead connection is not reused.
+    A connection on which a call times out or is cancelled is closed, so that a dead connection is
+    not reused. With `resets`, closing resets it: a request that a partition holds up is not
+    delivered after its caller has given up, or after this process has ended. What has reached the
+    server's socket may still be read.
     """
 
     def __init__(
-        self, max_concurrent_calls: int, resent_counts: Counter[str] | None = None
+        self,
+        max_concurrent_calls: int,
+        resent_counts: Counter[str] | None = None,
+        *,
+        resets: bool = True,
     ) -> None:
+        self._resets = resets
         self._slots = asyncio.Semaphore(max_concurrent_calls)
         self._idle_by_address: dict[str, list[_Connection]] = {}
         # The same connections, the one idle for longest first.
@@ -312,6 +332,8 @@
         _, conn = await asyncio.get_running_loop().create_connection(
             lambda: _Connection(address), host, int(port)
         )
+        if self._resets:
+            conn.reset_on_close()
         return conn
 
     def _take_idle(self, address: str) -> _Connection | None:
