Show two runs after the last hold of a cut-off leader, in virtual time

The hold is under way for 2.15 s; the next leader allows 0.5 s for the last call with a deadline, and starts the task on another worker while it still runs.

--- a/packages/scheduler/tests/test_review_of_restarts.py
+++ b/packages/scheduler/tests/test_review_of_restarts.py
@@ -4,7 +4,8 @@
 the arrival of the call. The next leader knows only what was stored.
 """
 
-from fescuecrank_scheduler.effects import StoreProgress
+from faulty_fleet import FaultySimulation
+from fescuecrank_scheduler.effects import HoldWorker, StoreProgress
 from fescuecrank_scheduler.events import CallResult
 from fescuecrank_scheduler.job_table import JobTable
 from fescuecrank_scheduler.jobs import Phase, TaskId
@@ -23,8 +24,14 @@
 from fescuecrank_scheduler.scheduler import Scheduler
 from leader_builders import JOB, STEP_MS, TASK, LeaderDriver, make_driver
 from scheduler_builders import config, instant, job, step
+from test_repeated_starts import FIRST_JOB
 
 LIMITS = Limits()
+LONG_MS = 30_000
+LATER_JOB = "00000000000000bb"
+
+# How long the last hold is under way, a little less than its caller waits.
+HOLD_DELAY_MS = LIMITS.hold_wait_ms + LIMITS.hold_slack_ms - 50
 
 
 def stated_leases(driver: LeaderDriver) -> dict[str, int]:
@@ -101,3 +108,68 @@
     driver.leader.take_over(instant(started_ms))
     worker = driver.state.workers["worker-1"]
     assert worker.lease_expires_ms >= 10_000 + LIMITS.longest_inherited_ms
+
+
+class LastHoldSimulation(FaultySimulation):
+    """worker-1 gets no start until it restarts under one, and then one hold that is under way."""
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        self.losing_starts = False
+        self.restart_from_ms: int | None = None
+        self.restarted_ms = 0
+        self.last_hold_ms = 0
+        super().__init__(*args, **kwargs)
+
+    def _call(self, node, effect) -> None:
+        if not self.restarted_ms or effect.worker != "worker-1":
+            super()._call(node, effect)
+            return
+        granting = isinstance(effect, HoldWorker) and effect.deadline_ms is not None
+        if granting and not self.last_hold_ms:
+            self.last_hold_ms = self.now_ms
+            self.at(HOLD_DELAY_MS, lambda: self._perform(effect))
+        self._time_out(node, effect)
+
+    def _call_start(self, node, effect) -> None:
+        if not self.losing_starts or effect.worker != "worker-1":
+            super()._call_start(node, effect)
+            return
+        if self.restart_from_ms is not None and self.now_ms >= self.restart_from_ms:
+            worker = self.workers["worker-1"]
+            self.stale_entries[worker.id] = worker.born_ms
+            worker.crash(self.now_ms)
+            worker.restart(self.now_ms)
+            self._perform(effect)
+            self.restarted_ms, worker.reachable = self.now_ms, False
+        self._time_out(node, effect)
+
+
+def test_no_task_runs_twice_when_the_last_hold_of_a_cut_off_leader_arrives_late():
+    """The leader has lost the store and repeats a start, which a restarted worker carries out.
+
+    A hold that is sent beside it arrives 2.15 s later and extends the lease; the next leader
+    starts the task elsewhere before that lease ends.
+    """
+    sim = LastHoldSimulation(workers=2, seed=3)
+    sim.run(2_000)
+    sim.submit(job(FIRST_JOB, step(8, anti_affinity=4)))
+    sim.run(3_000)
+    for worker in sim.workers.values():
+        worker.work_ms = LONG_MS
+    worker, other = sim.workers["worker-1"], sim.workers["worker-2"]
+    other.reachable = False
+    sim.run(2_500)
+    sim.losing_starts = True
+    sim.submit(job(LATER_JOB, step(1, estimate_ms=LONG_MS)))
+    sim.run(325)
+    first = sim.leader()
+    first.store_reachable = False
+    renewed_ms = first.reducer.scheduler.state.renewed_ms
+    sim.restart_from_ms = renewed_ms + LIMITS.leader_validity_ms - 170
+    sim.cut_links |= {(name, worker.id) for name in sim.nodes if name != first.name}
+    sim.cut_links.add((first.name, other.id))
+    other.reachable = True
+    sim.run(7_000)
+    assert sim.restarted_ms and sim.last_hold_ms
+    assert worker.runs
+    sim.run(13_000)
