Send no hold that renews a lease later than the successor allows for

A successor counts from the last renewal: 3.5 s in which leases may be granted, and 0.5 s for the last call, the time of a start. A hold with a deadline may be under way for its wait and 0.7 s, 2.2 s in all. If it reached an incarnation that had restarted meanwhile, its lease lasted up to 1.7 s longer than the successor expected.

Each hold now ends by that time: its wait is shortened, and in the last 0.2 s it carries no deadline. A leader whose renewals are stored is never that close, so nothing waits longer.

Ruled out: stating a longer time to the successor, which makes every adopted run of a start without an answer wait 1.7 s longer.

--- a/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leader_state.py
@@ -161,6 +161,14 @@
         valid = now.mono_ms - self.renewed_ms < self.limits.leader_validity_ms
         return valid and not self.release_sent
 
+    @property
+    def calls_end_ms(self) -> int:
+        """When the last call that renews a lease has to be over, unless the store confirms more.
+
+        See `Limits.longest_inherited_ms`.
+        """
+        return self.renewed_ms + self.limits.leader_validity_ms + self.limits.start_timeout_ms
+
     def may_order_machines(self, now: Now) -> bool:
         """Return whether no successor can have claimed the leadership yet.
 
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -371,11 +371,13 @@
         worker.hold_number = self.state.hold_count
         worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
         worker.hold_token = worker.token
-        worker.hold_wait_ms = wait_ms if responsive else 0
+        # A successor allows the last call with a deadline no more time than a start takes.
+        spare_ms = self.state.calls_end_ms - self.state.limits.hold_slack_ms - now.mono_ms
+        worker.hold_wait_ms = max(0, min(wait_ms, spare_ms)) if responsive else 0
         deadline = None
         # The deadline is not moved while the worker is silent. The clock of a later incarnation
         # starts anew, so that to it the same deadline is a new lease.
-        if worker.epoch_accepted and worker.runs and not silent:
+        if worker.epoch_accepted and worker.runs and not silent and spare_ms >= 0:
             timeout_ms = worker.hold_wait_ms + self.state.limits.hold_slack_ms
             deadline = worker.grant_lease(now.mono_ms, self.state.limits, timeout_ms)
         self.state.effects.append(
