Hand on the leases of runs whose jobs the leader has not read

A start that was recorded after the last renewal may have any outcome, and the next leader expects the longest lease for its run.

Until all jobs have been read, a renewal now states the longest lease for the workers of such runs.

--- a/packages/scheduler/src/fescuecrank_scheduler/job_table.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/job_table.py
@@ -111,6 +111,16 @@
         """Return whether a job's progress was stored after the record of long leases."""
         return self._progress_offsets.get(job_id, -1) > self.leases_offset
 
+    def workers_of_unread_jobs(self) -> set[str]:
+        """Return the workers of runs, of jobs not read yet, that are newer than the long leases."""
+        return {
+            task.worker
+            for progress in self._unmatched_progress.values()
+            if self.is_newer_than_leases(progress.job)
+            for task in progress.tasks
+            if task.phase is Phase.ASSIGNED
+        }
+
     def take_changed(self) -> tuple[str, ...]:
         """Return the ids of the jobs that changed since the last call."""
         changed, self._changed = self._changed, {}
--- a/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/progress_log.py
@@ -159,6 +159,11 @@
                 remaining_ms = max(remaining_ms, limits.longest_inherited_ms)
             if remaining_ms > limits.usual_lease_ms:
                 long_leases[worker.id] = remaining_ms
+        remaining_ms = self.state.started_ms + limits.longest_inherited_ms - now.mono_ms
+        if not self.state.jobs_loaded and remaining_ms > limits.usual_lease_ms:
+            # The next leader takes the runs of these jobs for older than this renewal.
+            for worker_id in self.state.table.workers_of_unread_jobs():
+                long_leases[worker_id] = max(remaining_ms, long_leases.get(worker_id, 0))
         return long_leases
 
     def next_due_ms(self, now: Now) -> int | None:
