--- a/packages/service/tests/test_given_up_calls.py
+++ b/packages/service/tests/test_given_up_calls.py
@@ -85,7 +85,7 @@
 
 
 def test_request_is_not_delivered_after_it_was_cancelled(listener):
-    """A leader that resigns cancels its calls; its successor doesn't know of them."""
+    """The calls of a process that ends are cancelled; its successor does not know of them."""
 
     async def scenario():
         call = asyncio.ensure_future(make_call(HttpClient(1), listener, 60_000))
