Acknowledge ends only until an answer shows that the worker has forgotten them

What happened: a start of the former life was carried out by the next incarnation, 582 ms after it was sent, and ended as done, its first end. A hold of the former life, carried out there as well, carried the number of the ends before, 113: the worker forgot the first end before the leader had seen it. The leader acknowledged the second one, found the run missing, and its task was started again 17 s later.

Each hold sent within 100 ms of an answer repeated the last number, though the worker had long forgotten these ends. Holds now carry it only until one of them has been answered by the same incarnation.

Ruled out: a lost append (the ends that the leader acknowledged were stored).

--- a/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/incarnations.py
@@ -60,6 +60,7 @@
         self.runs.give_up(given_up, worker, now)
         worker.started_ms, worker.epoch_accepted, worker.retired = started_ms, False, False
         worker.last_seen_end = worker.last_acked_end = 0
+        worker.hold_acked_end = worker.forgotten_end = 0
         worker.clock_ms = worker.sent_deadline_ms = None
         if worker.entry_started_ms < started_ms:
             # Its capacity is known when it has written an entry.
--- a/packages/scheduler/src/fescuecrank_scheduler/leases.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/leases.py
@@ -143,6 +143,7 @@
             worker.started_ms = reply.started_ms
         if not worker.last_answer_ms:
             self._allow_for_earlier_calls(worker, reply, now)
+        worker.forgotten_end = max(worker.forgotten_end, worker.hold_acked_end)
         worker.answered_started_ms = reply.started_ms
         worker.accepted_token = worker.hold_token
         if worker.verified:
@@ -347,10 +348,13 @@
 
         A worker that has restarted numbers its ends anew. Only one that has just answered is known
         to be the incarnation that reported the ends; the answer may have been on the way for long.
+        Ends are acknowledged no more than needed: a hold that is under way as the worker restarts
+        would let the next incarnation forget ends that nobody has seen.
         """
         answered_ms = worker.hold_answer_ms
         recent = answered_ms is not None and now.mono_ms - answered_ms <= MAX_ACK_GAP_MS
-        return worker.last_acked_end if recent else 0
+        due = worker.last_acked_end > worker.forgotten_end
+        return worker.last_acked_end if recent and due else 0
 
     def _send_hold(self, worker: Worker, now: Now) -> None:
         silent = now.mono_ms - worker.last_answer_ms >= self.state.limits.worker_silence_ms
@@ -371,6 +375,7 @@
         worker.hold_number = self.state.hold_count
         worker.hold_open, worker.hold_sent_ms = True, now.mono_ms
         worker.hold_token = worker.token
+        worker.hold_acked_end = self._acked_end(worker, now)
         # A successor allows the last call with a deadline no more time than a start takes.
         spare_ms = self.state.calls_end_ms - self.state.limits.hold_slack_ms - now.mono_ms
         worker.hold_wait_ms = max(0, min(wait_ms, spare_ms)) if responsive else 0
@@ -385,7 +390,7 @@
                 worker.id,
                 worker.address,
                 worker.token,
-                self._acked_end(worker, now),
+                worker.hold_acked_end,
                 deadline,
                 worker.hold_wait_ms,
                 worker.hold_number,
--- a/packages/scheduler/src/fescuecrank_scheduler/workers.py
+++ b/packages/scheduler/src/fescuecrank_scheduler/workers.py
@@ -184,6 +184,10 @@
     # Number of the last ended run that was applied, and of the last that the worker may forget.
     last_seen_end: int = 0
     last_acked_end: int = 0
+    # Number up to which the open hold acknowledges ends, and up to which an answer to such a hold
+    # shows that the worker has forgotten them.
+    hold_acked_end: int = 0
+    forgotten_end: int = 0
     # Takes no new runs: its machine is about to be taken down or moved.
     cordoned: bool = False
     # Gets work only when the pool's other workers are full, so that its machine can be switched
