Restart whole groups of workers in the soak, and let tasks work for longer than a lease

Callers saw two runs of a task at once after whole groups of workers had restarted under their ids and were cut off soon after, while leaders resigned. No kind of the soak had this shape, and its tasks lasted 0.1 to 0.8 s, less than any lease.

restart_groups_and_resign restarts a third or half of the workers at once and cuts them off; nothing that was sent to the former incarnations is carried out. With restart_groups_with_calls_and_resign, the calls that arrive meanwhile are carried out first. The summary counts groups, calls of a former life by their age, workers that were cut off with and without work, and resignations. A plan of these kinds alone has one every 12 to 16 s; LONG_SHARE is the share of jobs whose tasks work for 5 to 25 s.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 ENTRIES ?= 4
 WORKERS ?= 6
 FAULTS ?=
+LONG_SHARE ?= 0
 
 .PHONY: test lint format demo model soak soak-processes faults bench slopes
 
@@ -42,11 +43,12 @@
 	PYTHONPATH=packages/core/src:packages/core/tests $(BIN)/python packages/core/tests/soak.py --seed $(SEED) --steps $(STEPS)
 
 # Real processes on loopback; SECONDS of faults, then everything is repaired. FAULTS names kinds of
-# faults of packages/daemon/tests/soak_plan.py, separated by commas; all by default.
+# faults of packages/daemon/tests/soak_plan.py, separated by commas; all by default. LONG_SHARE of the
+# jobs have tasks of 5 to 25 s.
 soak-processes: $(STAMP)
 	PYTHONPATH=$(subst $(eval) ,:,$(foreach p,scheduler service platform daemon,packages/$(p)/tests)) \
 		$(BIN)/python packages/daemon/tests/process_soak.py --seed $(SEED) --seconds $(SECONDS) --entries $(ENTRIES) \
-		--workers $(WORKERS) --faults "$(FAULTS)"
+		--workers $(WORKERS) --faults "$(FAULTS)" --long-share $(LONG_SHARE)
 
 bench: $(STAMP)
 	$(BIN)/python -m fescuecrank_bench
--- a/packages/daemon/tests/process_soak.py
+++ b/packages/daemon/tests/process_soak.py
@@ -24,11 +24,11 @@
 from soak_callers import CALL_TIMEOUT_MS, HOST, KEY, QUEUE, Callers, Connection
 from soak_entries import EntryProcess
 from soak_faults import Faults
-from soak_jobs import SoakJob
+from soak_jobs import LONG_WORK_MS, SoakJob
 from soak_ledger import Ledger
 from soak_machine import SoakGangs
 from soak_odd_entries import ADDRESS
-from soak_plan import FAULTS, inject, make_plan
+from soak_plan import FAULTS, GROUP_FAULTS, inject, make_plan
 from soak_report import report
 from soak_store import ODD_PREFIX, SharedStore, StoreFront
 from soak_workers import CAPACITY, LATE_MS, SoakWorker
@@ -66,10 +66,13 @@
         workers: int,
         folder: Path,
         faults: list[str] | None = None,
+        long_share: float = 0.0,
     ) -> None:
         rng = random.Random(f"{seed}-fleet")
         self.seed, self.folder = seed, folder
         self.plan = make_plan(seed, seconds, faults or list(FAULTS))
+        # Share of the jobs whose tasks work for long, and the end of the faults.
+        self.long_share, self._seconds = long_share, seconds
         self.violations: list[str] = []
         self.timeline: list[str] = []
         # What was injected, and what it has hit.
@@ -292,11 +295,15 @@
         for planned in self.plan:
             await asyncio.sleep(max(0, start_ms + planned.at_ms - now_ms()) / 1_000)
             inject(self.faults, planned)
+        if GROUP_FAULTS.intersection(self.injected):
+            await asyncio.sleep(max(0, start_ms + 1_000 * self._seconds - now_ms()) / 1_000)
 
     async def _recover(self) -> None:
         """Repair everything; every accepted job has to end as it must."""
         self.callers.closing = True
         self.note("callers stop")
+        for entry in self.entries:
+            self.hits["leaders that resigned"] += entry.logged("leadership_resigned")
         # Also the last repair, the last order that is late and the last restart come in this time.
         await asyncio.sleep((LATE_MS[1] + CALL_TIMEOUT_MS) / 1_000)
         self.note("repair")
@@ -320,7 +327,9 @@
         self.ledger.checked["jobs that last until the end"] += sum(
             job.kind.lasting for job in open_jobs
         )
-        end = asyncio.get_running_loop().time() + RECOVERY_S
+        longest_ms = max(LONG_WORK_MS) if self.long_share else 0
+        recovery_s = RECOVERY_S + longest_ms / 1_000
+        end = asyncio.get_running_loop().time() + recovery_s
         while (open_jobs or silent) and asyncio.get_running_loop().time() < end:
             silent = [server for server in silent if server.last_hold_ms <= repaired_ms]
             conn = Connection(random.choice(self.entries))
@@ -338,11 +347,11 @@
             await asyncio.sleep(0.2)
         for job in open_jobs:
             self.violate(
-                f"job {job.id} ({job.kind.name}) is {job.state or 'unknown'} {RECOVERY_S} s after "
+                f"job {job.id} ({job.kind.name}) is {job.state or 'unknown'} {recovery_s} s after "
                 "the repair"
             )
         for server in silent:
-            self.violate(f"{server.worker.id} is not called {RECOVERY_S} s after the repair")
+            self.violate(f"{server.worker.id} is not called {recovery_s} s after the repair")
 
     def _is_at_work(self, job: SoakJob) -> bool:
         """Return whether all tasks of a job run."""
@@ -371,10 +380,12 @@
     parser.add_argument("--workers", type=int, default=6)
     parser.add_argument("--verbose", action="store_true", help="report in full in any case")
     parser.add_argument("--faults", default="", help="kinds of faults, separated by commas")
+    parser.add_argument("--long-share", type=float, default=0.0, help="share of long jobs")
     args = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{args.seed}-"))
     kinds = args.faults.split(",") if args.faults else None
-    soak = run_soak(args.seed, args.seconds, args.entries, args.workers, folder, kinds)
+    sizes = (args.seconds, args.entries, args.workers)
+    soak = run_soak(args.seed, *sizes, folder, kinds, args.long_share)
     print(report(soak, args.verbose))
     return 1 if soak.violations else 0
 
--- a/packages/daemon/tests/soak_builders.py
+++ b/packages/daemon/tests/soak_builders.py
@@ -53,6 +53,7 @@
         # Allows for a machine that is busy while the tests run.
         lag_ms=MAX_LAG_MS,
         store_away=False,
+        long_share=0.0,
     )
     soak.callers = Callers(soak, 1)
     return soak
--- a/packages/daemon/tests/soak_callers.py
+++ b/packages/daemon/tests/soak_callers.py
@@ -8,7 +8,7 @@
 import orjson
 from platform_servers import now_ms, unix_ms
 from soak_entries import EntryProcess
-from soak_jobs import SoakJob, draw_job
+from soak_jobs import CRASHING_SHARE, LONG, SoakJob, draw_job
 
 KEY = "key-of-team-a"
 QUEUE = "/checks/"
@@ -33,6 +33,10 @@
 
 # Callers wait while more jobs are open, so that all can end in the time after the repair.
 OPEN_JOBS_PER_WORKER = 20
+# The same with long jobs, whose tasks, two each, take half of the capacity at most. A task that is
+# lost with its worker starts again soon only where other workers have room.
+OPEN_JOBS_PER_WORKER_BESIDE_LONG = 5
+LONG_JOBS_PER_WORKER = 2
 
 # A job that lasts is cancelled this long after it was accepted.
 LASTING_MS = (1_000, 12_000)
@@ -128,7 +132,10 @@
             if not conn.usable or rng.random() < 0.03:
                 conn.close()
                 conn = Connection(rng.choice(self.soak.entries))
-            if self.soak.ledger.open_jobs() < OPEN_JOBS_PER_WORKER * len(self.soak.workers):
+            limit = (
+                OPEN_JOBS_PER_WORKER_BESIDE_LONG if self.soak.long_share else OPEN_JOBS_PER_WORKER
+            )
+            if self.soak.ledger.open_jobs() < limit * len(self.soak.workers):
                 conn = await self._hand_in(conn, rng)
             else:
                 self.soak.count("requests left out while many jobs waited")
@@ -163,7 +170,11 @@
         owed = self.soak.ledger.owed_jobs()
         # Those that last have no more than a quarter of the workers' capacity.
         may_last = sum(job.kind.lasting for job in owed) < len(self.soak.workers)
-        job = draw_job(rng, unix_ms(now_ms()), may_last)
+        long_share, limit = self.soak.long_share, LONG_JOBS_PER_WORKER * len(self.soak.workers)
+        crashing_share = 0.0 if long_share else CRASHING_SHARE
+        if long_share and self.soak.ledger.open_jobs(LONG) >= limit:
+            long_share = 0.0
+        job = draw_job(rng, unix_ms(now_ms()), may_last, long_share, crashing_share)
         self.soak.ledger.jobs[job.id] = job
         return job
 
--- a/packages/daemon/tests/soak_entries.py
+++ b/packages/daemon/tests/soak_entries.py
@@ -78,6 +78,10 @@
     def log_path(self) -> Path:
         return self.folder / f"{self.name}.log"
 
+    def logged(self, event: str) -> int:
+        """Return how many lines of an event its processes have written."""
+        return self.log_path.read_text(errors="replace").count(f'"{event}"')
+
     # Faults other than planned stops, reloads and changes of the configuration.
 
     def begin_fault(self) -> int:
--- a/packages/daemon/tests/soak_entry_faults.py
+++ b/packages/daemon/tests/soak_entry_faults.py
@@ -108,13 +108,18 @@
         self._press(entry, rng, "stop", PRESSING_CALLERS, PRESS_S)
 
         def terminate() -> None:
-            if entry.lives == lives and entry.running:
-                entry.signal(signal.SIGTERM)
-                self.soak.spawn(entry.kill_after_grace())
-                self.soak.restart_later(entry, rng.randrange(100, 1_000))
+            if entry.lives == lives:
+                self._terminate(entry, rng)
 
         self.soak.later(press_ms, terminate)
 
+    def _terminate(self, entry: EntryProcess, rng: random.Random) -> None:
+        """Send SIGTERM, and start the entry again when it has ended."""
+        if entry.running:
+            entry.signal(signal.SIGTERM)
+            self.soak.spawn(entry.kill_after_grace())
+            self.soak.restart_later(entry, rng.randrange(100, 1_000))
+
     def stop_entry(self, rng: random.Random) -> None:
         self._stop(self._entry(rng), rng)
 
--- a/packages/daemon/tests/soak_faults.py
+++ b/packages/daemon/tests/soak_faults.py
@@ -4,6 +4,23 @@
 
 from soak_store import StoreFront
 from soak_worker_faults import LONG_CUT_MS, MAX_WAIT_FOR_START_MS, STALE_MS, WorkerFaults
+from soak_workers import SoakWorker
+
+# Groups of workers that restart at once, after a time without contact, and are cut off together.
+# Now and then they are away for longer than a caller waits twice.
+DARK_MS, LONG_DARK_MS, LONG_DARK_SHARE = (400, 800), (800, 2_500), 0.2
+GROUP_LEAD_MS = 1_000
+GROUP_STALE_MS = (0, 1_500)
+# Early cuts and stops are drawn more often: the lease by a call with the former clock ends a fixed
+# time after the restart.
+GROUP_CUT_AFTER_MS = ((200, 1_500), (0, 3_000))
+# A cut has to outlast the lease that the leader expects, mostly.
+GROUP_CUT_MS = ((7_500, 10_000), (7_500, 10_000), (3_000, 12_000))
+
+# When a leader resigns, counted from the restart of a group; its successor, in a share of the
+# cases, somewhat later.
+RESIGN_MS = ((0, 1_200), (0, 1_200), (-1_000, 3_000))
+SECOND_RESIGN_SHARE, SECOND_RESIGN_MS = 0.3, (500, 3_000)
 
 
 class Faults(WorkerFaults):
@@ -79,6 +96,44 @@
         remove = rng.choice((self._kill, self._stop))
         self.soak.later(rng.randrange(50, 700), lambda: remove(self._leader(rng), rng))
 
+    def restart_groups_and_resign(self, rng: random.Random) -> None:
+        """Restart a group of workers and cut it off, while leaders resign.
+
+        Nothing that was sent to the former incarnations is carried out by the later ones.
+        """
+        self._restart_group(rng, takes_calls=False)
+
+    def restart_groups_with_calls_and_resign(self, rng: random.Random) -> None:
+        """Let the later incarnations carry out what was sent while they were away as well."""
+        self._restart_group(rng, takes_calls=True)
+
+    def _restart_group(self, rng: random.Random, takes_calls: bool) -> None:
+        workers = self.soak.workers
+        group = rng.sample(workers, max(1, len(workers) // rng.choice((2, 3))))
+        away_ms = rng.randrange(*(LONG_DARK_MS if rng.random() < LONG_DARK_SHARE else DARK_MS))
+        stale_ms, drop = rng.randrange(*GROUP_STALE_MS), rng.random() < 0.5
+        cut_ms = rng.randrange(*rng.choice(GROUP_CUT_MS))
+        cut_at_ms = GROUP_LEAD_MS + away_ms + rng.randrange(*rng.choice(GROUP_CUT_AFTER_MS))
+        resign_ms = GROUP_LEAD_MS + away_ms + rng.randrange(*rng.choice(RESIGN_MS))
+
+        def restart() -> None:
+            self.soak.count("groups reborn")
+            for server in group:
+                server.restart_in_group(away_ms, stale_ms, takes_calls)
+
+        self.soak.later(GROUP_LEAD_MS, restart)
+        self.soak.later(cut_at_ms, lambda: self._cut_group(group, cut_ms, drop))
+        self.soak.later(resign_ms, lambda: self._terminate(self._leader(rng), rng))
+        if rng.random() < SECOND_RESIGN_SHARE:
+            resign_ms += rng.randrange(*SECOND_RESIGN_MS)
+            self.soak.later(resign_ms, lambda: self._terminate(self._leader(rng), rng))
+
+    def _cut_group(self, group: list[SoakWorker], cut_ms: int, drop: bool) -> None:
+        for server in group:
+            work = "after" if server.worker.alive and server.has_started else "without"
+            self.soak.count(f"workers of reborn groups cut off {work} work")
+            server.cut_off(cut_ms, drop)
+
     def leave_odd_entry_and_lose_leader(self, rng: random.Random) -> None:
         """Let a successor, and a process that starts, read a list with an odd entry."""
         self.leave_odd_entry(rng)
--- a/packages/daemon/tests/soak_jobs.py
+++ b/packages/daemon/tests/soak_jobs.py
@@ -9,12 +9,16 @@
 ESTIMATE_MS = 200
 
 # Share of the jobs with a task that crashes its workers; more would keep most workers away.
+# Beside long jobs there are none, as suspected tasks would wait for most of the run.
 CRASHING_SHARE = 0.01
 
 # An occurrence is due this long after the request, and this long after the one before.
 FIRST_DUE_MS = (0, 1_000)
 INTERVAL_MS = (200, 1_000)
 
+# Work of the tasks of a long job. Most go on after the longest lease of a worker that is cut off.
+LONG_WORK_MS = (5_000, 12_000, 12_000, 12_000, 25_000)
+
 
 @attrs.frozen
 class SoakStep:
@@ -24,10 +28,13 @@
     gang: bool = False
     lasting: bool = False
     checkpointing: bool = False
+    # Its own duration; None for that of the worker.
+    work_ms: int | None = None
 
     def fields(self, number: int) -> dict:
         """Return the step as requests have it."""
-        fields = {"count": self.count, "cpu": TASK_CPU, "estimate_ms": ESTIMATE_MS}
+        fields = {"count": self.count, "cpu": TASK_CPU}
+        fields |= {"estimate_ms": self.work_ms or ESTIMATE_MS}
         fields |= {"gang": True} if self.gang else {}
         fields |= {"long_running": True} if self.lasting else {}
         fields |= {"checkpointing": True} if self.checkpointing else {}
@@ -65,6 +72,12 @@
 REPEATED = JobKind("repeated", 8, (SoakStep(2), SoakStep(1)), repeats=2)
 REPEATED_GANG = JobKind("repeated gang", 5, (SoakStep(2, gang=True),), repeats=3)
 KINDS = (PLAIN, GANG, LASTING, LASTING_GANG, REPEATED, REPEATED_GANG)
+LONG = "long"
+
+
+def long_kind(work_ms: int) -> JobKind:
+    """Return the kind of a job whose tasks work for a given time, and which follows no weight."""
+    return JobKind(LONG, 0, (SoakStep(2, work_ms=work_ms),))
 
 
 @attrs.define
@@ -103,11 +116,19 @@
         return fields
 
 
-def draw_job(rng: random.Random, unix_ms: int, may_last: bool) -> SoakJob:
+def draw_job(
+    rng: random.Random,
+    unix_ms: int,
+    may_last: bool,
+    long_share: float = 0.0,
+    crashing_share: float = CRASHING_SHARE,
+) -> SoakJob:
     """Return a new job of a random kind; only plain ones have a task that crashes its workers."""
     id_ = f"{rng.getrandbits(64):016x}"
-    if rng.random() < CRASHING_SHARE:
+    if rng.random() < crashing_share:
         return SoakJob(id_, crashing=True)
+    if long_share and rng.random() < long_share:
+        return SoakJob(id_, False, long_kind(rng.choice(LONG_WORK_MS)))
     (kind,) = rng.choices(KINDS, [kind.weight for kind in KINDS])
     kind = PLAIN if kind.lasting and not may_last else kind
     first_ms = unix_ms + rng.randrange(*FIRST_DUE_MS) if kind.repeats else 0
--- a/packages/daemon/tests/soak_ledger.py
+++ b/packages/daemon/tests/soak_ledger.py
@@ -94,15 +94,18 @@
             job for job in self.jobs.values() if job.accepted_ms is not None and not job.cancelled
         ]
 
-    def open_jobs(self) -> int:
-        """Return how many accepted jobs still have tasks to do."""
+    def open_jobs(self, kind: str = "") -> int:
+        """Return how many accepted jobs, of one kind or all, still have tasks to do."""
         self._done_jobs |= {
             job.id
             for job in self.owed_jobs()
             if job.id not in self._done_jobs
             and all(self.tasks[self.unit(task)].done for task in job.kind.tasks(job.id))
         }
-        return sum(job.id not in self._done_jobs for job in self.owed_jobs())
+        return sum(
+            job.id not in self._done_jobs and kind in ("", job.kind.name)
+            for job in self.owed_jobs()
+        )
 
     # What workers see.
 
--- a/packages/daemon/tests/soak_machine.py
+++ b/packages/daemon/tests/soak_machine.py
@@ -59,7 +59,11 @@
         step = self.gangs.step_of(effect.task)
         if self.gangs.has_member(effect.task):
             self.gangs.settle(now_ms)
-        return super().start(effect, now_ms, long_running or (step is not None and step.lasting))
+        lasting = long_running or (step is not None and step.lasting)
+        result = super().start(effect, now_ms, lasting)
+        if step is not None and step.work_ms is not None and effect.task in self.runs:
+            self.runs[effect.task].work_ms = step.work_ms
+        return result
 
     def advance(self, now_ms: int) -> None:
         super().advance(now_ms)
--- a/packages/daemon/tests/soak_plan.py
+++ b/packages/daemon/tests/soak_plan.py
@@ -59,6 +59,8 @@
         Faults.turn_starts_away_after_lost_answers,
         Faults.keep_starts_and_lose_leader,
         Faults.restart_workers_and_lose_leader,
+        Faults.restart_groups_and_resign,
+        Faults.restart_groups_with_calls_and_resign,
         Faults.leave_odd_entry_and_lose_leader,
     )
 }
@@ -66,6 +68,11 @@
 # Longest time between two faults of a series.
 MAX_SERIES_STEP_MS = 500
 
+# Faults of whole groups last for long; a plan of such faults alone has them this far apart, and
+# leaves time for the last one.
+GROUP_FAULTS = {"restart_groups_and_resign", "restart_groups_with_calls_and_resign"}
+FIRST_GROUP_MS, GROUP_STEP_MS, GROUP_END_MS = 2_000, (12_000, 16_000), 16_000
+
 
 @attrs.frozen
 class PlannedFault:
@@ -79,6 +86,8 @@
 def make_plan(seed: int, seconds: float, names: list[str]) -> list[PlannedFault]:
     """Return the faults of a run: series of up to four that overlap, all kinds in turn."""
     rng = random.Random(f"{seed}-plan")
+    if GROUP_FAULTS.issuperset(names):
+        return _plan_groups(rng, seed, seconds, names)
     plan: list[PlannedFault] = []
     kinds: list[str] = []
     at_ms = 0
@@ -93,6 +102,17 @@
     return plan
 
 
+def _plan_groups(
+    rng: random.Random, seed: int, seconds: float, names: list[str]
+) -> list[PlannedFault]:
+    plan: list[PlannedFault] = []
+    at_ms = FIRST_GROUP_MS
+    while at_ms <= 1_000 * seconds - GROUP_END_MS:
+        plan.append(PlannedFault(at_ms, rng.choice(sorted(names)), f"{seed}-{len(plan)}"))
+        at_ms += rng.randrange(*GROUP_STEP_MS)
+    return plan
+
+
 def inject(faults: Faults, planned: PlannedFault) -> None:
     """Inject a planned fault."""
     faults.soak.note(f"fault: {planned.name}")
--- a/packages/daemon/tests/soak_workers.py
+++ b/packages/daemon/tests/soak_workers.py
@@ -33,6 +33,10 @@
 KNOWN_AFTER_MS = 300
 MAX_WAIT_TO_BE_KNOWN_MS = 10_000
 
+# Calls of a former life are counted apart from this age on: a network that sends a lost packet
+# again delivers most of them earlier.
+EARLIER_CALL_MS = 1_000
+
 START_PATH, HOLD_PATH = "/api/run-start", "/api/hold"
 
 
@@ -59,6 +63,11 @@
         self._known = False
         # Until when calls that were sent earlier may arrive.
         self.late_until_ms = 0
+        # Whether the worker is down and calls that arrive wait for its next incarnation, those that
+        # wait, and whether a call has reached this incarnation.
+        self.keeps_calls_while_down = False
+        self._waiting: list[asyncio.Future[None]] = []
+        self._called = False
         # Calls that the next incarnation carries out before it is called, and when they came.
         self._kept: list[tuple[int, HTTPServerRequest]] = []
         # Until when the list shows the incarnation before.
@@ -117,6 +126,9 @@
     # Calls.
 
     async def handle(self, req) -> tuple[int, bytes]:
+        late = self.keeps_calls_while_down and self._is_for_this_worker(req)
+        if late:
+            await self._reach_next_incarnation(req)
         if not self._is_for_this_worker(req):
             return 421, orjson.dumps({"clock_ms": 0})
         if req.path == START_PATH and self._rng.random() < self.turned_away_share:
@@ -134,7 +146,7 @@
         self._known = self._known or (
             self._answered_ms is not None and now_ms() - self._answered_ms > KNOWN_AFTER_MS
         )
-        life, answer = self.life, await self._carry_out(req)
+        life, answer = self.life, await self._carry_out(req, late)
         if self._rng.random() < self.unanswered_share:
             self.soak.count("worker answers lost")
             raise NoAnswerError
@@ -146,6 +158,20 @@
             self._answered_ms = self._answered_ms or self.last_hold_ms
         return answer
 
+    async def _reach_next_incarnation(self, req) -> None:
+        """Keep a call until the worker is back, also if its caller gives up meanwhile."""
+        path = req.path.rsplit("/", 1)[-1]
+        sent_ms, back = now_ms(), asyncio.get_running_loop().create_future()
+        self._waiting.append(back)
+        await back
+        age_ms, order = now_ms() - sent_ms, "later" if self._called else "first"
+        bound = "under" if age_ms < EARLIER_CALL_MS else "over"
+        self.soak.count(f"{path} calls of a former life carried out {order}, {bound} 1 s late")
+        if req.path == START_PATH:
+            body = orjson.loads(req.body)
+            start = f"the start of {body['task']} run {body['run']}"
+            self.soak.note(f"{self.worker.id} takes {start} {order}, sent {age_ms} ms before")
+
     def _is_for_this_worker(self, req) -> bool:
         return req.headers.get("X-Expect-Instance") == self.worker.id
 
@@ -192,8 +218,10 @@
 
     async def _carry_out(self, req, late: bool = False) -> tuple[int, bytes]:
         if not self.worker.alive:
+            self.soak.count("calls discarded by workers that were down")
             raise NoAnswerError
         self.observe()
+        self._called = True
         body, life = orjson.loads(req.body), self.life
         if req.path == START_PATH and self._is_beyond_room(body):
             return self._refuse_for_room(body)
@@ -292,30 +320,53 @@
 
     # Faults.
 
-    def crash(self, repair_ms: int, keeps_id: bool = False, silent: bool = False) -> None:
+    def crash(
+        self,
+        repair_ms: int,
+        keeps_id: bool = False,
+        silent: bool = False,
+        keeps_connections: bool = False,
+    ) -> None:
         """End the worker; after a while another one has the address, or the same with a new clock.
 
-        If it crashes `silent`, its connections stay open.
+        If it crashes `silent`, its connections stay open; the next incarnation reads from them if
+        it `keeps_connections`.
         """
         if not self.worker.alive:
             return
         self.observe()
         self.worker.crash(now_ms())
         self.soak.count("workers crashed")
-        if silent:
+        if silent and not keeps_connections:
             self.proxy.abandon()
-        else:
+        elif not silent:
             self.proxy.refuse()
         self.soak.later(repair_ms, lambda: self._come_back(keeps_id))
 
-    def restart_unnoticed(self, away_ms: int, stale_ms: int, silent: bool) -> None:
+    def restart_unnoticed(
+        self, away_ms: int, stale_ms: int, silent: bool, keeps_connections: bool = False
+    ) -> None:
         """Restart under the same id while the list goes on to show the incarnation before."""
         if self.worker.alive:
             self.list_stale_until_ms = now_ms() + away_ms + stale_ms
-            self.crash(away_ms, keeps_id=True, silent=silent)
+            self.crash(away_ms, True, silent, keeps_connections)
             if silent:
                 self.soak.later(away_ms + stale_ms, self.proxy.drop_dead)
 
+    def restart_in_group(self, away_ms: int, stale_ms: int, takes_calls: bool) -> None:
+        """Restart under the same id with open connections.
+
+        Calls that arrive meanwhile are carried out by the next incarnation, or by none.
+        """
+        if not self.worker.alive:
+            return
+        # What an earlier cut held back is for the former life.
+        self.proxy.rejoin(drop=True)
+        self.soak.count("workers of reborn groups")
+        self.soak.note(f"{self.worker.id} is down for {away_ms} ms")
+        self.keeps_calls_while_down = takes_calls
+        self.restart_unnoticed(away_ms, stale_ms, silent=True, keeps_connections=takes_calls)
+
     async def cut_off_after_start(self, wait_ms: int, cut_ms: int, drop: bool) -> None:
         """Cut the next incarnation off once it has started a task."""
         life, end_ms = self.life, now_ms() + wait_ms
@@ -324,6 +375,10 @@
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
         self.soak.count("workers cut off again after they got work")
+        self.cut_off(cut_ms, drop)
+
+    def cut_off(self, cut_ms: int, drop: bool) -> None:
+        """Hold all calls and answers back for a time; with `drop`, reset their connections then."""
         self.soak.note(f"{self.worker.id} is cut off for {cut_ms} ms")
         self.proxy.isolated = True
         self.expect_late_calls(cut_ms)
@@ -332,6 +387,7 @@
     async def _come_back(self, keeps_id: bool) -> None:
         self._seen_end, self._answered_ms, self._known = 0, None, False
         self.last_hold_ms = 0
+        self._called, self.keeps_calls_while_down = False, False
         if keeps_id:
             self.soak.count("workers restarted under the same id")
             self.worker.restart(now_ms())
@@ -342,6 +398,10 @@
             self.worker = self._make_machine()
         self._starts_before = len(self.worker.started)
         self._carry_out_kept()
+        waiting, self._waiting = self._waiting, []
+        for back in waiting:
+            if not back.done():
+                back.set_result(None)
         await self.proxy.open()
 
     def resize(self, cpu: int) -> None:
--- a/packages/daemon/tests/test_process_soak.py
+++ b/packages/daemon/tests/test_process_soak.py
@@ -4,12 +4,14 @@
 from soak_plan import FAULTS
 from soak_report import report
 
-# Kinds that show the failures of issue 31: a start that is the first call to reach an incarnation.
-# They are run by hand until that issue is closed.
+# Kinds that show the failures of issue 31, a start that is the first call to reach an incarnation,
+# or that need a plan of their own. They are run by hand.
 OPEN_FAULTS = {
     "keep_calls_for_next_incarnation",
     "keep_starts_for_next_incarnation",
     "keep_starts_and_lose_leader",
+    "restart_groups_and_resign",
+    "restart_groups_with_calls_and_resign",
     "restart_worker_unnoticed",
     "restart_workers_and_lose_leader",
 }
