Report runs that a leader gives up before the lease of a worker has ended

A second run of a task at the same time needs a start in a window of a second or less, which few plays of the soak hit. That a leader takes a lease for over before it is, is the cause, and shows in each play in which it happens: the soak notes until when each worker that is cut off holds its lease, and compares that with runs_lost in the logs of the entries. It is printed and no violation.

--- a/packages/daemon/tests/soak_ledger.py
+++ b/packages/daemon/tests/soak_ledger.py
@@ -53,6 +53,16 @@
     history: list[str] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class CutLease:
+    """A worker that was cut off, and when its last lease ended or would end; Unix times in ms."""
+
+    worker: str
+    since_ms: int
+    until_ms: int
+    lease_end_ms: int
+
+
 class Ledger:
     """Records starts, ends, acknowledgements and answers, and reports broken promises."""
 
@@ -63,6 +73,7 @@
         self.checked: Counter[str] = Counter()
         # How the runs ended that workers listed.
         self.ended: Counter[str] = Counter()
+        self.cut_leases: list[CutLease] = []
         self._violate = violate
         self._now_text = now_text
         self._order = itertools.count()
--- a/packages/daemon/tests/soak_machine.py
+++ b/packages/daemon/tests/soak_machine.py
@@ -16,6 +16,10 @@
     return job.step(task) if job is not None else None
 
 
+# How fast the clock of a worker runs.
+CLOCK_RATE = 0.98
+
+
 @attrs.define
 class SoakGangs(FakeGangs):
     """The gangs of all workers of a soak, which look at each other only when one is called."""
@@ -52,7 +56,7 @@
     gangs: SoakGangs = attrs.field(factory=SoakGangs)
 
     def clock(self, now_ms: int) -> int:
-        return max(0, int((now_ms - self.started_ms) * 0.98))
+        return max(0, int((now_ms - self.started_ms) * CLOCK_RATE))
 
     def start(self, effect: StartRun, now_ms: int, long_running: bool) -> CallResult:
         """Start a task as the step of its job says."""
--- a/packages/daemon/tests/soak_report.py
+++ b/packages/daemon/tests/soak_report.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+import orjson
 from fescuecrank_service.log_lines import UNLIMITED_EVENTS
 
 MAX_REPORTED_JOBS = 4
@@ -33,9 +34,31 @@
     return lines
 
 
+def early_losses(soak) -> list[str]:
+    """Return the workers whose runs a leader gave up as their lease was over, before it was.
+
+    A second run may start in the time between, which few tasks hit.
+    """
+    lines = []
+    for entry in soak.entries:
+        text = entry.log_path.read_text(errors="replace") if entry.log_path.exists() else ""
+        for line in text.splitlines():
+            if '"runs_lost"' not in line or '"lease_over"' not in line:
+                continue
+            lost = orjson.loads(line)
+            for cut in soak.ledger.cut_leases:
+                early_ms = cut.lease_end_ms - lost["ms"]
+                within = cut.since_ms < lost["ms"] < cut.until_ms
+                if cut.worker == lost["worker"] and within and early_ms > 0:
+                    lines.append(f"{early_ms} ms too early, {entry.name}: {line}")
+    return lines
+
+
 def report(soak, verbose: bool = False) -> str:
     """Return a summary; after violations also the time line, affected jobs and log lines."""
     lines = summary(soak)
+    early = early_losses(soak)
+    lines += [f"runs given up before the end of a lease: {len(early)}", *early]
     if soak.violations or verbose:
         lines += soak.timeline
         named = [job for job in soak.ledger.jobs if any(job in text for text in soak.violations)]
--- a/packages/daemon/tests/soak_workers.py
+++ b/packages/daemon/tests/soak_workers.py
@@ -10,10 +10,10 @@
 from fescuecrank_scheduler.effects import HoldWorker
 from fescuecrank_scheduler.events import CallResult
 from fescuecrank_scheduler.jobs import TaskId
-from platform_servers import POLL_INTERVAL_S, WorkerServer, now_ms
+from platform_servers import POLL_INTERVAL_S, WorkerServer, now_ms, unix_ms
 from soak_jobs import TASK_CPU
-from soak_ledger import Life
-from soak_machine import SoakMachine
+from soak_ledger import CutLease, Life
+from soak_machine import CLOCK_RATE, SoakMachine
 from soak_proxy import Proxy
 from soak_servers import NoAnswerError, SilentServer
 from tornado.httputil import HTTPServerRequest
@@ -382,7 +382,17 @@
         self.soak.note(f"{self.worker.id} is cut off for {cut_ms} ms")
         self.proxy.isolated = True
         self.expect_late_calls(cut_ms)
-        self.soak.later(cut_ms, lambda: self.proxy.rejoin(drop))
+        life, since_ms = self.life, now_ms()
+
+        def rejoin() -> None:
+            deadline_ms, now = self.worker.lease_deadline_ms, now_ms()
+            if self.life == life and deadline_ms is not None:
+                left_ms = int((deadline_ms - self.worker.clock(now)) / CLOCK_RATE)
+                times = (unix_ms(time_ms) for time_ms in (since_ms, now, now + left_ms))
+                self.soak.ledger.cut_leases.append(CutLease(life.worker, *times))
+            self.proxy.rejoin(drop)
+
+        self.soak.later(cut_ms, rejoin)
 
     async def _come_back(self, keeps_id: bool) -> None:
         self._seen_end, self._answered_ms, self._known = 0, None, False
--- a/packages/daemon/tests/test_soak_groups.py
+++ b/packages/daemon/tests/test_soak_groups.py
@@ -6,7 +6,10 @@
 import signal
 from types import SimpleNamespace
 
+import attrs
+import orjson
 import pytest
+from fake_worker import LEASE_MAX_MS
 from platform_servers import now_ms, unix_ms
 from service_builders import until
 from soak_builders import JOB, TASK, use_workers
@@ -14,7 +17,9 @@
 from soak_faults import GROUP_LEAD_MS, Faults
 from soak_jobs import LONG, LONG_WORK_MS, PLAIN, draw_job, long_kind
 from soak_ledger import EARLY_MS
+from soak_machine import CLOCK_RATE
 from soak_plan import FAULTS, GROUP_END_MS, GROUP_FAULTS, GROUP_STEP_MS, make_plan
+from soak_report import early_losses
 from soak_workers import START_PATH
 
 DARK_MS = 600
@@ -212,3 +217,44 @@
         assert soak.ledger.open_jobs() == 2 * limit
 
     assert not use_workers(scenario, PLAIN)
+
+
+# Leases of workers that are cut off.
+
+
+@pytest.mark.parametrize(("lost_ms", "reported"), [(-1, True), (1, False)])
+def test_runs_that_are_given_up_before_the_end_of_a_lease_are_reported(tmp_path, lost_ms, reported):
+    """A second run started that early; most plays hit no task at that time."""
+
+    async def scenario(soak):
+        actions = []
+        soak.later = lambda delay_ms, action: actions.append(action)
+        await soak.start(0)
+        soak.workers[0].cut_off(9_000, drop=True)
+        actions.pop()()
+        (cut,) = soak.ledger.cut_leases
+        left_ms = cut.lease_end_ms - cut.until_ms
+        assert left_ms == pytest.approx(LEASE_MAX_MS / CLOCK_RATE, abs=1_000)
+        cut = attrs.evolve(cut, until_ms=cut.lease_end_ms + 5_000)
+        soak.ledger.cut_leases[:], end_ms = [cut], cut.lease_end_ms
+        rows = [
+            {
+                "event": "runs_lost",
+                "reason": reason,
+                "worker": worker,
+                "ms": end_ms + shift,
+            }
+            for reason, worker, shift in (
+                ("lease_over", "i-0-1", lost_ms),
+                ("lease_over", "i-1-1", -1),
+                ("restarted", "i-0-1", -1),
+                ("lease_over", "i-0-1", -60_000),
+            )
+        ]
+        path = tmp_path / "edge-0.log"
+        path.write_bytes(b"\n".join(orjson.dumps(row) for row in rows))
+        soak.entries = [SimpleNamespace(name="edge-0", log_path=path)]
+        assert bool(early_losses(soak)) == reported
+        assert len(early_losses(soak)) <= 1
+
+    assert not use_workers(scenario)
