--- a/packages/daemon/tests/soak_faults.py
+++ b/packages/daemon/tests/soak_faults.py
@@ -13,7 +13,7 @@
 GROUP_STALE_MS = (0, 1_500)
 # Early cuts and stops are drawn more often: the lease by a call with the former clock ends a fixed
 # time after the restart.
-GROUP_CUT_AFTER_MS = ((200, 1_500), (0, 3_000))
+GROUP_CUT_AFTER_MS = ((0, 1_000), (0, 3_000))
 # A cut has to outlast the lease that the leader expects, mostly.
 GROUP_CUT_MS = ((7_500, 10_000), (7_500, 10_000), (3_000, 12_000))
 
