--- a/packages/daemon/tests/soak_ledger.py
+++ b/packages/daemon/tests/soak_ledger.py
@@ -55,12 +55,16 @@
 
 @attrs.frozen
 class CutLease:
-    """A worker that was cut off, and when its last lease ended or would end; Unix times in ms."""
+    """A worker that was cut off with some runs, and when its last lease ended or would end.
+
+    Times are Unix times in ms, and runs the labels of their tasks.
+    """
 
     worker: str
     since_ms: int
     until_ms: int
     lease_end_ms: int
+    runs: frozenset[str]
 
 
 class Ledger:
--- a/packages/daemon/tests/soak_report.py
+++ b/packages/daemon/tests/soak_report.py
@@ -37,7 +37,8 @@
 def early_losses(soak) -> list[str]:
     """Return the workers whose runs a leader gave up as their lease was over, before it was.
 
-    A second run may start in the time between, which few tasks hit.
+    A second run may start in the time between, which few tasks hit. Runs that the worker lost in a
+    restart do not count.
     """
     lines = []
     for entry in soak.entries:
@@ -49,8 +50,9 @@
             for cut in soak.ledger.cut_leases:
                 early_ms = cut.lease_end_ms - lost["ms"]
                 within = cut.since_ms < lost["ms"] < cut.until_ms
-                if cut.worker == lost["worker"] and within and early_ms > 0:
-                    lines.append(f"{early_ms} ms too early, {entry.name}: {line}")
+                runs = sorted(cut.runs.intersection(lost["ages_ms"]))
+                if cut.worker == lost["worker"] and within and early_ms > 0 and runs:
+                    lines.append(f"{early_ms} ms too early, {entry.name}, {runs}: {line}")
     return lines
 
 
@@ -59,7 +61,7 @@
     lines = summary(soak)
     early = early_losses(soak)
     lines += [f"runs given up before the end of a lease: {len(early)}", *early]
-    if soak.violations or verbose:
+    if soak.violations or early or verbose:
         lines += soak.timeline
         named = [job for job in soak.ledger.jobs if any(job in text for text in soak.violations)]
         for job in named[:MAX_REPORTED_JOBS]:
--- a/packages/daemon/tests/soak_workers.py
+++ b/packages/daemon/tests/soak_workers.py
@@ -383,13 +383,14 @@
         self.proxy.isolated = True
         self.expect_late_calls(cut_ms)
         life, since_ms = self.life, now_ms()
+        runs = frozenset(task.label for task in self.worker.runs)
 
         def rejoin() -> None:
             deadline_ms, now = self.worker.lease_deadline_ms, now_ms()
             if self.life == life and deadline_ms is not None:
                 left_ms = int((deadline_ms - self.worker.clock(now)) / CLOCK_RATE)
                 times = (unix_ms(time_ms) for time_ms in (since_ms, now, now + left_ms))
-                self.soak.ledger.cut_leases.append(CutLease(life.worker, *times))
+                self.soak.ledger.cut_leases.append(CutLease(life.worker, *times, runs))
             self.proxy.rejoin(drop)
 
         self.soak.later(cut_ms, rejoin)
--- a/packages/daemon/tests/test_soak_groups.py
+++ b/packages/daemon/tests/test_soak_groups.py
@@ -23,6 +23,7 @@
 from soak_workers import START_PATH
 
 DARK_MS = 600
+LATER = attrs.evolve(TASK, occurrence=1)
 
 
 # Calls of a former life.
@@ -222,8 +223,13 @@
 # Leases of workers that are cut off.
 
 
-@pytest.mark.parametrize(("lost_ms", "reported"), [(-1, True), (1, False)])
-def test_runs_that_are_given_up_before_the_end_of_a_lease_are_reported(tmp_path, lost_ms, reported):
+@pytest.mark.parametrize(
+    ("lost_ms", "lost_task", "reported"),
+    [(-1, TASK, True), (1, TASK, False), (-1, LATER, False)],
+)
+def test_runs_that_are_given_up_before_the_end_of_a_lease_are_reported(
+    tmp_path, lost_ms, lost_task, reported
+):
     """A second run started that early; most plays hit no task at that time."""
 
     async def scenario(soak):
@@ -251,6 +257,8 @@
                 ("lease_over", "i-0-1", -60_000),
             )
         ]
+        for row in rows:
+            row["ages_ms"] = {lost_task.label: [0, 0]}
         path = tmp_path / "edge-0.log"
         path.write_bytes(b"\n".join(orjson.dumps(row) for row in rows))
         soak.entries = [SimpleNamespace(name="edge-0", log_path=path)]
