--- a/packages/daemon/tests/soak_ledger.py
+++ b/packages/daemon/tests/soak_ledger.py
@@ -53,6 +53,20 @@
     history: list[str] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class CutLease:
+    """A worker that was cut off with some runs, and when its last lease ended or would end.
+
+    Times are Unix times in ms, and runs the labels of their tasks.
+    """
+
+    worker: str
+    since_ms: int
+    until_ms: int
+    lease_end_ms: int
+    runs: frozenset[str]
+
+
 class Ledger:
     """Records starts, ends, acknowledgements and answers, and reports broken promises."""
 
@@ -63,6 +77,7 @@
         self.checked: Counter[str] = Counter()
         # How the runs ended that workers listed.
         self.ended: Counter[str] = Counter()
+        self.cut_leases: list[CutLease] = []
         self._violate = violate
         self._now_text = now_text
         self._order = itertools.count()
@@ -94,15 +109,18 @@
             job for job in self.jobs.values() if job.accepted_ms is not None and not job.cancelled
         ]
 
-    def open_jobs(self) -> int:
-        """Return how many accepted jobs still have tasks to do."""
+    def open_jobs(self, kind: str = "") -> int:
+        """Return how many accepted jobs, of one kind or all, still have tasks to do."""
         self._done_jobs |= {
             job.id
             for job in self.owed_jobs()
             if job.id not in self._done_jobs
             and all(self.tasks[self.unit(task)].done for task in job.kind.tasks(job.id))
         }
-        return sum(job.id not in self._done_jobs for job in self.owed_jobs())
+        return sum(
+            job.id not in self._done_jobs and kind in ("", job.kind.name)
+            for job in self.owed_jobs()
+        )
 
     # What workers see.
 
--- a/packages/daemon/tests/soak_machine.py
+++ b/packages/daemon/tests/soak_machine.py
@@ -16,6 +16,10 @@
     return job.step(task) if job is not None else None
 
 
+# How fast the clock of a worker runs.
+CLOCK_RATE = 0.98
+
+
 @attrs.define
 class SoakGangs(FakeGangs):
     """The gangs of all workers of a soak, which look at each other only when one is called."""
@@ -52,14 +56,18 @@
     gangs: SoakGangs = attrs.field(factory=SoakGangs)
 
     def clock(self, now_ms: int) -> int:
-        return max(0, int((now_ms - self.started_ms) * 0.98))
+        return max(0, int((now_ms - self.started_ms) * CLOCK_RATE))
 
     def start(self, effect: StartRun, now_ms: int, long_running: bool) -> CallResult:
         """Start a task as the step of its job says."""
         step = self.gangs.step_of(effect.task)
         if self.gangs.has_member(effect.task):
             self.gangs.settle(now_ms)
-        return super().start(effect, now_ms, long_running or (step is not None and step.lasting))
+        lasting = long_running or (step is not None and step.lasting)
+        result = super().start(effect, now_ms, lasting)
+        if step is not None and step.work_ms is not None and effect.task in self.runs:
+            self.runs[effect.task].work_ms = step.work_ms
+        return result
 
     def advance(self, now_ms: int) -> None:
         super().advance(now_ms)
