--- a/packages/daemon/tests/test_process_soak.py
+++ b/packages/daemon/tests/test_process_soak.py
@@ -2,7 +2,7 @@
 
 from process_soak import run_soak
 from soak_plan import FAULTS
-from soak_report import report
+from soak_report import early_losses, report
 
 # Kinds that show the failures of issue 31, a start that is the first call to reach an incarnation,
 # or that need a plan of their own. They are run by hand.
@@ -23,3 +23,20 @@
     assert not soak.violations, report(soak)
     assert {"starts", "acknowledged ends", "lookups of accepted jobs"} <= set(soak.ledger.checked)
     assert {"starts of gang jobs", "times of starts"} <= set(soak.ledger.checked)
+
+
+def test_group_that_restarts_and_is_cut_off_breaks_no_promise(tmp_path):
+    """Tasks are longer here than a lease; runs that are given up before its end are a failure."""
+    soak = run_soak(
+        seed=109,
+        seconds=18,
+        entries=3,
+        workers=6,
+        folder=tmp_path,
+        faults=["restart_groups_and_resign"],
+        long_share=0.35,
+    )
+    assert not soak.violations, report(soak)
+    assert not early_losses(soak), report(soak)
+    assert soak.hits["groups reborn"] == 1
+    assert soak.ledger.checked["starts of long jobs"]
