--- a/packages/scheduler/tests/test_soak_restarted_groups.py
+++ b/packages/scheduler/tests/test_soak_restarted_groups.py
@@ -19,7 +19,7 @@
 
 ROUNDS = 3
 
-# Seeds that failed before longest leases were stated for the next leader.
+# Seeds that fail on 6ea312c.
 REGRESSIONS = (19, 82)
 
 # The host of a caller sends a first packet again this long after it was sent before.
