--- a/review/standins_3/cloud.py
+++ b/review/standins_3/cloud.py
@@ -30,23 +30,23 @@
         self.begun: dict[int, set[str]] = {}
         self.down: dict[int, set[str]] = {}
         self._tokens: dict[str, int] = {}
-        self.orders = 0
         self.kept: list[Request] = []
-        # Called with each order that was kept.
-        self.on_kept = lambda req: None
+        # Called with each order as it arrives.
+        self.on_order = lambda req: None
         # Called as an upkeep begins, with the wave, the machine and the machines that are down.
         self.on_upkeep = lambda wave, machine, down: None
         self._tasks: set[asyncio.Task] = set()
 
     async def handle(self, req: Request) -> tuple[int, bytes]:
-        if self.mode is Mode.SILENT:
+        mode = self.mode
+        if req.path != "/api/machines":
+            self.on_order(req)
+        if mode is Mode.SILENT:
             raise NoAnswerError
         if req.path == "/api/machines":
             return 200, json.dumps({"machines": self._rows(), "next_token": None}).encode()
-        self.orders += 1
-        if self.mode is Mode.KEEP:
+        if mode is Mode.KEEP:
             self.kept.append(req)
-            self.on_kept(req)
             raise NoAnswerError
         return self.carry_out(req)
 
--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -268,6 +268,7 @@
         for entry in self.entries:
             await entry.end()
         for machine in self.machines:
+            machine.record = lambda *_, **__: None
             machine.end_life()
         self.cloud.close()
         self.store.close()
