--- a/review/14/case.py
+++ b/review/14/case.py
@@ -52,6 +52,7 @@
 
 
 async def scenario(deployment: Deployment) -> int:
+    """Return the exit status of one run."""
     entry = deployment.entries[0]
     host, port = entry.front.rsplit(":", 1)
     channels = [Channel(*await asyncio.open_connection(host, int(port))) for _ in range(CHANNELS)]
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -97,15 +97,18 @@
         self.deployment.record("service_at_work")
 
     def count_at_work(self) -> int:
+        """Return how many tasks of the service are at work."""
         return sum(len(self.at_work(machine)) for machine in self.deployment.machines)
 
     def wave_completed(self) -> bool:
+        """Return whether operators are told that the wave is completed."""
         newest = self.deployment.store.partition("keyed.status").newest
         _, value = newest.get(f"wave/{WAVE}".encode(), (0, b"{}"))
         return json.loads(value).get("state") == "completed"
 
 
 async def scenario(deployment: Deployment) -> int:
+    """Return the exit status of one run."""
     case = Case(deployment)
     cloud = deployment.cloud
     for steps, spec in ((FILLER, FILLER_SPEC), (SHORT, SHORT_SPEC)):
--- a/review/standins_3/cloud.py
+++ b/review/standins_3/cloud.py
@@ -39,6 +39,7 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def handle(self, req: Request) -> tuple[int, bytes]:
+        """Answer a call as the mode says."""
         mode = self.mode
         if req.path != "/api/machines":
             self.on_order(req)
--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -36,6 +36,7 @@
 
 
 def free_address() -> str:
+    """Return an address on a port that nothing listens on."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return f"127.0.0.1:{probe.getsockname()[1]}"
@@ -107,6 +108,7 @@
         self._record("entry_started", entry=self.name, pid=self.process.pid)
 
     def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
         if self.process is not None and self.process.returncode is None:
             self._record("signal", entry=self.name, signal=number.name)
             os.kill(self.process.pid, number)
@@ -119,6 +121,7 @@
             await self.process.wait()
 
     async def is_ready(self) -> bool:
+        """Return whether the entry says that it is ready."""
         status, _ = await call(self.ready, "GET", "/api/readyz", {}, b"", 1.0)
         return status == 200
 
@@ -171,9 +174,11 @@
         self.store.partition("keyed.servers").put(worker, value)
 
     def machine(self, name: str) -> Machine:
+        """Return a machine by its name."""
         return next(machine for machine in self.machines if machine.name == name)
 
     def entry(self, name: str) -> Entry:
+        """Return an entry by its name."""
         return next(entry for entry in self.entries if entry.name == name)
 
     async def start(self, entries: int) -> None:
--- a/review/standins_3/store.py
+++ b/review/standins_3/store.py
@@ -90,6 +90,7 @@
         return self.partitions.setdefault(topic, Partition())
 
     async def handle(self, req: Request) -> tuple[int, bytes]:
+        """Answer one call."""
         if self.refusal is not None:
             return self.refusal, b""
         await asyncio.sleep(0.002)
--- a/review/standins_3/workers.py
+++ b/review/standins_3/workers.py
@@ -18,6 +18,7 @@
 
 
 def mono_ms() -> int:
+    """Return the steady clock in ms."""
     return int(time.monotonic() * 1_000)
 
 
@@ -35,15 +36,18 @@
 
     @property
     def done_ms(self) -> int:
+        """Return the work done, with what earlier runs saved."""
         return self.saved_ms + mono_ms() - self.started_ms
 
     @property
     def percent(self) -> int:
+        """Return the progress; a task that lasts is at work at 100."""
         if self.work_ms is None:
             return 100 if mono_ms() - self.started_ms >= STARTUP_MS else 10
         return min(99, 100 * self.done_ms // self.work_ms)
 
     def checkpoint(self) -> str:
+        """Return what is saved, or the empty string."""
         done_ms = self.done_ms // CHECKPOINT_MS * CHECKPOINT_MS
         if not self.checkpoint_bytes or not done_ms:
             return ""
@@ -85,6 +89,7 @@
 
     @property
     def clock_ms(self) -> int:
+        """Return this life's clock, which runs slow."""
         return int((mono_ms() - self._zero_ms) * 0.99)
 
     async def _heartbeat(self) -> None:
@@ -133,6 +138,7 @@
         self.machine.record("end", worker=self.id, task=run.task, run=run.number, how=how)
 
     async def handle(self, req: Request) -> tuple[int, bytes]:
+        """Answer one call, unless it is meant for another life."""
         if req.headers.get("x-expect-instance") not in (None, self.id):
             return self._answer(421)
         body = json.loads(req.body)
@@ -153,7 +159,10 @@
         return 404, b""
 
     def _answer(self, status: int, **fields: object) -> tuple[int, bytes]:
-        return status, json.dumps({"clock_ms": self.clock_ms, "born": self.born_ms} | fields).encode()
+        return (
+            status,
+            json.dumps({"clock_ms": self.clock_ms, "born": self.born_ms} | fields).encode(),
+        )
 
     def _extend_lease(self, deadline_ms: int) -> None:
         deadline_ms = min(deadline_ms, self.clock_ms + HOLD_MAX_MS)
