--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,7 +1,6 @@
-"""AVAIL: an upkeep ends more tasks of a step that lasts than its `may_miss` allows."""
+"""AVAIL: the leases of all workers lapse after the open channels to them have gone silent."""
 
 import asyncio
-import json
 import sys
 import time
 from pathlib import Path
@@ -9,26 +8,13 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins_3"))
 
-from cloud import Mode  # noqa: E402
 from deployment import BROKEN, HELD, NOT_RUN, Deployment, run_case, trouble, until  # noqa: E402
-from workers import Machine  # noqa: E402
 
-MACHINES = {"m-1": "pool-a", "m-2": "pool-a"}
-WAVE, CAP, DURATION_S = 1, 1, 60
+MACHINES = {f"m-{number}": "pool-a" for number in range(3)}
+CPU = 16_000
 
-# The machine service is silent for this long.
-SILENT_S = 5.0
-# A crashed worker's machine is back after this time, as a new worker.
-CRASH_S = 1.0
-
-# Fills one machine, so that the wave begins with the other.
-FILLER = [{"count": 1, "cpu": 3500, "mem_mb": 64, "estimate_ms": 900, "long_running": True}]
-FILLER_SPEC = {"cpu": 3500}
-# Keeps the other machine busy for some seconds.
-SHORT = [{"count": 1, "cpu": 3500, "mem_mb": 64, "estimate_ms": 3000}]
-SHORT_SPEC = {"cpu": 3500, "work_ms": 3000}
-# The service, of which one task may be missing at a time.
-COUNT, MAY_MISS = 3, 1
+# The service: two tasks on each worker, of which one may be missing at a time.
+COUNT, MAY_MISS = 6, 1
 SERVICE = [
     {
         "count": COUNT,
@@ -37,103 +23,78 @@
         "estimate_ms": 900,
         "long_running": True,
         "may_miss": MAY_MISS,
+        "anti_affinity": 2,
     }
 ]
 SERVICE_SPEC = {"cpu": 1000}
+# A quick check as wide as the site's widest, beside the service.
+QUICK = [{"count": 24, "cpu": 880, "mem_mb": 64, "estimate_ms": 1000}]
+QUICK_SPEC = {"cpu": 880, "work_ms": 1000}
+
+# A moment is near the silence for this long after it (`contact_ms`).
+NEAR_S = 3.0
+WATCHED_S = 15.0
 
 
-class Case:
-    """The state of one run."""
+class Lapses:
+    """Watches the service's tasks, and which of them lapse with a lease."""
 
     def __init__(self, deployment: Deployment) -> None:
-        self.deployment, self.cloud = deployment, deployment.cloud
-        self.broken = False
+        self.deployment = deployment
         self.service = ""
-        self.crash: asyncio.Task | None = None
-        self.cloud.on_order, self.cloud.on_upkeep = self.on_order, self.on_upkeep
-
-    def at_work(self, machine: Machine) -> list[str]:
-        """Return the tasks of the service that are at work on a machine."""
-        if not self.service or machine.worker is None or machine.worker.draining:
-            return []
-        runs = machine.worker.runs.values()
-        return [r.task for r in runs if r.task.startswith(self.service) and r.percent == 100]
-
-    def on_upkeep(self, wave: int, machine: Machine, down: frozenset[str]) -> None:
-        """Check the rule as the platform and the workers see it.
-
-        Of the tasks that end at once, the last one ends while the others have been ended.
-        """
-        ended = self.at_work(machine)
-        if len(ended) - 1 >= MAY_MISS:
-            self.broken = True
-            self.deployment.record(
-                "rule_broken", rule="AVAIL", machine=machine.name, ended=ended, may_miss=MAY_MISS
-            )
-
-    def on_order(self, req) -> None:
-        """Let the worker crash whose machine is ordered down while nothing is carried out."""
-        if self.cloud.mode is Mode.SILENT and self.crash is None:
-            order = json.loads(req.body)
-            self.deployment.record("order_not_answered", order=order)
-            machine = self.deployment.machine(order["machine"])
-            self.crash = asyncio.ensure_future(self._crash(machine))
-
-    async def _crash(self, machine: Machine) -> None:
-        await asyncio.sleep(0.1)
-        self.deployment.record("worker_crashes", machine=machine.name)
-        machine.end_life()
-        await asyncio.sleep(CRASH_S)
-        await machine.boot()
-
-    async def start_service(self) -> None:
-        """Hand the service in and wait until all of its tasks are at work."""
-        self.service, accepted = await self.deployment.submit("pool-a", SERVICE, SERVICE_SPEC)
-        if not accepted:
-            raise RuntimeError("the service was not accepted")
-        self.deployment.record("service_accepted", job=self.service)
-        if not await until(lambda: self.count_at_work() == COUNT, 20):
-            raise RuntimeError("the service did not come to work")
-        self.deployment.record("service_at_work")
+        self.silent_s: float | None = None
+        # Tasks that have lapsed at some distance from the silence.
+        self.tasks: set[str] = set()
+        self._at_work: set[str] = set()
+        for machine in deployment.machines:
+            machine.record = self.on_event
 
     def count_at_work(self) -> int:
         """Return how many tasks of the service are at work."""
-        return sum(len(self.at_work(machine)) for machine in self.deployment.machines)
-
-    def wave_completed(self) -> bool:
-        """Return whether operators are told that the wave is completed."""
-        newest = self.deployment.store.partition("keyed.status").newest
-        _, value = newest.get(f"wave/{WAVE}".encode(), (0, b"{}"))
-        return json.loads(value).get("state") == "completed"
+        self._at_work = {
+            run.task
+            for machine in self.deployment.machines
+            if machine.worker is not None
+            for run in machine.worker.runs.values()
+            if run.task.startswith(self.service) and run.percent == 100
+        }
+        return len(self._at_work)
+
+    def on_event(self, event: str, **fields: object) -> None:
+        """Note the end of a task that was at work, by a lease that has lapsed."""
+        self.deployment.record(event, **fields)
+        if event != "end" or fields["how"] != "lapsed" or fields["task"] not in self._at_work:
+            return
+        if self.silent_s is None or time.monotonic() - self.silent_s > NEAR_S:
+            self.tasks.add(str(fields["task"]))
 
 
 async def scenario(deployment: Deployment) -> int:
     """Return the exit status of one run."""
-    case = Case(deployment)
-    cloud = deployment.cloud
-    for steps, spec in ((FILLER, FILLER_SPEC), (SHORT, SHORT_SPEC)):
-        await deployment.submit("pool-a", steps, spec)
-        await asyncio.sleep(1.0)
-    deployment.put_wave(WAVE, list(MACHINES), CAP, DURATION_S)
-    await asyncio.sleep(1.0)
+    lapses = Lapses(deployment)
+    lapses.service, accepted = await deployment.submit("pool-a", SERVICE, SERVICE_SPEC)
+    if not accepted or not await until(lambda: lapses.count_at_work() == COUNT, 20):
+        return NOT_RUN
+    await deployment.submit("pool-a", QUICK, QUICK_SPEC)
+    await asyncio.sleep(4)
+    deployment.record("service_at_work", tasks=lapses.count_at_work())
     if trouble():
-        cloud.mode, silent_s = Mode.SILENT, time.monotonic()
-        deployment.record("machine_service_silent", for_s=SILENT_S)
-        if not await until(lambda: case.crash is not None, SILENT_S):
-            deployment.record("no_order_came")
-            return NOT_RUN
-        service = asyncio.ensure_future(case.start_service())
-        await asyncio.sleep(max(0.0, silent_s + SILENT_S - time.monotonic()))
-        cloud.mode = Mode.SERVE
-        deployment.record("machine_service_back", at_work=case.count_at_work())
-        await service
-    else:
-        await case.start_service()
-    if not await until(lambda: case.broken or case.wave_completed(), 60):
-        deployment.record("wave_not_completed")
-        return BROKEN if case.broken else NOT_RUN
-    return BROKEN if case.broken else HELD
+        lapses.silent_s = time.monotonic()
+        channels = [machine.worker.silence_channels() for machine in deployment.machines]
+        deployment.record("channels_silent", channels=channels)
+    end_s = time.monotonic() + WATCHED_S
+    while time.monotonic() < end_s and not lapses.tasks:
+        # What is at work when it ends counts.
+        lapses.count_at_work()
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(1)
+    if len(lapses.tasks) <= MAY_MISS:
+        return HELD
+    silent_s = lapses.silent_s
+    after_s = round(time.monotonic() - silent_s, 1) if silent_s is not None else None
+    deployment.record("rule_broken", rule="AVAIL", lapsed=len(lapses.tasks), within_s=after_s)
+    return BROKEN
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, MACHINES, scenario))
+    sys.exit(run_case(FOLDER, MACHINES, scenario, cpu=CPU))
--- a/review/standins_3/http_server.py
+++ b/review/standins_3/http_server.py
@@ -24,6 +24,8 @@
     def __init__(self) -> None:
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
+        # Open channels that carry nothing any more.
+        self._silent: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -39,13 +41,22 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_channels(self) -> int:
+        """Let all open channels go silent for good, without a reset; return how many there are."""
+        self._silent |= self._writers
+        return len(self._writers)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
             while True:
                 req = await self._read_request(reader)
                 try:
+                    if writer in self._silent:
+                        raise NoAnswerError
                     status, body = await self.handle(req)
+                    if writer in self._silent:
+                        raise NoAnswerError
                 except NoAnswerError:
                     await reader.read()
                     return
@@ -56,6 +67,7 @@
             return
         finally:
             self._writers.discard(writer)
+            self._silent.discard(writer)
             with contextlib.suppress(OSError):
                 writer.close()
 
