--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -300,11 +300,15 @@
 
     async def body(temporary: Path) -> int:
         deployment = Deployment(temporary, Record(folder / "record.txt"), machines, cpu)
+        # A script that is ended from outside ends what it has started.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(LIMIT_S):
                 await deployment.start(entries)
                 status = await scenario(deployment)
-        except Exception as exc:  # noqa: BLE001 - the case could not run
+        except (Exception, asyncio.CancelledError) as exc:  # noqa: BLE001 - it could not run
             deployment.record("not_run", error=repr(exc))
             status = NOT_RUN
         finally:
