--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -6,7 +6,6 @@
 import os
 import secrets
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -28,6 +27,7 @@
 TRIES, RETRY_S, ANSWER_S = 5, 1.0, 3.0
 
 HOST = "jobs.example"
+FRONT_PORT, READY_PORT = 8_340, 8_343
 
 
 def trouble() -> bool:
@@ -35,11 +35,13 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_address() -> str:
-    """Return an address on a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+def entry_address(number: int) -> str:
+    """Return a loopback address of an entry's own.
+
+    Another script, or a connection, could take a free port while the entry is down.
+    """
+    pid = os.getpid()
+    return f"127.{10 + pid % 200}.{pid // 200 % 250}.{number + 1}"
 
 
 class Record:
@@ -58,9 +60,10 @@
 class Entry:
     """One entry: its settings file and its process."""
 
-    def __init__(self, name: str, folder: Path, store: str, cloud: str, record: Record) -> None:
-        self.name, self._record = name, record
-        self.front, self.ready = free_address(), free_address()
+    def __init__(self, number: int, folder: Path, store: str, cloud: str, record: Record) -> None:
+        self.name, self._record = f"edge-{number + 1}", record
+        name, address = self.name, entry_address(number)
+        self.front, self.ready = f"{address}:{FRONT_PORT}", f"{address}:{READY_PORT}"
         self._path, self._log = folder / f"{name}.yaml", folder / f"{name}.log"
         # JSON is YAML.
         settings = {
@@ -189,9 +192,8 @@
             await machine.boot()
         self.put_config()
         for number in range(entries):
-            name = f"edge-{number + 1}"
             addresses = (self.store.address, self.cloud.address)
-            self.entries.append(Entry(name, self.folder, *addresses, self.record))
+            self.entries.append(Entry(number, self.folder, *addresses, self.record))
             await self.entries[-1].start()
         async with asyncio.timeout(30):
             while not all([await entry.is_ready() for entry in self.entries]):
